--- /dev/null
+++ b/cmd/standin/main.go
@@ -0,0 +1,136 @@
+// Command standin runs the stand-ins that take the place of the platform, the
+// model engines and the plain services in tests, and the load tool.
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"net/netip"
+	"os"
+	"os/signal"
+	"strings"
+	"syscall"
+	"time"
+
+	"bramleydeal/internal/standin/engine"
+	"bramleydeal/internal/standin/load"
+	"bramleydeal/internal/standin/platform"
+	"bramleydeal/internal/standin/serve"
+	"bramleydeal/internal/standin/service"
+	"github.com/google/subcommands"
+)
+
+// standin is one subcommand.
+type standin struct {
+	name, synopsis string
+	flags          func(*flag.FlagSet)
+	run            func(context.Context) error
+}
+
+// Name implements subcommands.Command.
+func (s *standin) Name() string { return s.name }
+
+// Synopsis implements subcommands.Command.
+func (s *standin) Synopsis() string { return s.synopsis }
+
+// Usage implements subcommands.Command.
+func (s *standin) Usage() string { return s.name + " [flags]\n\n" + s.synopsis + "\n\nFlags:\n" }
+
+// SetFlags implements subcommands.Command.
+func (s *standin) SetFlags(f *flag.FlagSet) { s.flags(f) }
+
+// Execute implements subcommands.Command.
+func (s *standin) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	if err := s.run(ctx); err != nil {
+		fmt.Fprintf(os.Stderr, "standin %s: %v\n", s.name, err)
+		return subcommands.ExitFailure
+	}
+	return subcommands.ExitSuccess
+}
+
+// listenFlag is an IP number and port.
+func listenFlag(f *flag.FlagSet, a *netip.AddrPort, fallback string) {
+	*a = netip.MustParseAddrPort(fallback)
+	f.TextVar(a, "listen", *a, "loopback address to serve at")
+}
+
+func platformCommand() *standin {
+	var a netip.AddrPort
+	return &standin{
+		name: "platform", synopsis: "the platform's object API in memory; PUT /standin/knobs turns faults on",
+		flags: func(f *flag.FlagSet) { listenFlag(f, &a, "127.0.0.1:7000") },
+		run:   func(ctx context.Context) error { return serve.HTTP(ctx, a, platform.New().Handler()) },
+	}
+}
+
+func engineCommand() *standin {
+	var a netip.AddrPort
+	o := engine.DefaultOptions
+	return &standin{
+		name: "engine", synopsis: "a model engine with continuous batching; PUT /standin/knobs turns faults on",
+		flags: func(f *flag.FlagSet) {
+			listenFlag(f, &a, "127.0.0.1:7300")
+			f.DurationVar(&o.Step, "step", o.Step, "time of one step")
+			f.IntVar(&o.Batch, "batch", o.Batch, "requests in one step")
+			f.IntVar(&o.TokensPerStep, "tokens-per-step", o.TokensPerStep, "tokens of each request in one step")
+			f.IntVar(&o.PrefillSteps, "prefill-steps", o.PrefillSteps, "steps that an uncached prompt costs")
+			f.BoolVar(&o.Resume, "resume", o.Resume, "go on from another engine's tokens")
+		},
+		run: func(ctx context.Context) error {
+			e := engine.New(o)
+			go e.Run(ctx)
+			return serve.HTTP(ctx, a, e.Handler())
+		},
+	}
+}
+
+func serviceCommand() *standin {
+	var a netip.AddrPort
+	return &standin{
+		name: "service", synopsis: "a plain service that counts executions by key; PUT /standin/knobs turns faults on",
+		flags: func(f *flag.FlagSet) { listenFlag(f, &a, "127.0.0.1:7400") },
+		run:   func(ctx context.Context) error { return serve.HTTP(ctx, a, service.New().Handler()) },
+	}
+}
+
+func loadCommand() *standin {
+	var o load.Options
+	var targets, keys string
+	return &standin{
+		name: "load", synopsis: "send seeded requests, check every answer and print percentiles as JSON",
+		flags: func(f *flag.FlagSet) {
+			f.StringVar(&targets, "targets", "http://127.0.0.1:8080", "base addresses, separated by commas; loopback only")
+			f.StringVar(&keys, "keys", "demo-key", "bearer keys, separated by commas")
+			f.StringVar(&o.Model, "model", "quotes-1", "model to ask for")
+			f.IntVar(&o.Concurrency, "concurrency", 16, "callers in the closed loop")
+			f.Float64Var(&o.Rate, "rate", 0, "requests a second in an open loop, 0 for the closed one")
+			f.DurationVar(&o.Duration, "duration", 5*time.Second, "time during which requests begin")
+			f.IntVar(&o.Tokens, "tokens", 24, "tokens of each answer")
+			f.BoolVar(&o.Stream, "stream", true, "ask for streams")
+			f.IntVar(&o.Prompts, "prompts", 32, "number of different prompts")
+			f.Uint64Var(&o.Seed, "seed", 1, "seed of the requests")
+		},
+		run: func(ctx context.Context) error {
+			o.Targets = strings.Split(targets, ",")
+			if keys != "" {
+				o.Keys = strings.Split(keys, ",")
+			}
+			e := json.NewEncoder(os.Stdout)
+			e.SetIndent("", "  ")
+			return e.Encode(load.Run(ctx, o))
+		},
+	}
+}
+
+func main() {
+	subcommands.Register(subcommands.HelpCommand(), "")
+	for _, c := range []*standin{platformCommand(), engineCommand(), serviceCommand(), loadCommand()} {
+		subcommands.Register(c, "")
+	}
+	flag.Parse()
+	os.Exit(int(subcommands.Execute(context.Background())))
+}
--- /dev/null
+++ b/internal/agent/entry/server.go
@@ -0,0 +1,362 @@
+package entry
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"bramleydeal/internal/agent/upstream"
+	"bramleydeal/internal/core/client"
+	core "bramleydeal/internal/core/upstream"
+	"bramleydeal/internal/process/ring"
+	"bramleydeal/internal/settings/reference"
+	"bramleydeal/internal/settings/snapshot"
+	"bramleydeal/internal/settings/tree"
+	"bramleydeal/internal/wire/dial"
+	"bramleydeal/internal/wire/peer"
+	"bramleydeal/internal/world/answer"
+	"github.com/go-logr/logr"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+	"google.golang.org/protobuf/types/known/durationpb"
+)
+
+// Sizes and times of the door.
+const (
+	ringSize     = 1024
+	tickInterval = 100 * time.Millisecond
+	// maxReportEvery bounds the interval that an entry may ask for.
+	maxReportEvery = 10 * time.Second
+	minReportEvery = 50 * time.Millisecond
+)
+
+// Orders handles the step-grant messages for the agent's rank.
+type Orders interface {
+	Order(context.Context, *peer.GrantOrder) (*peer.GrantReply, error)
+}
+
+// Server is the agent's gRPC side.
+type Server struct {
+	peer.UnimplementedAgentServer
+
+	self     string
+	target   string
+	scope    tree.Scope
+	current  func() *snapshot.Snapshot
+	client   *upstream.Client
+	pool     *dial.Pool
+	orders   Orders
+	log      logr.Logger
+	loop     *ring.Loop[*door]
+	slots    atomic.Int64
+	lifetime context.Context
+
+	mu      sync.Mutex
+	changed chan struct{}
+	stopped chan struct{}
+	stats   Stats
+}
+
+// Stats counts what the door did.
+type Stats struct {
+	Executed, Attached, Refused, Started, Broken, Handed, Adopted atomic.Uint64
+}
+
+// Config is what a Server is made of.
+type Config struct {
+	Self string
+	// Incarnation names this run of the process; no two runs share one.
+	Incarnation string
+	Target      string
+	Scope       tree.Scope
+	// Current returns the settings in force.
+	Current func() *snapshot.Snapshot
+	Client  *upstream.Client
+	Pool    *dial.Pool
+	// Orders is nil for an agent without a rank.
+	Orders Orders
+	Log    logr.Logger
+}
+
+// NewServer returns the door of an agent. ctx bounds the lifetime of its
+// running requests.
+func NewServer(ctx context.Context, c Config) *Server {
+	s := &Server{
+		self: c.Self, target: c.Target, scope: c.Scope, current: c.Current, client: c.Client,
+		pool: c.Pool, orders: c.Orders, log: c.Log, lifetime: ctx, changed: make(chan struct{}), stopped: make(chan struct{}),
+	}
+	t := c.Current().Tree
+	d := &door{
+		ledger: core.NewLedger[*job](c.Incarnation, tree.Get(t, s.scope, reference.LedgerCapacity),
+			tree.Get(t, s.scope, reference.LedgerRetention), time.Now()),
+		queue:   client.NewQueue(client.Rules{}),
+		answers: map[string]*job{},
+		waiting: map[uint64]*job{},
+		start:   s.start,
+	}
+	s.configure(d, c.Current())
+	s.loop = ring.NewLoop(d, ringSize)
+	return s
+}
+
+// Run serves the door's loop until ctx ends.
+func (s *Server) Run(ctx context.Context) {
+	var group sync.WaitGroup
+	group.Go(func() { s.loop.Run(ctx) })
+	group.Go(func() { s.runTicks(ctx) })
+	group.Wait()
+}
+
+func (s *Server) runTicks(ctx context.Context) {
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+			s.loop.Send(func(d *door) { d.tick(time.Now()) })
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// SettingsChanged applies a new snapshot.
+func (s *Server) SettingsChanged(now *snapshot.Snapshot) {
+	s.loop.Send(func(d *door) { s.configure(d, now) })
+}
+
+func (s *Server) configure(d *door, now *snapshot.Snapshot) {
+	slots := tree.Get(now.Tree, s.scope, reference.UpstreamSlots)
+	s.slots.Store(int64(slots))
+	d.queue.Configure(client.Rules{
+		Slots:  slots,
+		Length: tree.Get(now.Tree, s.scope, reference.QueueLength),
+		Wait:   tree.Get(now.Tree, s.scope, reference.QueueWait),
+	})
+	d.ledger.Configure(tree.Get(now.Tree, s.scope, reference.LedgerCapacity), tree.Get(now.Tree, s.scope, reference.LedgerRetention))
+	d.resumeWindow = tree.Get(now.Tree, s.scope, reference.ResumeWindow)
+	d.answerBuffer = tree.Get(now.Tree, s.scope, reference.AnswerBuffer)
+}
+
+// Execute implements peer.AgentServer.
+func (s *Server) Execute(r *peer.ExecuteRequest, stream peer.Agent_ExecuteServer) error {
+	ctx := stream.Context()
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		deadline = time.Now().Add(tree.Get(s.current().Tree, s.scope, reference.RequestDeadline))
+	}
+	s.stats.Executed.Add(1)
+	var j *job
+	var refusal *peer.Refusal
+	if err := s.loop.Do(ctx, func(d *door) { j, refusal = d.admit(r, deadline, time.Now()) }); err != nil {
+		return status.Error(codes.Unavailable, err.Error())
+	}
+	if refusal != nil {
+		return s.refuse(ctx, refusal, stream)
+	}
+	return s.deliver(ctx, j, r, stream)
+}
+
+func (s *Server) refuse(ctx context.Context, r *peer.Refusal, stream peer.Agent_ExecuteServer) error {
+	s.stats.Refused.Add(1)
+	return stream.Send(&peer.Part{Kind: &peer.Part_Refusal{Refusal: r}, Load: s.load(ctx)})
+}
+
+// deliver follows the job's answer from where the caller stands.
+func (s *Server) deliver(ctx context.Context, j *job, r *peer.ExecuteRequest, stream peer.Agent_ExecuteServer) error {
+	reader, ok := j.buffer.Read(r.ResumeFrom)
+	if !ok {
+		kind := answer.StreamLost
+		if r.Once {
+			kind = answer.AnswerGone
+		}
+		return s.refuse(ctx, &peer.Refusal{Kind: string(kind), Detail: "that part of the answer is no longer kept"}, stream)
+	}
+	if j.request != r {
+		s.stats.Attached.Add(1)
+	}
+	defer func() {
+		if reader.Close() == 0 && j.buffer.Ended() == nil {
+			s.loop.Send(func(d *door) { d.detached(j, time.Now()) })
+		}
+	}()
+	for {
+		step, err := reader.Next(ctx)
+		if err != nil {
+			return status.FromContextError(ctx.Err()).Err()
+		}
+		if err := s.send(ctx, step, stream); err != nil || step.Ending != nil {
+			return err
+		}
+	}
+}
+
+func (s *Server) send(ctx context.Context, step upstream.Step, stream peer.Agent_ExecuteServer) error {
+	switch {
+	case step.Head != nil:
+		return stream.Send(&peer.Part{Kind: &peer.Part_Head{Head: headMessage(step.Head)}})
+	case step.Ending != nil && step.Ending.Refusal != nil:
+		return s.refuse(ctx, refusalMessage(step.Ending.Refusal), stream)
+	case step.Ending != nil:
+		return stream.Send(&peer.Part{
+			Kind: &peer.Part_End{End: &peer.End{Complete: step.Ending.Complete, Detail: step.Ending.Detail}},
+			Load: s.load(ctx),
+		})
+	}
+	return sendPieces(step.Pieces, stream)
+}
+
+// maxData bounds the content of one message in bytes, well below the limit of
+// a message.
+const maxData = 1 << 20
+
+// sendPieces joins neighbouring pieces, so that what is ready together goes in
+// one message.
+func sendPieces(pieces []upstream.Piece, stream peer.Agent_ExecuteServer) error {
+	for len(pieces) > 0 {
+		joined := pieces[0]
+		n := 1
+		for n < len(pieces) && len(joined.Content)+len(pieces[n].Content) <= maxData {
+			if n == 1 {
+				joined.Content = append([]byte(nil), joined.Content...)
+			}
+			joined.Content = append(joined.Content, pieces[n].Content...)
+			joined.Count += pieces[n].Count
+			n++
+		}
+		data := &peer.Data{Position: joined.Position, Count: uint32(joined.Count), Content: joined.Content}
+		if err := stream.Send(&peer.Part{Kind: &peer.Part_Data{Data: data}}); err != nil {
+			return err
+		}
+		pieces = pieces[n:]
+	}
+	return nil
+}
+
+func headMessage(h *upstream.Head) *peer.Head {
+	m := &peer.Head{Status: int32(h.Status)}
+	for _, x := range h.Headers {
+		m.Headers = append(m.Headers, &peer.Header{Name: x.Name, Value: x.Value})
+	}
+	return m
+}
+
+func refusalMessage(r *answer.Refusal) *peer.Refusal {
+	return &peer.Refusal{Kind: string(r.Kind), Detail: r.Detail, RetryAfter: durationpb.New(r.RetryAfter)}
+}
+
+// start runs a job on a goroutine of its own; it is called on the door's loop.
+func (s *Server) start(j *job) {
+	s.stats.Started.Add(1)
+	ctx, cancel := context.WithDeadline(s.lifetime, j.deadline)
+	j.cancel = cancel
+	go func() {
+		defer cancel()
+		begun := time.Now()
+		mayHaveRun := s.client.Run(ctx, upstreamRequest(s.self, j), j.buffer)
+		if !j.buffer.Ended().Complete {
+			s.stats.Broken.Add(1)
+			s.log.V(1).Info("the answer broke off", "request", j.request.RequestId, "may-have-run", mayHaveRun, "detail", j.buffer.Ended().Detail)
+		}
+		s.loop.Send(func(d *door) { d.finished(j, mayHaveRun, time.Since(begun), time.Now()) })
+	}()
+}
+
+func upstreamRequest(self string, j *job) upstream.Request {
+	r := j.request
+	u := upstream.Request{
+		ID: r.RequestId, Method: r.Method, Path: r.Path, Body: r.Body, Once: r.Once,
+		Events: r.Events, Handle: self + "~" + r.Key,
+	}
+	if r.Moved {
+		u.ResumeFrom = r.ResumeFrom
+	}
+	for _, h := range r.Headers {
+		u.Headers = append(u.Headers, upstream.Header{Name: h.Name, Value: h.Value})
+	}
+	return u
+}
+
+// Seal implements peer.AgentServer.
+func (s *Server) Seal(ctx context.Context, r *peer.SealRequest) (*peer.SealReply, error) {
+	reply := &peer.SealReply{State: string(answer.Unknown)}
+	err := s.loop.Do(ctx, func(d *door) {
+		state, ok := d.ledger.Seal(ledgerKey(r.Account, r.Key), r.Term)
+		if ok {
+			reply.State = sealState(state)
+		}
+	})
+	if err != nil {
+		return nil, status.Error(codes.Unavailable, err.Error())
+	}
+	return reply, nil
+}
+
+func sealState(state core.EntryState) string {
+	switch state {
+	case core.SealedState:
+		return string(answer.NotRun)
+	case core.Done:
+		return string(answer.Ran)
+	default:
+		return string(answer.Unknown)
+	}
+}
+
+// Report implements peer.AgentServer.
+func (s *Server) Report(r *peer.ReportRequest, stream peer.Agent_ReportServer) error {
+	every := min(max(r.Every.AsDuration(), minReportEvery), maxReportEvery)
+	ticker := time.NewTicker(every)
+	defer ticker.Stop()
+	for {
+		changed := s.changes()
+		if err := stream.Send(s.load(stream.Context())); err != nil {
+			return err
+		}
+		select {
+		case <-ticker.C:
+		case <-changed:
+		case <-stream.Context().Done():
+			return nil
+		case <-s.stopped:
+			return nil
+		case <-s.lifetime.Done():
+			return nil
+		}
+	}
+}
+
+// changes returns a channel that closes when all entries must be told at once.
+func (s *Server) changes() <-chan struct{} {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.changed
+}
+
+func (s *Server) tellAll() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// load returns the agent's load report, an empty one while it is stopping.
+func (s *Server) load(ctx context.Context) *peer.LoadReport {
+	var report *peer.LoadReport
+	if s.loop.Do(ctx, func(d *door) { report = d.report(int(s.slots.Load())) }) != nil {
+		report = &peer.LoadReport{Leaving: true}
+	}
+	report.Instance = s.self
+	report.Targets = []string{s.target}
+	report.Revision = s.current().Revision
+	return report
+}
+
+// Order implements peer.AgentServer.
+func (s *Server) Order(ctx context.Context, o *peer.GrantOrder) (*peer.GrantReply, error) {
+	if s.orders == nil {
+		return nil, status.Error(codes.FailedPrecondition, "the agent's upstream is no rank of a group")
+	}
+	return s.orders.Order(ctx, o)
+}
--- /dev/null
+++ b/internal/agent/server/server.go
@@ -0,0 +1,167 @@
+// Package server puts an agent together: its listeners, its parts and the
+// order in which they stop.
+package server
+
+import (
+	"context"
+	"errors"
+	"expvar"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strconv"
+	"time"
+
+	"bramleydeal/internal/agent/entry"
+	"bramleydeal/internal/agent/upstream"
+	"bramleydeal/internal/platform/object"
+	"bramleydeal/internal/process/config"
+	"bramleydeal/internal/process/debug"
+	"bramleydeal/internal/process/log"
+	"bramleydeal/internal/process/spread"
+	"bramleydeal/internal/process/tlsfiles"
+	"bramleydeal/internal/settings/reference"
+	"bramleydeal/internal/settings/snapshot"
+	"bramleydeal/internal/settings/tree"
+	"bramleydeal/internal/wire/dial"
+	"bramleydeal/internal/wire/peer"
+	"bramleydeal/internal/world/fleet"
+	"github.com/samber/oops"
+	"google.golang.org/grpc"
+)
+
+// stopTimeout bounds the closing of what a drain has left.
+const stopTimeout = 2 * time.Second
+
+// Agent is one agent process.
+type Agent struct {
+	config  config.Process
+	log     *log.Logger
+	files   *tlsfiles.Files
+	pool    *dial.Pool
+	spread  *spread.Spread
+	door    *entry.Server
+	metrics *expvar.Map
+	drain   chan struct{}
+}
+
+// New puts an agent together. ctx bounds its lifetime and that of the requests
+// at its upstream.
+func New(ctx context.Context, c config.Process, seed uint64, logger *log.Logger) (*Agent, error) {
+	files, err := tlsfiles.Load(c.TLS)
+	if err != nil {
+		return nil, err
+	}
+	a := &Agent{config: c, log: logger, files: files, metrics: new(expvar.Map).Init(), drain: make(chan struct{}, 1)}
+	a.pool = dial.NewPool(files.Peers())
+	options := []spread.Option{spread.WithSeeds(c.Peers), spread.WithLog(logger.Part("spread")), spread.WithSeed(seed)}
+	if c.Platform.IsValid() {
+		options = append(options, spread.WithPlatform(object.NewClient(c.Platform)))
+	}
+	a.spread = spread.New(c.Name, c.FailureDomain, fleet.AgentRole, a.pool, options...)
+	a.door = entry.NewServer(ctx, entry.Config{
+		Self: c.Name, Incarnation: incarnation(), Target: c.Upstream.Target, Scope: a.scope(),
+		Current: a.spread.Current, Client: upstream.NewClient(c.Upstream.Address), Pool: a.pool, Log: logger.Part("door"),
+	})
+	a.metrics.Set("door", expvar.Func(func() any { return a.door.State(ctx) }))
+	a.metrics.Set("spread", expvar.Func(func() any { return a.spread.State() }))
+	a.metrics.Set("memstats", expvar.Get("memstats"))
+	return a, nil
+}
+
+// incarnation returns a name that no other run of an agent has.
+func incarnation() string { return strconv.FormatUint(rand.Uint64(), 36) }
+
+// scope is that of the agent's own upstream.
+func (a *Agent) scope() tree.Scope {
+	s := tree.Scope{FailureDomain: string(a.config.FailureDomain)}
+	if a.config.Upstream.Kind == config.Engine {
+		s.Group = a.config.Upstream.Target
+	} else {
+		s.Service = a.config.Upstream.Target
+	}
+	return s
+}
+
+// Run serves until stop ends, then drains; it returns when all is closed. ctx
+// ends everything at once.
+func (a *Agent) Run(ctx, stop context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	defer a.pool.Close()
+	go a.door.Run(ctx)
+	a.spread.Subscribe(a.settingsChanged)
+	go a.spread.Run(ctx)
+	listener, err := net.Listen("tcp", a.config.PeerListen.String())
+	if err != nil {
+		return oops.Code("listen").Wrapf(err, "peer-listen: give another address, or end the process that holds it")
+	}
+	peers := grpc.NewServer(dial.ServerOptions(a.files.Peers())...)
+	peer.RegisterAgentServer(peers, a.door)
+	peer.RegisterSpreadServer(peers, a.spread)
+	go a.report("peers", func() error { return peers.Serve(listener) })
+	if a.config.DebugListen.IsValid() {
+		go a.report("debug", func() error { return a.serveDebug(ctx) })
+	}
+	a.log.Part("agent").Info("serving entries", "address", a.config.PeerListen.String(), "upstream", a.config.Upstream.Address.String())
+	select {
+	case <-stop.Done():
+	case <-a.drain:
+	case <-ctx.Done():
+		peers.Stop()
+		return nil
+	}
+	a.door.Drain(ctx)
+	a.close(peers)
+	return nil
+}
+
+// close lets calls end that are about to, and cuts off what stays open, such
+// as the streams of load reports.
+func (a *Agent) close(peers *grpc.Server) {
+	timer := time.AfterFunc(stopTimeout, peers.Stop)
+	defer timer.Stop()
+	a.door.Stop()
+	peers.GracefulStop()
+}
+
+func (a *Agent) settingsChanged(now *snapshot.Snapshot) {
+	a.door.SettingsChanged(now)
+	a.log.SetVerbosity(tree.Get(now.Tree, a.scope(), reference.LogLevel))
+}
+
+func (a *Agent) report(part string, serve func() error) {
+	if err := serve(); err != nil && !errors.Is(err, http.ErrServerClosed) {
+		a.log.Part("agent").Error(err, "a listener ended", "listener", part)
+	}
+}
+
+func (a *Agent) serveDebug(ctx context.Context) error {
+	return debug.Serve(ctx, a.config.DebugListen, debug.Handler(a.metrics, func() any { return a.State(ctx) }, a.Drain))
+}
+
+// Drain begins a graceful shutdown, as the first signal does.
+func (a *Agent) Drain() {
+	select {
+	case a.drain <- struct{}{}:
+	default:
+	}
+}
+
+// State is the agent's dump.
+type State struct {
+	Instance      string              `json:"instance"`
+	Role          fleet.Role          `json:"role"`
+	FailureDomain fleet.FailureDomain `json:"failure-domain"`
+	Revision      uint64              `json:"revision"`
+	Door          entry.State         `json:"door"`
+	Spread        spread.State        `json:"spread"`
+}
+
+// State returns the agent's dump.
+func (a *Agent) State(ctx context.Context) State {
+	return State{
+		Instance: a.config.Name, Role: fleet.AgentRole, FailureDomain: a.config.FailureDomain,
+		Revision: a.spread.Current().Revision, Door: a.door.State(ctx), Spread: a.spread.State(),
+	}
+}
--- /dev/null
+++ b/internal/agent/upstream/client.go
@@ -0,0 +1,186 @@
+package upstream
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"syscall"
+	"time"
+
+	"bramleydeal/internal/world/answer"
+	"github.com/samber/oops"
+)
+
+// Sizes and times of the upstream's connections.
+const (
+	readSize    = 64 << 10
+	dialTimeout = 2 * time.Second
+	maxIdle     = 256
+)
+
+// ResumedHeader is set by an engine on an answer that begins after the tokens
+// named in the request's resume member.
+const ResumedHeader = "X-Resumed"
+
+// Request is one request to the upstream.
+type Request struct {
+	ID      string
+	Method  string
+	Path    string
+	Headers []Header
+	Body    []byte
+	// Once is true for a request that must reach the upstream at most once.
+	Once bool
+	// Events is true for an answer that is a stream of events.
+	Events bool
+	// Handle names the stream in event ids.
+	Handle string
+	// ResumeFrom is the number of events that the caller has from elsewhere.
+	ResumeFrom uint64
+}
+
+// Client runs requests at one upstream.
+type Client struct {
+	base string
+	http *http.Client
+	// fresh opens a connection for each request. net/http repeats some requests
+	// when a connection that it kept breaks, but never on a fresh one.
+	fresh *http.Client
+}
+
+// NewClient returns a client of the upstream at address.
+func NewClient(address netip.AddrPort) *Client {
+	return &Client{base: "http://" + address.String(), http: newHTTP(false), fresh: newHTTP(true)}
+}
+
+func newHTTP(fresh bool) *http.Client {
+	return &http.Client{
+		Transport: &http.Transport{
+			DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
+			MaxIdleConnsPerHost: maxIdle,
+			DisableCompression:  true,
+			DisableKeepAlives:   fresh,
+		},
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}
+}
+
+// Run gives the request to the upstream and fills the buffer with its answer,
+// to the end. It reports whether the request may have run.
+func (c *Client) Run(ctx context.Context, r Request, b *Buffer) (mayHaveRun bool) {
+	response, err := c.send(ctx, r)
+	if err != nil {
+		if neverSent(err) {
+			b.End(Ending{Refusal: answer.Refuse(answer.NoUpstream, "the upstream accepts no connection")})
+			return false
+		}
+		b.End(Ending{Detail: "the upstream broke off: " + err.Error()})
+		return true
+	}
+	defer response.Body.Close()
+	b.SetHead(headOf(response))
+	if err := copyBody(ctx, r, response, b); err != nil {
+		b.End(Ending{Detail: "the upstream broke off: " + err.Error()})
+		return true
+	}
+	b.End(Ending{Complete: true})
+	return true
+}
+
+func (c *Client) send(ctx context.Context, r Request) (*http.Response, error) {
+	request, err := http.NewRequestWithContext(ctx, r.Method, c.base+r.Path, bytes.NewReader(r.Body))
+	if err != nil {
+		return nil, oops.Code("upstream-call").Wrap(err)
+	}
+	for _, h := range r.Headers {
+		request.Header.Add(h.Name, h.Value)
+	}
+	request.Header.Set("X-Request-Id", r.ID)
+	if r.Once {
+		return c.fresh.Do(request)
+	}
+	return c.http.Do(request)
+}
+
+// neverSent tells whether an error proves that nothing reached the upstream.
+func neverSent(err error) bool {
+	var op *net.OpError
+	return errors.As(err, &op) && op.Op == "dial" || errors.Is(err, syscall.ECONNREFUSED)
+}
+
+// hopHeaders belong to one connection and are not passed on.
+var hopHeaders = map[string]bool{
+	"Connection": true, "Keep-Alive": true, "Proxy-Authenticate": true, "Proxy-Authorization": true,
+	"Te": true, "Trailer": true, "Transfer-Encoding": true, "Upgrade": true,
+}
+
+// IsHopHeader tells whether a header belongs to one connection only.
+func IsHopHeader(name string) bool { return hopHeaders[http.CanonicalHeaderKey(name)] }
+
+func headOf(response *http.Response) Head {
+	h := Head{Status: response.StatusCode}
+	for name, values := range response.Header {
+		if IsHopHeader(name) {
+			continue
+		}
+		for _, v := range values {
+			h.Headers = append(h.Headers, Header{name, v})
+		}
+	}
+	return h
+}
+
+// copyBody moves the answer's body into the buffer.
+func copyBody(ctx context.Context, r Request, response *http.Response, b *Buffer) error {
+	if r.Events && response.StatusCode == http.StatusOK {
+		return copyEvents(ctx, r, response, b)
+	}
+	var position uint64
+	text := make([]byte, readSize)
+	for {
+		n, err := response.Body.Read(text)
+		if n > 0 {
+			p := Piece{Position: position, Count: uint64(n), Content: bytes.Clone(text[:n])}
+			if err := b.Append(ctx, p); err != nil {
+				return err
+			}
+			position += uint64(n)
+		}
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+	}
+}
+
+// copyEvents moves an event stream into the buffer. The stream is complete
+// only with its closing event.
+func copyEvents(ctx context.Context, r Request, response *http.Response, b *Buffer) error {
+	s := splitter{handle: r.Handle, position: r.ResumeFrom}
+	if response.Header.Get(ResumedHeader) == "" {
+		s.skip = r.ResumeFrom
+	}
+	text := make([]byte, readSize)
+	for {
+		n, err := response.Body.Read(text)
+		if p, ok := s.feed(text[:n]); ok {
+			if err := b.Append(ctx, p); err != nil {
+				return err
+			}
+		}
+		switch {
+		case errors.Is(err, io.EOF) && s.done:
+			return nil
+		case errors.Is(err, io.EOF):
+			return io.ErrUnexpectedEOF
+		case err != nil:
+			return err
+		}
+	}
+}
--- /dev/null
+++ b/internal/agent/upstream/events.go
@@ -0,0 +1,77 @@
+package upstream
+
+import (
+	"bytes"
+	"strconv"
+)
+
+var (
+	eventBreak = []byte("\n\n")
+	doneEvent  = []byte("data: [DONE]")
+	idField    = []byte("id:")
+)
+
+// eventEnd returns the length of the first event in text with its break, 0
+// when the event is not complete.
+func eventEnd(text []byte) int {
+	if i := bytes.Index(text, eventBreak); i >= 0 {
+		return i + len(eventBreak)
+	}
+	return 0
+}
+
+// splitter turns the bytes of an event stream into pieces of whole events,
+// each event with an id by which its reader can come back.
+type splitter struct {
+	// handle names the stream in event ids.
+	handle   string
+	position uint64
+	// skip is the number of events to pass over first.
+	skip uint64
+	rest []byte
+	done bool
+}
+
+// feed adds bytes and returns the piece of the events that they complete.
+func (s *splitter) feed(text []byte) (Piece, bool) {
+	s.rest = append(s.rest, text...)
+	piece := Piece{Position: s.position}
+	var content []byte
+	for {
+		n := eventEnd(s.rest)
+		if n == 0 {
+			break
+		}
+		event := s.rest[:n]
+		s.rest = s.rest[n:]
+		s.done = s.done || bytes.HasPrefix(event, doneEvent)
+		if s.skip > 0 {
+			s.skip--
+			continue
+		}
+		content = s.appendEvent(content, event)
+		s.position++
+		piece.Count++
+	}
+	s.rest = append([]byte(nil), s.rest...)
+	piece.Content = content
+	return piece, piece.Count > 0
+}
+
+// appendEvent adds an event with its id in place of the upstream's own.
+func (s *splitter) appendEvent(to, event []byte) []byte {
+	to = append(to, "id: "...)
+	to = append(to, s.handle...)
+	to = append(to, '-')
+	to = strconv.AppendUint(to, s.position, 10)
+	to = append(to, '\n')
+	if !bytes.Contains(event, idField) {
+		return append(to, event...)
+	}
+	for _, line := range bytes.SplitAfter(event, []byte("\n")) {
+		if !bytes.HasPrefix(line, idField) {
+			to = append(to, line...)
+		}
+	}
+	return to
+}
--- /dev/null
+++ b/internal/core/client/queue.go
@@ -0,0 +1,253 @@
+// Package client owns the decisions about client accounts at an upstream's
+// door: admission, fair shares by weight, priorities, and refusals with a time
+// to come back. It performs no calls and reads no clock.
+package client
+
+import (
+	"math"
+	"slices"
+	"time"
+)
+
+// Queue admits requests to the slots of one upstream. Waiting requests are
+// started by priority, then by each account's share (start-time fair
+// queuing by weight). The queue is bounded in count and in estimated time.
+type Queue struct {
+	rules    Rules
+	running  int
+	waiting  []*Request
+	accounts map[string]*share
+	// virtual is the start tag of the request started last.
+	virtual float64
+	service time.Duration
+	ordinal uint64
+}
+
+// Rules are the settings of a queue.
+type Rules struct {
+	Slots  int
+	Length int
+	// Wait is the longest time that a request may wait.
+	Wait time.Duration
+}
+
+// Request is one request at the door.
+type Request struct {
+	ID       uint64
+	Account  string
+	Weight   float64
+	Priority int
+
+	arrived time.Time
+	start   float64
+	order   uint64
+}
+
+type share struct {
+	finish  float64
+	waiting int
+	running int
+}
+
+// Constants of the estimate.
+const (
+	initialService = 100 * time.Millisecond
+	serviceGain    = 0.1
+	minRetryAfter  = 100 * time.Millisecond
+	maxRetryAfter  = 30 * time.Second
+)
+
+// NewQueue returns an empty queue.
+func NewQueue(rules Rules) *Queue {
+	return &Queue{rules: rules, accounts: map[string]*share{}, service: initialService}
+}
+
+// Configure changes the rules for requests that arrive from now on.
+func (q *Queue) Configure(rules Rules) { q.rules = rules }
+
+// Decision is what the queue does with a request.
+type Decision interface{ decision() }
+
+// Start says that the request runs now.
+type Start struct{ ID uint64 }
+
+// Enqueued says that the request waits.
+type Enqueued struct{ ID uint64 }
+
+// Refuse says that the request is refused and when to come back.
+type Refuse struct {
+	ID         uint64
+	RetryAfter time.Duration
+	// Expired is true for a request that waited for its longest time.
+	Expired bool
+}
+
+func (Start) decision()    {}
+func (Enqueued) decision() {}
+func (Refuse) decision()   {}
+
+// Offer decides on an arriving request. The decisions may also refuse a
+// waiting request of the account that is furthest above its share, in favour
+// of the arriving one.
+func (q *Queue) Offer(r Request, now time.Time) []Decision {
+	a := q.account(r.Account)
+	if q.running < q.rules.Slots && len(q.waiting) == 0 {
+		q.tag(&r, a)
+		q.begin(&r, a)
+		return []Decision{Start{r.ID}}
+	}
+	var decisions []Decision
+	if len(q.waiting) >= q.rules.Length || q.estimate(len(q.waiting)+1) > q.rules.Wait {
+		victim := q.victim(&r)
+		if victim == nil {
+			q.forget(r.Account)
+			return []Decision{Refuse{ID: r.ID, RetryAfter: q.RetryAfter()}}
+		}
+		q.remove(victim)
+		decisions = append(decisions, Refuse{ID: victim.ID, RetryAfter: q.RetryAfter()})
+		a = q.account(r.Account)
+	}
+	q.tag(&r, a)
+	r.arrived = now
+	a.waiting++
+	q.waiting = append(q.waiting, &r)
+	decisions = append(decisions, Enqueued{r.ID})
+	return append(decisions, q.startNext()...)
+}
+
+// tag sets the request's place among the accounts.
+func (q *Queue) tag(r *Request, a *share) {
+	q.ordinal++
+	r.order = q.ordinal
+	r.start = max(q.virtual, a.finish)
+	a.finish = r.start + 1/max(r.Weight, 0.01)
+}
+
+func (q *Queue) begin(r *Request, a *share) {
+	q.running++
+	a.running++
+	q.virtual = max(q.virtual, r.start)
+}
+
+// estimate is the time until the nth waiting request starts.
+func (q *Queue) estimate(n int) time.Duration {
+	return time.Duration(float64(q.service) * float64(n) / float64(max(q.rules.Slots, 1)))
+}
+
+// RetryAfter is when a refused request would find room.
+func (q *Queue) RetryAfter() time.Duration {
+	return min(max(q.estimate(len(q.waiting)+1), minRetryAfter), maxRetryAfter)
+}
+
+// victim returns the waiting request to refuse in favour of r: the last one of
+// the account with the most waiting by weight, if that is above r's own.
+func (q *Queue) victim(r *Request) *Request {
+	var worst *Request
+	worstShare := (float64(q.accounts[r.Account].waiting) + 1) / max(r.Weight, 0.01)
+	for _, w := range q.waiting {
+		if w.Priority > r.Priority {
+			continue
+		}
+		s := float64(q.accounts[w.Account].waiting) / max(w.Weight, 0.01)
+		if s > worstShare || (worst != nil && s == worstShare && w.Account == worst.Account && w.order > worst.order) {
+			worst, worstShare = w, s
+		}
+	}
+	return worst
+}
+
+func (q *Queue) account(name string) *share {
+	a := q.accounts[name]
+	if a == nil {
+		a = &share{finish: q.virtual}
+		q.accounts[name] = a
+	}
+	return a
+}
+
+// forget drops accounts that have nothing here and no claim on the future.
+func (q *Queue) forget(name string) {
+	a := q.accounts[name]
+	if a != nil && a.waiting == 0 && a.running == 0 && a.finish <= q.virtual {
+		delete(q.accounts, name)
+	}
+}
+
+func (q *Queue) remove(r *Request) {
+	q.waiting = slices.DeleteFunc(q.waiting, func(w *Request) bool { return w == r })
+	q.accounts[r.Account].waiting--
+	q.forget(r.Account)
+}
+
+// startNext starts waiting requests while there are slots.
+func (q *Queue) startNext() []Decision {
+	var out []Decision
+	for q.running < q.rules.Slots && len(q.waiting) > 0 {
+		next := slices.MinFunc(q.waiting, compareRequests)
+		a := q.accounts[next.Account]
+		q.waiting = slices.DeleteFunc(q.waiting, func(w *Request) bool { return w == next })
+		a.waiting--
+		q.begin(next, a)
+		out = append(out, Start{next.ID})
+	}
+	return out
+}
+
+func compareRequests(a, b *Request) int {
+	switch {
+	case a.Priority != b.Priority:
+		return b.Priority - a.Priority
+	case a.start != b.start && a.start < b.start:
+		return -1
+	case a.start != b.start:
+		return 1
+	case a.order < b.order:
+		return -1
+	default:
+		return 1
+	}
+}
+
+// Done records the end of a running request that took a time at the upstream.
+func (q *Queue) Done(account string, took time.Duration, now time.Time) []Decision {
+	q.running--
+	if a := q.accounts[account]; a != nil {
+		a.running--
+	}
+	q.forget(account)
+	q.service += time.Duration(math.Round(serviceGain * float64(took-q.service)))
+	return append(q.Expire(now), q.startNext()...)
+}
+
+// Cancel takes back a waiting request. It reports false when the request does
+// not wait.
+func (q *Queue) Cancel(id uint64) bool {
+	for _, w := range q.waiting {
+		if w.ID == id {
+			q.remove(w)
+			return true
+		}
+	}
+	return false
+}
+
+// Expire refuses the requests that have waited too long.
+func (q *Queue) Expire(now time.Time) []Decision {
+	var out []Decision
+	for _, w := range slices.Clone(q.waiting) {
+		if now.Sub(w.arrived) >= q.rules.Wait {
+			q.remove(w)
+			out = append(out, Refuse{ID: w.ID, RetryAfter: q.RetryAfter(), Expired: true})
+		}
+	}
+	return out
+}
+
+// Running returns the number of requests that run.
+func (q *Queue) Running() int { return q.running }
+
+// Waiting returns the number of requests that wait.
+func (q *Queue) Waiting() int { return len(q.waiting) }
+
+// ServiceTime returns the moving average of the upstream's time for a request.
+func (q *Queue) ServiceTime() time.Duration { return q.service }
--- /dev/null
+++ b/internal/core/instance/subset.go
@@ -0,0 +1,87 @@
+// Package instance owns the decisions about which instances know of each
+// other: watch holders, peers to compare settings with, and the subset of
+// agents that an entry listens to. Every choice is a pure function of the
+// instance list, so that no agreement is needed.
+package instance
+
+import (
+	"cmp"
+	"slices"
+
+	"bramleydeal/internal/world/fleet"
+	"github.com/cespare/xxhash/v2"
+)
+
+// Rank orders instances by the hash of their name together with key, highest
+// first. Removing an instance moves no other (rendezvous hashing).
+func Rank(instances []fleet.Instance, key string) []fleet.Instance {
+	out := slices.Clone(instances)
+	score := func(i fleet.Instance) uint64 { return xxhash.Sum64String(i.Name + "\x00" + key) }
+	slices.SortFunc(out, func(a, b fleet.Instance) int {
+		return cmp.Or(cmp.Compare(score(b), score(a)), cmp.Compare(a.Name, b.Name))
+	})
+	return out
+}
+
+// Filter returns the instances for which keep reports true.
+func Filter(instances []fleet.Instance, keep func(fleet.Instance) bool) []fleet.Instance {
+	var out []fleet.Instance
+	for _, i := range instances {
+		if keep(i) {
+			out = append(out, i)
+		}
+	}
+	return out
+}
+
+// IsWatcher tells whether self is one of the count entries of its failure
+// domain that hold a watch on the platform.
+func IsWatcher(instances []fleet.Instance, self string, domain fleet.FailureDomain, count int) bool {
+	entries := Filter(instances, func(i fleet.Instance) bool {
+		return i.Role == fleet.EntryRole && i.FailureDomain == domain && !i.Leaving
+	})
+	for n, i := range Rank(entries, "watch") {
+		if n < count && i.Name == self {
+			return true
+		}
+	}
+	return false
+}
+
+// Numbers of peers that a process compares settings with.
+const (
+	// LocalPeers are in the process's own failure domain.
+	LocalPeers = 3
+	// RemotePeers are in other failure domains.
+	RemotePeers = 2
+)
+
+// Peers returns the entries that self compares settings with: a few of its own
+// failure domain and a few of others, so that a cut of either kind leaves a
+// path.
+func Peers(instances []fleet.Instance, self string, domain fleet.FailureDomain) []fleet.Instance {
+	entries := Filter(instances, func(i fleet.Instance) bool {
+		return i.Role == fleet.EntryRole && i.Name != self
+	})
+	local := Rank(Filter(entries, func(i fleet.Instance) bool { return i.FailureDomain == domain }), self)
+	remote := Rank(Filter(entries, func(i fleet.Instance) bool { return i.FailureDomain != domain }), self)
+	return append(head(local, LocalPeers), head(remote, RemotePeers)...)
+}
+
+// Subset returns the agents of one service or group that an entry listens to:
+// all of them while they are few, else the first ones by hash, those of the
+// entry's own failure domain before the others but never all of them alone.
+func Subset(agents []fleet.Instance, self string, domain fleet.FailureDomain, size int) []fleet.Instance {
+	if len(agents) <= size {
+		return agents
+	}
+	local := Rank(Filter(agents, func(i fleet.Instance) bool { return i.FailureDomain == domain }), self)
+	remote := Rank(Filter(agents, func(i fleet.Instance) bool { return i.FailureDomain != domain }), self)
+	chosen := slices.Clone(head(local, size*3/4))
+	chosen = append(chosen, head(remote, size-len(chosen))...)
+	return append(chosen, head(local[min(len(local), size*3/4):], size-len(chosen))...)
+}
+
+func head(instances []fleet.Instance, n int) []fleet.Instance {
+	return instances[:min(max(n, 0), len(instances))]
+}
--- /dev/null
+++ b/internal/core/platform/lease.go
@@ -0,0 +1,111 @@
+package platform
+
+import "time"
+
+// Lease is the value of a lease object. Term is the fencing number: it rises
+// with each change of holder and never falls.
+type Lease struct {
+	Holder   string        `json:"holder"`
+	Term     uint64        `json:"term"`
+	Duration time.Duration `json:"duration-nanoseconds"`
+}
+
+// LeaseView is what one process knows of a lease object.
+type LeaseView struct {
+	Lease Lease
+	// Version is the object's version, 0 when the object does not exist.
+	Version uint64
+	// SeenAt is when the call that returned Version ended.
+	SeenAt time.Time
+}
+
+// Candidate decides when a process tries to take or renew a lease. Time is
+// the process's own monotonic clock: the lease is taken from another holder
+// only after the object has not changed for the lease's whole duration, so no
+// two clocks are ever compared.
+type Candidate struct {
+	Name     string
+	Duration time.Duration
+
+	view        LeaseView
+	known       bool
+	heldUntil   time.Time
+	lastAttempt time.Time
+}
+
+// LeaseAction is what a Candidate asks its driver to do.
+type LeaseAction interface{ leaseAction() }
+
+// Read asks for the lease object to be read.
+type Read struct{}
+
+// Write asks for a conditional update of the lease object.
+type Write struct {
+	Lease     Lease
+	IfVersion uint64
+}
+
+// Wait asks for nothing before the next tick.
+type Wait struct{}
+
+func (Read) leaseAction()  {}
+func (Write) leaseAction() {}
+func (Wait) leaseAction()  {}
+
+// renewFraction is the part of the duration after which a holder renews.
+const renewFraction = 3
+
+// Tick returns the action due at now.
+func (c *Candidate) Tick(now time.Time) LeaseAction {
+	if !c.lastAttempt.IsZero() && now.Sub(c.lastAttempt) < c.Duration/renewFraction {
+		return Wait{}
+	}
+	c.lastAttempt = now
+	if !c.known {
+		return Read{}
+	}
+	if c.view.Lease.Holder == c.Name && c.view.Version != 0 {
+		return Write{Lease: c.next(c.view.Lease.Term), IfVersion: c.view.Version}
+	}
+	if c.view.Version == 0 || now.Sub(c.view.SeenAt) > c.view.Lease.Duration {
+		return Write{Lease: c.next(c.view.Lease.Term + 1), IfVersion: c.view.Version}
+	}
+	return Read{}
+}
+
+func (c *Candidate) next(term uint64) Lease {
+	return Lease{Holder: c.Name, Term: term, Duration: c.Duration}
+}
+
+// Observed records the state of the object that a call returned. A holder
+// counts its time from the start of the call that wrote, everybody else from
+// the end of the call that read, so the two never overlap. A version not newer
+// than the known one changes nothing.
+func (c *Candidate) Observed(l Lease, version uint64, started, ended time.Time) {
+	if c.known && version <= c.view.Version && c.view.Version != 0 {
+		return
+	}
+	c.known = true
+	c.view = LeaseView{Lease: l, Version: version, SeenAt: ended}
+	if l.Holder == c.Name && version != 0 {
+		c.heldUntil = started.Add(l.Duration)
+	} else {
+		c.heldUntil = time.Time{}
+	}
+}
+
+// Failed records that a call gave no answer. A write may have taken effect all
+// the same, so the object is read before it is written again.
+func (c *Candidate) Failed() { c.known = c.known && c.view.Lease.Holder != c.Name }
+
+// Term returns the fencing number while the lease is held at now. Holding ends
+// by the holder's own clock, counted from before the call that took it.
+func (c *Candidate) Term(now time.Time) (uint64, bool) {
+	if now.Before(c.heldUntil) {
+		return c.view.Lease.Term, true
+	}
+	return 0, false
+}
+
+// View returns what is known of the lease.
+func (c *Candidate) View() LeaseView { return c.view }
--- /dev/null
+++ b/internal/core/upstream/choice.go
@@ -0,0 +1,373 @@
+package upstream
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+// Candidate is what an entry knows of one upstream of a service or group.
+type Candidate struct {
+	Name string
+	// Distance is the one-way time to the upstream's failure domain.
+	Distance time.Duration
+
+	report     Report
+	reportedAt time.Time
+	// sent counts requests of this entry begun since the last report, and
+	// outstanding those that have not ended.
+	sent        int
+	outstanding int
+	prefixes    map[uint64]bool
+	health      health
+	// listed and said are the platform's and the agent's word that it leaves.
+	listed, said bool
+	known        bool
+}
+
+// leaving tells whether anybody said that the upstream leaves. The platform's
+// list lags both ways, so its silence proves nothing.
+func (c *Candidate) leaving() bool { return c.listed || c.said }
+
+// Report is an upstream's word about its load, late by an unknown time.
+type Report struct {
+	Running, Queued, Slots int
+	Leaving                bool
+	ServiceTime            time.Duration
+	Prefixes               []uint64
+}
+
+type health struct {
+	failures     int
+	ejections    int
+	ejectedUntil time.Time
+	// probing is true while one request tries an upstream back from ejection.
+	probing bool
+	typical time.Duration
+}
+
+// Rules are the settings of the choice among upstreams.
+type Rules struct {
+	EjectionFailures int
+	EjectionTime     time.Duration
+	SlowFactor       float64
+	// ReportInterval is the interval of load reports; a candidate silent for
+	// silentReports of them counts as unreachable.
+	ReportInterval time.Duration
+}
+
+// Constants of the choice.
+const (
+	// silentReports is how many load reports may be missing before an
+	// upstream is taken for unreachable.
+	silentReports = 4
+	// minSilence is the least time without a word before that.
+	minSilence = 1500 * time.Millisecond
+	// maxEjectionFactor bounds the doubling of the ejection time.
+	maxEjectionFactor = 10
+	// typicalGain is the weight of a new time in the moving average.
+	typicalGain = 0.1
+	// minSamplesSlow is how many upstreams must have a typical time before one
+	// is called slow.
+	minSamplesSlow = 3
+	// minSlowTime is a typical time below which no upstream is called slow.
+	minSlowTime = 20 * time.Millisecond
+	// prefixBonus is the share of a full load that a cached prefix outweighs.
+	prefixBonus = 0.25
+	// distanceUnit is the distance that weighs as much as a full load.
+	distanceUnit = 50 * time.Millisecond
+	// choices is how many candidates are drawn at random.
+	choices = 2
+)
+
+// Set holds the upstreams of one service or group, as one entry sees them.
+type Set struct {
+	rules      Rules
+	candidates map[string]*Candidate
+	order      []string
+	random     *rand.Rand
+}
+
+// NewSet returns an empty set whose choices follow from seed.
+func NewSet(seed uint64, rules Rules) *Set {
+	return &Set{rules: rules, candidates: map[string]*Candidate{}, random: rand.New(rand.NewPCG(seed, seed^0x9e3779b97f4a7c15))}
+}
+
+// Member is one upstream that the settings list.
+type Member struct {
+	Name     string
+	Distance time.Duration
+	Leaving  bool
+}
+
+// Configure replaces the members and rules. What is known of members that stay
+// is kept.
+func (s *Set) Configure(members []Member, rules Rules) {
+	s.rules = rules
+	kept := make(map[string]*Candidate, len(members))
+	s.order = s.order[:0]
+	for _, m := range members {
+		c := s.candidates[m.Name]
+		if c == nil {
+			c = &Candidate{Name: m.Name}
+		}
+		c.Distance = m.Distance
+		c.listed = m.Leaving
+		kept[m.Name] = c
+		s.order = append(s.order, m.Name)
+	}
+	slices.Sort(s.order)
+	s.candidates = kept
+}
+
+// Reported records an upstream's load report.
+func (s *Set) Reported(name string, r Report, now time.Time) {
+	c := s.candidates[name]
+	if c == nil {
+		return
+	}
+	if c.known && now.Sub(c.reportedAt) > s.silence() {
+		c.health.failures = 0
+	}
+	c.report, c.reportedAt, c.known = r, now, true
+	c.sent = 0
+	c.said = r.Leaving
+	if r.Prefixes != nil {
+		c.prefixes = make(map[uint64]bool, len(r.Prefixes))
+		for _, p := range r.Prefixes {
+			c.prefixes[p] = true
+		}
+	}
+}
+
+// Query describes a request that needs an upstream.
+type Query struct {
+	// Prefix is the hash of the prompt's prefix, 0 for none.
+	Prefix uint64
+	// Exclude names upstreams already tried.
+	Exclude []string
+}
+
+// Choose returns the upstream for a request and counts it as begun. Two random
+// candidates are drawn, one more that holds the prefix if there is one, and the
+// least loaded is taken: drawing keeps entries with equally old reports from
+// all choosing the same one.
+func (s *Set) Choose(q Query, now time.Time) (string, bool) {
+	usable := s.usable(q, now)
+	if len(usable) == 0 {
+		return "", false
+	}
+	drawn := s.draw(usable, q.Prefix)
+	best := slices.MinFunc(drawn, func(a, b *Candidate) int {
+		return cmp.Or(cmp.Compare(a.cost(q.Prefix), b.cost(q.Prefix)), cmp.Compare(a.Name, b.Name))
+	})
+	s.Begin(best.Name, now)
+	return best.Name, true
+}
+
+// draw picks the candidates to compare.
+func (s *Set) draw(usable []*Candidate, prefix uint64) []*Candidate {
+	var drawn []*Candidate
+	if prefix != 0 {
+		if holders := slices.DeleteFunc(slices.Clone(usable), func(c *Candidate) bool { return !c.prefixes[prefix] }); len(holders) > 0 {
+			drawn = append(drawn, holders[s.random.IntN(len(holders))])
+		}
+	}
+	s.random.Shuffle(len(usable), func(i, j int) { usable[i], usable[j] = usable[j], usable[i] })
+	return append(drawn, usable[:min(choices, len(usable))]...)
+}
+
+// usable returns the candidates that may take work, the better known first: if
+// none is healthy, unhealthy ones are better than a refusal.
+func (s *Set) usable(q Query, now time.Time) []*Candidate {
+	var healthy, unheard, rest []*Candidate
+	for _, name := range s.order {
+		c := s.candidates[name]
+		switch {
+		case c.leaving() || slices.Contains(q.Exclude, name):
+		case s.ejected(c, now):
+			rest = append(rest, c)
+		case s.silent(c, now):
+			unheard = append(unheard, c)
+		default:
+			healthy = append(healthy, c)
+		}
+	}
+	for _, group := range [][]*Candidate{healthy, unheard, rest} {
+		if len(group) > 0 {
+			return group
+		}
+	}
+	return nil
+}
+
+func (s *Set) silence() time.Duration {
+	return max(minSilence, silentReports*s.rules.ReportInterval)
+}
+
+// silent tells whether nothing was heard of a candidate for too long.
+func (s *Set) silent(c *Candidate, now time.Time) bool {
+	return !c.known || now.Sub(c.reportedAt) > s.silence()
+}
+
+// Silent tells whether nothing was heard of the named upstream for too long.
+func (s *Set) Silent(name string, now time.Time) bool {
+	c := s.candidates[name]
+	return c == nil || s.silent(c, now)
+}
+
+// ejected tells whether a candidate is ejected; one whose time has passed is
+// let back with a single probe.
+func (s *Set) ejected(c *Candidate, now time.Time) bool {
+	if c.health.ejectedUntil.IsZero() {
+		return false
+	}
+	return now.Before(c.health.ejectedUntil) || c.health.probing
+}
+
+// cost is the candidate's load in shares of its slots, with what distance and
+// a cached prefix add and take away.
+func (c *Candidate) cost(prefix uint64) float64 {
+	slots := max(c.report.Slots, 1)
+	load := float64(max(c.report.Running+c.report.Queued+c.sent, c.outstanding)) / float64(slots)
+	load += float64(c.Distance) / float64(distanceUnit)
+	if prefix != 0 && c.prefixes[prefix] {
+		load -= prefixBonus
+	}
+	return load
+}
+
+// Begin counts a request sent to the named upstream without a choice.
+func (s *Set) Begin(name string, now time.Time) {
+	c := s.candidates[name]
+	if c == nil {
+		return
+	}
+	c.sent++
+	c.outstanding++
+	if !c.health.ejectedUntil.IsZero() && !now.Before(c.health.ejectedUntil) {
+		c.health.probing = true
+	}
+}
+
+// Result is how a request ended at an upstream.
+type Result int
+
+// The results of a request.
+const (
+	// Succeeded means a whole answer.
+	Succeeded Result = iota
+	// Failed means a broken connection, a silence or a broken answer.
+	Failed
+	// Declined means that the agent refused the request; it says nothing of its health.
+	Declined
+	// Abandoned means that the caller went away.
+	Abandoned
+)
+
+// Ended records the end of a request. took is the time to the first byte.
+func (s *Set) Ended(name string, r Result, took time.Duration, now time.Time) {
+	c := s.candidates[name]
+	if c == nil {
+		return
+	}
+	c.outstanding = max(c.outstanding-1, 0)
+	switch r {
+	case Succeeded:
+		s.succeeded(c, took, now)
+	case Failed:
+		s.failed(c, now)
+	case Declined, Abandoned:
+		c.health.probing = false
+	}
+}
+
+func (s *Set) succeeded(c *Candidate, took time.Duration, now time.Time) {
+	c.health.failures = 0
+	if c.health.typical == 0 {
+		c.health.typical = took
+	}
+	c.health.typical += time.Duration(typicalGain * float64(took-c.health.typical))
+	if c.health.probing {
+		c.health.probing = false
+		c.health.ejectedUntil = time.Time{}
+		c.health.typical = took
+	}
+	if s.slow(c) {
+		s.eject(c, now)
+	} else if c.health.ejections > 0 && c.health.ejectedUntil.IsZero() {
+		c.health.ejections--
+	}
+}
+
+func (s *Set) failed(c *Candidate, now time.Time) {
+	c.health.failures++
+	if c.health.probing || c.health.failures >= s.rules.EjectionFailures {
+		s.eject(c, now)
+	}
+}
+
+// slow tells whether a candidate's typical time stands out among the others'.
+func (s *Set) slow(c *Candidate) bool {
+	var typical []time.Duration
+	for _, o := range s.candidates {
+		if o.health.typical > 0 {
+			typical = append(typical, o.health.typical)
+		}
+	}
+	if len(typical) < minSamplesSlow || c.health.typical < minSlowTime {
+		return false
+	}
+	slices.Sort(typical)
+	median := typical[(len(typical)-1)/2]
+	return float64(c.health.typical) > s.rules.SlowFactor*float64(median)
+}
+
+// eject takes a candidate out of the choice, unless half of the set is out
+// already.
+func (s *Set) eject(c *Candidate, now time.Time) {
+	out := 0
+	for _, o := range s.candidates {
+		if o != c && !o.health.ejectedUntil.IsZero() {
+			out++
+		}
+	}
+	if 2*(out+1) > len(s.candidates) {
+		return
+	}
+	factor := min(1<<min(c.health.ejections, 10), maxEjectionFactor)
+	c.health.ejections++
+	c.health.probing = false
+	c.health.failures = 0
+	c.health.ejectedUntil = now.Add(time.Duration(factor) * s.rules.EjectionTime)
+}
+
+// CandidateState is one upstream's part of the dump.
+type CandidateState struct {
+	Name        string  `json:"name"`
+	Running     int     `json:"running"`
+	Queued      int     `json:"queued"`
+	Slots       int     `json:"slots"`
+	Outstanding int     `json:"outstanding"`
+	Leaving     bool    `json:"leaving"`
+	Silent      bool    `json:"silent"`
+	Ejected     bool    `json:"ejected"`
+	Failures    int     `json:"failures-in-a-row"`
+	TypicalMS   float64 `json:"typical-milliseconds"`
+	Cost        float64 `json:"cost"`
+}
+
+// State returns the set's part of the dump.
+func (s *Set) State(now time.Time) []CandidateState {
+	out := make([]CandidateState, 0, len(s.order))
+	for _, name := range s.order {
+		c := s.candidates[name]
+		out = append(out, CandidateState{
+			Name: name, Running: c.report.Running, Queued: c.report.Queued, Slots: c.report.Slots,
+			Outstanding: c.outstanding, Leaving: c.leaving(), Silent: s.silent(c, now), Ejected: s.ejected(c, now),
+			Failures: c.health.failures, TypicalMS: float64(c.health.typical) / float64(time.Millisecond), Cost: c.cost(0),
+		})
+	}
+	return out
+}
--- /dev/null
+++ b/internal/entry/caller/handler.go
@@ -0,0 +1,250 @@
+// Package caller speaks HTTP to the callers: chat completions, plain services
+// and sessions. It owns what a caller sees, from authentication to the last
+// byte; which agent serves it is decided through package agent.
+package caller
+
+import (
+	"context"
+	"errors"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"bramleydeal/internal/entry/agent"
+	"bramleydeal/internal/entry/platform"
+	"bramleydeal/internal/settings/reference"
+	"bramleydeal/internal/settings/snapshot"
+	"bramleydeal/internal/settings/tree"
+	"bramleydeal/internal/world/answer"
+	"bramleydeal/internal/world/fleet"
+	"github.com/go-chi/chi/v5"
+	"github.com/go-logr/logr"
+)
+
+// Names of the headers between callers and bramleydeal.
+const (
+	SessionHeader   = "Bramleydeal-Session"
+	RequestIDHeader = "X-Request-Id"
+	keyHeader       = "Idempotency-Key"
+	lastEventHeader = "Last-Event-Id"
+	ownHeaderPrefix = "Bramleydeal-"
+)
+
+// maxKeyLength bounds an idempotency key in bytes.
+const maxKeyLength = 255
+
+// Handler serves the callers of one entry.
+type Handler struct {
+	self     string
+	domain   fleet.FailureDomain
+	current  func() *snapshot.Snapshot
+	balancer *agent.Balancer
+	claims   *platform.Claims
+	log      logr.Logger
+
+	draining atomic.Bool
+	inFlight atomic.Int64
+	stats    Stats
+}
+
+// Stats counts what the handler did.
+type Stats struct {
+	Requests, Refused, Moved, Reattached, Completed, Broken atomic.Uint64
+}
+
+// Config is what a Handler is made of.
+type Config struct {
+	Self          string
+	FailureDomain fleet.FailureDomain
+	Current       func() *snapshot.Snapshot
+	Balancer      *agent.Balancer
+	Claims        *platform.Claims
+	Log           logr.Logger
+}
+
+// New returns a handler.
+func New(c Config) *Handler {
+	return &Handler{self: c.Self, domain: c.FailureDomain, current: c.Current, balancer: c.Balancer, claims: c.Claims, log: c.Log}
+}
+
+// Routes returns the caller side's router.
+func (h *Handler) Routes() http.Handler {
+	r := chi.NewRouter()
+	r.Get("/readyz", h.ready)
+	r.Post("/v1/chat/completions", h.guard(openAIErrors, h.chat))
+	r.Get("/v1/chat/completions", h.guard(openAIErrors, h.resumeChat))
+	r.Get("/v1/models", h.guard(openAIErrors, h.models))
+	r.Post("/sessions", h.guard(problemErrors, h.openSession))
+	r.HandleFunc("/services/{service}", h.guard(problemErrors, h.service))
+	r.HandleFunc("/services/{service}/*", h.guard(problemErrors, h.service))
+	r.NotFound(func(w http.ResponseWriter, r *http.Request) {
+		answer.Refuse(answer.NotFound, "no such path: %s", r.URL.Path).Write(w, "")
+	})
+	r.MethodNotAllowed(func(w http.ResponseWriter, r *http.Request) {
+		answer.Refuse(answer.NotFound, "%s is not served at %s", r.Method, r.URL.Path).Write(w, "")
+	})
+	return r
+}
+
+// Drain makes /readyz answer 503 and asks callers to leave their connections.
+func (h *Handler) Drain() { h.draining.Store(true) }
+
+// ready answers the platform's balancer.
+func (h *Handler) ready(w http.ResponseWriter, _ *http.Request) {
+	switch {
+	case h.draining.Load():
+		http.Error(w, "leaving", http.StatusServiceUnavailable)
+	case h.current().Revision == 0:
+		http.Error(w, "no settings yet", http.StatusServiceUnavailable)
+	default:
+		w.WriteHeader(http.StatusOK)
+		// A write error means that the balancer has gone.
+		_, _ = io.WriteString(w, "ready\n")
+	}
+}
+
+// request is one caller's request as far as it has been understood.
+type request struct {
+	id       string
+	account  string
+	arrived  time.Time
+	snapshot *snapshot.Snapshot
+	scope    tree.Scope
+	body     []byte
+	errors   errorShape
+	log      logr.Logger
+}
+
+// errorShape is how refusals are written to the caller.
+type errorShape int
+
+const (
+	problemErrors errorShape = iota
+	openAIErrors
+)
+
+// refuse answers the caller with a refusal.
+func (h *Handler) refuse(w http.ResponseWriter, rq *request, r *answer.Refusal) {
+	h.stats.Refused.Add(1)
+	rq.log.Info("refused", "kind", r.Kind, "detail", r.Detail)
+	if rq.errors == openAIErrors {
+		r.WriteOpenAI(w, rq.id)
+		return
+	}
+	r.Write(w, rq.id)
+}
+
+// guarded serves a request that was let in.
+type guarded func(w http.ResponseWriter, r *http.Request, rq *request)
+
+// guard authenticates a request and bounds how many are in progress.
+func (h *Handler) guard(shape errorShape, next guarded) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		rq := h.begin(r, shape)
+		w.Header().Set(RequestIDHeader, rq.id)
+		if h.draining.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		h.stats.Requests.Add(1)
+		if refusal := h.authenticate(r, rq); refusal != nil {
+			h.refuse(w, rq, refusal)
+			return
+		}
+		defer h.inFlight.Add(-1)
+		limit := tree.Get(rq.snapshot.Tree, tree.Scope{FailureDomain: string(h.domain)}, reference.EntryConcurrency)
+		if h.inFlight.Add(1) > int64(limit) {
+			h.refuse(w, rq, h.refuseAtDoor(r, rq))
+			return
+		}
+		next(w, r, rq)
+	}
+}
+
+func (h *Handler) begin(r *http.Request, shape errorShape) *request {
+	id := r.Header.Get(RequestIDHeader)
+	if id == "" || len(id) > 64 || strings.ContainsFunc(id, notIDRune) {
+		id = strconv.FormatUint(rand.Uint64(), 36)
+	}
+	return &request{
+		id: id, arrived: time.Now(), snapshot: h.current(), errors: shape,
+		scope: tree.Scope{FailureDomain: string(h.domain)},
+		log:   h.log.WithValues("request", id),
+	}
+}
+
+func notIDRune(c rune) bool {
+	return !(c >= 'a' && c <= 'z' || c >= 'A' && c <= 'Z' || c >= '0' && c <= '9' || c == '-' || c == '_' || c == '.')
+}
+
+// authenticate finds the client account of the bearer key.
+func (h *Handler) authenticate(r *http.Request, rq *request) *answer.Refusal {
+	key, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+	if !ok {
+		return answer.Refuse(answer.Unauthorized, "send the account's key as Authorization: Bearer KEY")
+	}
+	account, ok := rq.snapshot.Account(key)
+	if !ok {
+		return answer.Refuse(answer.Unauthorized, "the key belongs to no client account")
+	}
+	rq.account = account
+	rq.scope.ClientAccount = account
+	return nil
+}
+
+// refuseAtDoor refuses a request because the entry is full. Of a keyed request
+// an earlier attempt may have run, so "not run" needs the owner's word.
+func (h *Handler) refuseAtDoor(r *http.Request, rq *request) *answer.Refusal {
+	key := r.Header.Get(keyHeader)
+	if key == "" {
+		return answer.Refuse(answer.Overloaded, "the entry serves as many requests as it may")
+	}
+	if s, ok := parseSession(r.Header.Get(SessionHeader)); ok && h.sealed(r.Context(), rq, s, key) {
+		return answer.Refuse(answer.Overloaded, "the entry serves as many requests as it may")
+	}
+	return answer.Refuse(answer.Undecided, "the entry serves as many requests as it may")
+}
+
+// readBody reads the request's body within the limit of its scope.
+func (h *Handler) readBody(r *http.Request, rq *request) *answer.Refusal {
+	limit := tree.Get(rq.snapshot.Tree, rq.scope, reference.BodyLimit)
+	body, err := io.ReadAll(http.MaxBytesReader(nil, r.Body, int64(limit)))
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return answer.Refuse(answer.TooLarge, "the body is larger than %d bytes", limit)
+	}
+	if err != nil {
+		return answer.Refuse(answer.InvalidRequest, "the body could not be read to its end")
+	}
+	rq.body = body
+	return nil
+}
+
+// withDeadline bounds a request by its deadline setting.
+func (h *Handler) withDeadline(ctx context.Context, rq *request) (context.Context, context.CancelFunc) {
+	return context.WithDeadline(ctx, rq.arrived.Add(tree.Get(rq.snapshot.Tree, rq.scope, reference.RequestDeadline)))
+}
+
+// State is the handler's part of the dump.
+type State struct {
+	InFlight   int64  `json:"in-flight"`
+	Draining   bool   `json:"draining"`
+	Requests   uint64 `json:"requests"`
+	Refused    uint64 `json:"refused"`
+	Moved      uint64 `json:"moved"`
+	Reattached uint64 `json:"reattached"`
+	Completed  uint64 `json:"completed"`
+	Broken     uint64 `json:"broken"`
+}
+
+// State returns the handler's part of the dump.
+func (h *Handler) State() State {
+	return State{
+		InFlight: h.inFlight.Load(), Draining: h.draining.Load(), Requests: h.stats.Requests.Load(),
+		Refused: h.stats.Refused.Load(), Moved: h.stats.Moved.Load(), Reattached: h.stats.Reattached.Load(),
+		Completed: h.stats.Completed.Load(), Broken: h.stats.Broken.Load(),
+	}
+}
--- /dev/null
+++ b/internal/entry/caller/service.go
@@ -0,0 +1,132 @@
+package caller
+
+import (
+	"encoding/json"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+
+	"bramleydeal/internal/agent/upstream"
+	"bramleydeal/internal/settings/reference"
+	"bramleydeal/internal/settings/tree"
+	"bramleydeal/internal/wire/peer"
+	"bramleydeal/internal/world/answer"
+	"github.com/go-chi/chi/v5"
+)
+
+// newKey returns a key for a request that its caller gave none.
+func newKey() string { return strconv.FormatUint(rand.Uint64(), 36) }
+
+// moveKey derives the key of a request's next try, so that no two tries share
+// an answer.
+func moveKey(key string, try int) string { return key + "." + strconv.Itoa(try+1) }
+
+// upstreamHeaders returns the caller's headers that go to the upstream: not
+// those of the connection, nor the bearer key, nor the system's own.
+func upstreamHeaders(from http.Header, account string) []*peer.Header {
+	out := []*peer.Header{{Name: ownHeaderPrefix + "Account", Value: account}}
+	for name, values := range from {
+		if upstream.IsHopHeader(name) || name == "Authorization" || name == lastEventHeader || strings.HasPrefix(name, ownHeaderPrefix) {
+			continue
+		}
+		for _, v := range values {
+			out = append(out, &peer.Header{Name: name, Value: v})
+		}
+	}
+	slices.SortStableFunc(out, func(a, b *peer.Header) int { return strings.Compare(a.Name, b.Name) })
+	return out
+}
+
+// service serves /services/{service}/...
+func (h *Handler) service(w http.ResponseWriter, r *http.Request, rq *request) {
+	if refusal := h.findService(rq, chi.URLParam(r, "service")); refusal != nil {
+		h.refuse(w, rq, refusal)
+		return
+	}
+	if refusal := h.readBody(r, rq); refusal != nil {
+		h.refuse(w, rq, refusal)
+		return
+	}
+	key := r.Header.Get(keyHeader)
+	if len(key) > maxKeyLength {
+		h.refuse(w, rq, answer.Refuse(answer.InvalidRequest, "Idempotency-Key: at most %d bytes", maxKeyLength))
+		return
+	}
+	x := h.executeRequest(r, rq, servicePath(r))
+	idempotent := slices.Contains(tree.Get(rq.snapshot.Tree, rq.scope, reference.IdempotentMethods), r.Method)
+	switch {
+	case key != "":
+		x.Key = key
+		h.runKeyed(w, r, rq, x)
+	case idempotent:
+		h.runIdempotent(w, r, rq, plan{execute: x})
+	default:
+		h.runUnkeyed(w, r, rq, x)
+	}
+}
+
+func (h *Handler) findService(rq *request, name string) *answer.Refusal {
+	if !rq.snapshot.HasService(name) {
+		return answer.Refuse(answer.NotFound, "there is no service %q", name)
+	}
+	if !rq.snapshot.Allowed(rq.account, name) {
+		return answer.Refuse(answer.Forbidden, "the client account may not use the service %q", name)
+	}
+	rq.scope.Service = name
+	return nil
+}
+
+// servicePath returns the path and query that the upstream sees.
+func servicePath(r *http.Request) string {
+	path := "/" + chi.URLParam(r, "*")
+	if r.URL.RawQuery != "" {
+		path += "?" + r.URL.RawQuery
+	}
+	return path
+}
+
+// session is a caller's binding to an owner and its term. Its token is what
+// the caller holds.
+type session struct{ agent, term string }
+
+func (s session) token() string { return s.agent + "~" + s.term + "~" + newKey() }
+
+func parseSession(token string) (session, bool) {
+	parts := strings.Split(token, "~")
+	if len(parts) != 3 || parts[0] == "" || parts[1] == "" {
+		return session{}, false
+	}
+	return session{agent: parts[0], term: parts[1]}, true
+}
+
+// openSession serves POST /sessions.
+func (h *Handler) openSession(w http.ResponseWriter, r *http.Request, rq *request) {
+	if refusal := h.readBody(r, rq); refusal != nil {
+		h.refuse(w, rq, refusal)
+		return
+	}
+	var body struct {
+		Service string `json:"service"`
+	}
+	if err := json.Unmarshal(rq.body, &body); err != nil {
+		h.refuse(w, rq, answer.Refuse(answer.InvalidRequest, "send {\"service\": NAME}"))
+		return
+	}
+	if refusal := h.findService(rq, body.Service); refusal != nil {
+		h.refuse(w, rq, refusal)
+		return
+	}
+	s, ok := h.newSession(r.Context(), rq)
+	if !ok {
+		h.refuse(w, rq, answer.Refuse(answer.NoUpstream, "no upstream of %q can be reached", body.Service))
+		return
+	}
+	token := s.token()
+	w.Header().Set(SessionHeader, token)
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(http.StatusCreated)
+	// A write error means that the caller has gone.
+	_ = json.NewEncoder(w).Encode(map[string]string{"session": token, "service": body.Service})
+}
--- /dev/null
+++ b/internal/operator/command/objects.go
@@ -0,0 +1,162 @@
+package command
+
+import (
+	"context"
+	"crypto/rand"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"io"
+	"os"
+	"strings"
+
+	"bramleydeal/internal/operator/platform"
+	"bramleydeal/internal/settings/reference"
+	"bramleydeal/internal/settings/tree"
+	"github.com/google/subcommands"
+	"github.com/samber/oops"
+)
+
+func objectCommands() []subcommands.Command {
+	return []subcommands.Command{createCommand(), listCommand(), deleteCommand()}
+}
+
+// creatable are the kinds of levels that operators create and delete.
+var creatable = []reference.LevelKind{reference.Service, reference.Group, reference.ClientAccount}
+
+func parseKind(s string) (reference.LevelKind, error) {
+	for _, k := range creatable {
+		if s == string(k) || s == string(k)+"s" {
+			return k, nil
+		}
+	}
+	return "", oops.Code(codeUsage).Errorf("%q: write service, group or client-account", s)
+}
+
+func createCommand() *command {
+	var upstreams, model string
+	c := withOperator("create", "create a service, model group or client account",
+		"create service|group|client-account NAME [flags before the kind]\n\nThe key of a new client account is printed once and kept nowhere.\n\nExamples:\n  bramleydeal create -upstreams coimbra-s1,leiria-s1 service stock\n  bramleydeal create -model quotes-1 -upstreams coimbra-w1 group quotes\n  bramleydeal create client-account planners",
+		func(ctx context.Context, c *console, o *platform.Operator, args []string) error {
+			if err := want(args, 2, "create service|group|client-account NAME"); err != nil {
+				return err
+			}
+			kind, err := parseKind(args[0])
+			if err != nil {
+				return err
+			}
+			l, err := tree.ParseLevel(string(kind)+"/"+args[1], []byte("{}"))
+			if err != nil {
+				return err
+			}
+			key, err := fillLevel(l, upstreams, model)
+			if err != nil {
+				return err
+			}
+			version, err := o.Create(ctx, l)
+			if version == 0 {
+				return err
+			}
+			printed := c.print(map[string]any{"path": l.Path(), "version": version, "key": key}, func(w io.Writer) {
+				fmt.Fprintf(w, "%s is at version %d\n", l.Path(), version)
+				if key != "" {
+					fmt.Fprintf(w, "bearer key, shown this once: %s\n", key)
+				}
+			})
+			if err != nil {
+				return err
+			}
+			return printed
+		})
+	common := c.flags
+	c.flags = func(f *flag.FlagSet) {
+		common(f)
+		f.StringVar(&upstreams, "upstreams", "", "instances that serve it, separated by commas")
+		f.StringVar(&model, "model", "", "for a group, the name under which callers ask for the model")
+	}
+	return c
+}
+
+// keyBytes is the length of a new bearer key before encoding.
+const keyBytes = 32
+
+// fillLevel sets a new level's settings and returns a client account's key.
+func fillLevel(l tree.Level, upstreams, model string) (key string, err error) {
+	if l.Kind == reference.ClientAccount {
+		secret := make([]byte, keyBytes)
+		// The random source of crypto/rand does not fail.
+		_, _ = rand.Read(secret)
+		key = "bd-" + hex.EncodeToString(secret)
+		sum := sha256.Sum256([]byte(key))
+		return key, setString(l, reference.KeyHash.Name(), hex.EncodeToString(sum[:]))
+	}
+	if upstreams != "" {
+		names, err := json.Marshal(strings.Split(upstreams, ","))
+		if err != nil {
+			return "", oops.Wrap(err)
+		}
+		if err := l.Set(reference.Upstreams.Name(), names); err != nil {
+			return "", err
+		}
+	}
+	if l.Kind == reference.Group && model == "" {
+		model = l.Name
+	}
+	if model != "" {
+		return "", setString(l, reference.Model.Name(), model)
+	}
+	return "", nil
+}
+
+func setString(l tree.Level, name, value string) error {
+	quoted, err := json.Marshal(value)
+	if err != nil {
+		return oops.Wrap(err)
+	}
+	return l.Set(name, quoted)
+}
+
+func listCommand() *command {
+	return withOperator("list", "list services, model groups or client accounts",
+		"list services|groups|client-accounts\n\nExample:\n  bramleydeal list services",
+		func(ctx context.Context, c *console, o *platform.Operator, args []string) error {
+			if err := want(args, 1, "list services|groups|client-accounts"); err != nil {
+				return err
+			}
+			kind, err := parseKind(args[0])
+			if err != nil {
+				return err
+			}
+			now, err := o.Snapshot(ctx)
+			if err != nil {
+				return err
+			}
+			names := now.Tree.Names(kind)
+			return c.print(names, func(w io.Writer) {
+				for _, name := range names {
+					fmt.Fprintln(w, name)
+				}
+			})
+		})
+}
+
+func deleteCommand() *command {
+	return withOperator("delete", "delete a service, model group or client account",
+		"delete service|group|client-account NAME\n\nExample:\n  bramleydeal delete service stock",
+		func(ctx context.Context, _ *console, o *platform.Operator, args []string) error {
+			if err := want(args, 2, "delete service|group|client-account NAME"); err != nil {
+				return err
+			}
+			kind, err := parseKind(args[0])
+			if err != nil {
+				return err
+			}
+			if err := o.Delete(ctx, string(kind)+"/"+args[1]); err != nil {
+				return err
+			}
+			fmt.Fprintf(os.Stdout, "%s/%s deleted\n", kind, args[1])
+			return nil
+		})
+}
--- /dev/null
+++ b/internal/operator/command/settings.go
@@ -0,0 +1,303 @@
+package command
+
+import (
+	"context"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"io"
+	"os"
+	"sort"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"bramleydeal/internal/operator/platform"
+	"bramleydeal/internal/settings/tree"
+	"github.com/google/subcommands"
+	"github.com/samber/oops"
+)
+
+// settingsGroup is the settings command, which has commands of its own.
+type settingsGroup struct{}
+
+func settingsCommand() subcommands.Command { return settingsGroup{} }
+
+// Name implements subcommands.Command.
+func (settingsGroup) Name() string { return "settings" }
+
+// Synopsis implements subcommands.Command.
+func (settingsGroup) Synopsis() string { return "read and change the settings tree" }
+
+// Usage implements subcommands.Command.
+func (settingsGroup) Usage() string {
+	return "settings check|apply|get|set|unset|explain|history|watch ...\n\nExample:\n  bramleydeal settings set service/stock queue-wait 1s\n  bramleydeal settings help set\n"
+}
+
+// SetFlags implements subcommands.Command.
+func (settingsGroup) SetFlags(*flag.FlagSet) {}
+
+// Execute implements subcommands.Command.
+func (settingsGroup) Execute(ctx context.Context, f *flag.FlagSet, args ...any) subcommands.ExitStatus {
+	commander := subcommands.NewCommander(f, "bramleydeal settings")
+	commander.Register(commander.HelpCommand(), "")
+	for _, c := range []*command{checkCommand(), applyCommand(), getCommand(), setCommand(), unsetCommand(), explainCommand(), historyCommand(), watchCommand()} {
+		commander.Register(c, "")
+	}
+	return commander.Execute(ctx, args...)
+}
+
+// readFile reads a deployment file.
+func readFile(path string) (tree.File, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return tree.File{}, oops.Code(platform.CodeInvalid).Wrap(err)
+	}
+	f, err := tree.ParseFile(text)
+	if err != nil {
+		return tree.File{}, oops.Code(platform.CodeInvalid).Wrapf(err, "%s", path)
+	}
+	return f, nil
+}
+
+func checkCommand() *command {
+	return &command{
+		name: "check", synopsis: "check a deployment file without writing anything",
+		usage: "check FILE\n\nExample:\n  bramleydeal settings check examples/tendas-ribeira.json",
+		run: func(_ context.Context, args []string) error {
+			if err := want(args, 1, "settings check FILE"); err != nil {
+				return err
+			}
+			f, err := readFile(args[0])
+			if err == nil {
+				fmt.Printf("%s: %d levels and %d instances, no errors\n", args[0], len(f.Levels), len(f.Instances))
+			}
+			return err
+		},
+	}
+}
+
+// withOperator wraps a command that reads or changes the tree.
+func withOperator(name, synopsis, usage string, run func(ctx context.Context, c *console, o *platform.Operator, args []string) error) *command {
+	c := &console{out: os.Stdout}
+	return &command{
+		name: name, synopsis: synopsis, usage: usage, flags: c.setFlags,
+		run: func(ctx context.Context, args []string) error {
+			o, err := c.operator()
+			if err != nil {
+				return err
+			}
+			ctx, cancel := context.WithTimeout(ctx, callTimeout)
+			defer cancel()
+			return run(ctx, c, o, args)
+		},
+	}
+}
+
+func applyCommand() *command {
+	return withOperator("apply", "write all levels and instances of a deployment file",
+		"apply [-platform ADDRESS] FILE\n\nLevels that the file does not name stay as they are.\n\nExample:\n  bramleydeal settings apply examples/tendas-ribeira.json",
+		func(ctx context.Context, c *console, o *platform.Operator, args []string) error {
+			if err := want(args, 1, "settings apply FILE"); err != nil {
+				return err
+			}
+			f, err := readFile(args[0])
+			if err != nil {
+				return err
+			}
+			changed, err := o.Apply(ctx, f)
+			if err != nil {
+				return err
+			}
+			return c.print(changed, func(w io.Writer) {
+				fmt.Fprintf(w, "%d levels changed: %s\n", len(changed), strings.Join(changed, ", "))
+			})
+		})
+}
+
+func getCommand() *command {
+	return withOperator("get", "print a level, or one setting of it",
+		"get PATH [SETTING]\n\nExample:\n  bramleydeal settings get service/stock",
+		func(ctx context.Context, c *console, o *platform.Operator, args []string) error {
+			if len(args) != 1 && len(args) != 2 {
+				return want(args, 1, "settings get PATH [SETTING]")
+			}
+			v, err := o.Read(ctx, args[0])
+			if err != nil {
+				return err
+			}
+			if v.Version == 0 {
+				return oops.Code(platform.CodeNotFound).Errorf("%s does not exist", args[0])
+			}
+			if len(args) == 2 {
+				return printSetting(c, v, args[1])
+			}
+			return c.print(map[string]any{"path": args[0], "version": v.Version, "settings": v.Level.Settings}, func(w io.Writer) {
+				fmt.Fprintf(w, "%s at version %d\n", args[0], v.Version)
+				names := make([]string, 0, len(v.Level.Settings))
+				for name := range v.Level.Settings {
+					names = append(names, name)
+				}
+				sort.Strings(names)
+				for _, name := range names {
+					fmt.Fprintf(w, "  %s = %s\n", name, v.Level.Settings[name])
+				}
+			})
+		})
+}
+
+func printSetting(c *console, v platform.Versioned, name string) error {
+	value, ok := v.Level.Settings[name]
+	if !ok {
+		return oops.Code(platform.CodeNotFound).Errorf("%s does not name %s; settings explain shows what it inherits", v.Level.Path(), name)
+	}
+	return c.print(value, func(w io.Writer) { fmt.Fprintln(w, string(value)) })
+}
+
+// rawValue reads a value typed on the command line: JSON, or else a string.
+func rawValue(s string) json.RawMessage {
+	if json.Valid([]byte(s)) {
+		return json.RawMessage(s)
+	}
+	quoted, err := json.Marshal(s)
+	if err != nil {
+		panic(err) // strings always marshal
+	}
+	return quoted
+}
+
+// changeCommand makes set and unset, which differ in the change only.
+func changeCommand(name, synopsis, usage, form string, arguments int, change func(l tree.Level, args []string) error) *command {
+	var ifVersion uint64
+	c := withOperator(name, synopsis, usage,
+		func(ctx context.Context, c *console, o *platform.Operator, args []string) error {
+			if err := want(args, arguments, form); err != nil {
+				return err
+			}
+			what := strings.Join(append([]string{name}, args[1:]...), " ")
+			version, err := o.Change(ctx, args[0], ifVersion, what, func(l tree.Level) error { return change(l, args) })
+			if version == 0 {
+				return err
+			}
+			printed := c.print(map[string]any{"path": args[0], "version": version}, func(w io.Writer) {
+				fmt.Fprintf(w, "%s is at version %d\n", args[0], version)
+			})
+			if err != nil {
+				return err
+			}
+			return printed
+		})
+	common := c.flags
+	c.flags = func(f *flag.FlagSet) {
+		common(f)
+		f.Uint64Var(&ifVersion, "if-version", 0, "fail with a conflict unless the level is at this version")
+	}
+	return c
+}
+
+func setCommand() *command {
+	return changeCommand("set", "set one setting of a level",
+		"set [-if-version N] PATH SETTING VALUE\n\nOf two operators who race, one gets a conflict that shows what changed.\n\nExample:\n  bramleydeal settings set client-account/planners weight 2",
+		"settings set PATH SETTING VALUE", 3,
+		func(l tree.Level, args []string) error { return l.Set(args[1], rawValue(args[2])) })
+}
+
+func unsetCommand() *command {
+	return changeCommand("unset", "let a level inherit a setting again",
+		"unset [-if-version N] PATH SETTING\n\nExample:\n  bramleydeal settings unset service/stock queue-wait",
+		"settings unset PATH SETTING", 2,
+		func(l tree.Level, args []string) error {
+			if _, ok := l.Settings[args[1]]; !ok {
+				return oops.Code(platform.CodeNotFound).Errorf("%s does not name %s", args[0], args[1])
+			}
+			delete(l.Settings, args[1])
+			return nil
+		})
+}
+
+func explainCommand() *command {
+	return withOperator("explain", "print each effective value and the level it comes from",
+		"explain PATH...\n\nSeveral paths are levels that apply together.\n\nExample:\n  bramleydeal settings explain failure-domain/viseu service/stock client-account/planners",
+		func(ctx context.Context, c *console, o *platform.Operator, args []string) error {
+			scope, err := scopeOf(args)
+			if err != nil {
+				return err
+			}
+			now, err := o.Snapshot(ctx)
+			if err != nil {
+				return err
+			}
+			for _, path := range args {
+				if _, ok := now.Tree.Level(path); !ok {
+					return oops.Code(platform.CodeNotFound).Errorf("%s does not exist; bramleydeal list shows what does", path)
+				}
+			}
+			explained := now.Tree.Explain(scope)
+			return c.print(explained, func(w io.Writer) {
+				t := tabwriter.NewWriter(w, 0, 4, 2, ' ', 0)
+				for _, e := range explained {
+					fmt.Fprintf(t, "%s\t%s\t%s\n", e.Setting, e.Value, e.From)
+				}
+				// Standard output has nowhere to report its own failure.
+				_ = t.Flush()
+			})
+		})
+}
+
+// scopeOf joins the levels named by paths into one scope.
+func scopeOf(paths []string) (tree.Scope, error) {
+	var scope tree.Scope
+	if len(paths) == 0 {
+		return scope, oops.Code(codeUsage).Errorf("usage: settings explain PATH...")
+	}
+	for _, path := range paths {
+		s, err := tree.ScopeOf(path)
+		if err != nil {
+			return scope, err
+		}
+		scope.FailureDomain += s.FailureDomain
+		scope.Service += s.Service
+		scope.Group += s.Group
+		scope.ClientAccount += s.ClientAccount
+	}
+	return scope, nil
+}
+
+func historyCommand() *command {
+	return withOperator("history", "print the changes of a level",
+		"history PATH\n\nExample:\n  bramleydeal settings history service/stock",
+		func(ctx context.Context, c *console, o *platform.Operator, args []string) error {
+			if err := want(args, 1, "settings history PATH"); err != nil {
+				return err
+			}
+			records, err := o.History(ctx, args[0])
+			if err != nil {
+				return err
+			}
+			return c.print(records, func(w io.Writer) {
+				for _, r := range records {
+					fmt.Fprintln(w, r)
+				}
+			})
+		})
+}
+
+// watchWait is how long one call of settings watch waits for a change.
+const watchWait = 30 * time.Second
+
+func watchCommand() *command {
+	c := &console{out: os.Stdout}
+	return &command{
+		name: "watch", synopsis: "print changes of the tree as they come",
+		usage: "watch\n\nExample:\n  bramleydeal settings watch", flags: c.setFlags,
+		run: func(ctx context.Context, _ []string) error {
+			o, err := c.operator()
+			if err != nil {
+				return err
+			}
+			return o.Watch(ctx, watchWait, func(path string, version uint64, value []byte) {
+				fmt.Fprintf(c.out, "%s  version %d  %s\n", path, version, value)
+			})
+		},
+	}
+}
--- /dev/null
+++ b/internal/operator/local/local.go
@@ -0,0 +1,243 @@
+// Package local runs the whole path in one process for a newcomer: entries and
+// agents as they are, with in-memory stand-ins for the platform, the engines
+// and the services. Nothing else of bramleydeal uses a stand-in.
+package local
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"time"
+
+	agent "bramleydeal/internal/agent/server"
+	entry "bramleydeal/internal/entry/server"
+	"bramleydeal/internal/process/config"
+	"bramleydeal/internal/process/log"
+	"bramleydeal/internal/standin/engine"
+	"bramleydeal/internal/standin/platform"
+	"bramleydeal/internal/standin/service"
+	"bramleydeal/internal/world/fleet"
+	"github.com/samber/oops"
+)
+
+// What the local deployment consists of.
+const (
+	// Key is the bearer key of the client account "demo".
+	Key = "demo-key"
+	// Model is the name of the one model.
+	Model        = "quotes-1"
+	modelAgents  = 6
+	entries      = 3
+	readyTimeout = 5 * time.Second
+	readyPoll    = 10 * time.Millisecond
+)
+
+var domains = []fleet.FailureDomain{"coimbra", "leiria", "viseu"}
+
+// Local is the deployment.
+type Local struct {
+	listen    netip.AddrPort
+	log       *log.Logger
+	platform  *platform.Platform
+	address   netip.AddrPort
+	processes []running
+	group     sync.WaitGroup
+	instances []fleet.Instance
+}
+
+// running is an entry or an agent.
+type running interface {
+	Run(ctx, stop context.Context) error
+}
+
+// New builds the deployment with its first entry at listen. Logs go to w.
+func New(ctx context.Context, listen netip.AddrPort, w io.Writer) (*Local, error) {
+	l := &Local{listen: listen, log: log.New(w, log.Text, "local"), platform: platform.New()}
+	var err error
+	if l.address, err = l.serve(ctx, l.platform.Handler()); err != nil {
+		return nil, err
+	}
+	if err := l.addAgents(ctx); err != nil {
+		return nil, err
+	}
+	if err := l.addEntries(ctx); err != nil {
+		return nil, err
+	}
+	return l, l.fillPlatform()
+}
+
+// freeAddress returns a loopback address that nothing listens on.
+func freeAddress() (netip.AddrPort, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return netip.AddrPort{}, oops.Code("listen").Wrap(err)
+	}
+	address := listener.Addr().(*net.TCPAddr).AddrPort()
+	return address, listener.Close()
+}
+
+// serve serves a stand-in on loopback until ctx ends.
+func (l *Local) serve(ctx context.Context, h http.Handler) (netip.AddrPort, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return netip.AddrPort{}, oops.Code("listen").Wrap(err)
+	}
+	server := &http.Server{Handler: h, ReadHeaderTimeout: readyTimeout}
+	context.AfterFunc(ctx, func() {
+		// The process is going; an error while closing changes nothing.
+		_ = server.Close()
+	})
+	go func() {
+		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			l.log.Part("local").Error(err, "a stand-in ended")
+		}
+	}()
+	return listener.Addr().(*net.TCPAddr).AddrPort(), nil
+}
+
+func (l *Local) addAgents(ctx context.Context) error {
+	for n := range modelAgents {
+		e := engine.New(engine.DefaultOptions)
+		go e.Run(ctx)
+		u := config.Upstream{Kind: config.Engine, Target: "quotes", Rank: n}
+		if err := l.addAgent(ctx, fmt.Sprintf("w%d", n+1), domains[n%len(domains)], u, e.Handler()); err != nil {
+			return err
+		}
+	}
+	for n, d := range domains {
+		u := config.Upstream{Kind: config.Service, Target: "stock"}
+		if err := l.addAgent(ctx, fmt.Sprintf("s%d", n+1), d, u, service.New().Handler()); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (l *Local) addAgent(ctx context.Context, name string, d fleet.FailureDomain, u config.Upstream, h http.Handler) error {
+	var err error
+	if u.Address, err = l.serve(ctx, h); err != nil {
+		return err
+	}
+	c, err := l.process(name, d, fleet.AgentRole)
+	if err != nil {
+		return err
+	}
+	c.Upstream = u
+	a, err := agent.New(ctx, c, rand.Uint64(), log.New(io.Discard, log.Text, name))
+	l.processes = append(l.processes, a)
+	return err
+}
+
+func (l *Local) addEntries(ctx context.Context) error {
+	for n := range entries {
+		c, err := l.process(fmt.Sprintf("e%d", n+1), domains[n%len(domains)], fleet.EntryRole)
+		if err != nil {
+			return err
+		}
+		if n == 0 {
+			c.Listen = l.listen
+		} else if c.Listen, err = freeAddress(); err != nil {
+			return err
+		}
+		e, err := entry.New(ctx, c, rand.Uint64(), log.New(io.Discard, log.Text, c.Name))
+		if err != nil {
+			return err
+		}
+		l.processes = append(l.processes, e)
+	}
+	return nil
+}
+
+// process returns the settings of one process and lists its instance.
+func (l *Local) process(name string, d fleet.FailureDomain, r fleet.Role) (config.Process, error) {
+	c := config.Process{Name: name, FailureDomain: d, Platform: l.address}
+	var err error
+	if c.PeerListen, err = freeAddress(); err != nil {
+		return c, err
+	}
+	if c.DebugListen, err = freeAddress(); err != nil {
+		return c, err
+	}
+	l.instances = append(l.instances, fleet.Instance{Name: name, Role: r, FailureDomain: d, Address: c.PeerListen, DebugAddress: c.DebugListen})
+	return c, nil
+}
+
+// fillPlatform writes the settings tree and the instances.
+func (l *Local) fillPlatform() error {
+	sum := sha256.Sum256([]byte(Key))
+	upstreams := map[fleet.Role][]string{}
+	var models, services []string
+	for _, i := range l.instances {
+		upstreams[i.Role] = append(upstreams[i.Role], i.Name)
+		value, err := json.Marshal(i)
+		if err != nil {
+			return oops.Wrap(err)
+		}
+		l.platform.Put(fleet.InstancePrefix+i.Name, value)
+	}
+	models, services = upstreams[fleet.AgentRole][:modelAgents], upstreams[fleet.AgentRole][modelAgents:]
+	for path, level := range map[string]any{
+		"fleet":               map[string]any{"drain-grace": "200ms"},
+		"group/quotes":        map[string]any{"model": Model, "upstreams": models},
+		"service/stock":       map[string]any{"upstreams": services},
+		"client-account/demo": map[string]any{"key-hash": hex.EncodeToString(sum[:])},
+	} {
+		value, err := json.Marshal(level)
+		if err != nil {
+			return oops.Wrap(err)
+		}
+		l.platform.Put(fleet.SettingsPrefix+path, value)
+	}
+	return nil
+}
+
+// Run serves until stop ends, then drains entries and agents.
+func (l *Local) Run(ctx, stop context.Context) error {
+	var mu sync.Mutex
+	var failed error
+	for _, p := range l.processes {
+		l.group.Go(func() {
+			if err := p.Run(ctx, stop); err != nil {
+				mu.Lock()
+				defer mu.Unlock()
+				failed = errors.Join(failed, err)
+			}
+		})
+	}
+	if l.waitReady(ctx) {
+		l.log.Part("local").Info("ready", "callers", "http://"+l.listen.String(), "key", Key, "model", Model,
+			"service", "stock", "platform", l.address.String())
+	}
+	l.group.Wait()
+	return failed
+}
+
+// waitReady waits until the first entry is ready.
+func (l *Local) waitReady(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
+	defer cancel()
+	for ctx.Err() == nil {
+		request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+l.listen.String()+"/readyz", nil)
+		if err != nil {
+			return false
+		}
+		if response, err := http.DefaultClient.Do(request); err == nil {
+			// Only the status matters.
+			_ = response.Body.Close()
+			if response.StatusCode == http.StatusOK {
+				return true
+			}
+		}
+		time.Sleep(readyPoll)
+	}
+	return false
+}
--- /dev/null
+++ b/internal/process/config/config.go
@@ -0,0 +1,136 @@
+// Package config owns the settings file of one process: its name, failure
+// domain and addresses. What operators change at run time is in the settings
+// tree instead.
+package config
+
+import (
+	"bytes"
+	"encoding/json"
+	"net/netip"
+	"os"
+
+	"bramleydeal/internal/process/log"
+	"bramleydeal/internal/world/fleet"
+	"github.com/samber/oops"
+	"github.com/tailscale/hujson"
+)
+
+// UpstreamKind says what an agent's upstream speaks.
+type UpstreamKind string
+
+// The kinds of upstreams.
+const (
+	// Engine is a model engine with the chat completion interface.
+	Engine UpstreamKind = "engine"
+	// Service is a plain HTTP service.
+	Service UpstreamKind = "service"
+)
+
+// Upstream is what an agent stands in front of.
+type Upstream struct {
+	Kind    UpstreamKind   `json:"kind"`
+	Address netip.AddrPort `json:"address"`
+	// Target is the service or model group that the upstream belongs to.
+	Target string `json:"target"`
+	// Rank is the engine's rank in its group.
+	Rank int `json:"rank"`
+}
+
+// TLS names the certificate files of a process. All processes of a fleet hold
+// certificates of one authority and check each other's.
+type TLS struct {
+	Certificate string `json:"certificate"`
+	Key         string `json:"key"`
+	Authority   string `json:"authority"`
+	// Callers serves the caller side over TLS too.
+	Callers bool `json:"callers"`
+}
+
+// Process is the settings file of an entry or an agent.
+type Process struct {
+	Name          string              `json:"name"`
+	FailureDomain fleet.FailureDomain `json:"failure-domain"`
+	// Listen is where an entry serves callers.
+	Listen netip.AddrPort `json:"listen"`
+	// PeerListen is where the process serves the other processes.
+	PeerListen  netip.AddrPort `json:"peer-listen"`
+	DebugListen netip.AddrPort `json:"debug-listen"`
+	Platform    netip.AddrPort `json:"platform"`
+	// Peers are processes to learn the settings from while the platform is away.
+	Peers     []netip.AddrPort `json:"peers"`
+	Upstream  Upstream         `json:"upstream"`
+	LogFormat log.Format       `json:"log-format"`
+	TLS       TLS              `json:"tls"`
+	// PlainOutsideLoopback allows listening off loopback without TLS.
+	PlainOutsideLoopback bool `json:"plain-outside-loopback"`
+}
+
+// Read reads and checks a settings file for a role.
+func Read(path string, role fleet.Role) (Process, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return Process{}, oops.Code("invalid-settings").Wrapf(err, "read the settings file")
+	}
+	p, err := Parse(text, role)
+	if err != nil {
+		return Process{}, oops.Code("invalid-settings").Wrapf(err, "%s", path)
+	}
+	return p, nil
+}
+
+// Parse reads and checks the text of a settings file for a role.
+func Parse(text []byte, role fleet.Role) (Process, error) {
+	standard, err := hujson.Standardize(bytes.Clone(text))
+	if err != nil {
+		return Process{}, oops.Code("invalid-settings").Wrapf(err, "broken JSON")
+	}
+	d := json.NewDecoder(bytes.NewReader(standard))
+	d.DisallowUnknownFields()
+	p := Process{LogFormat: log.Text}
+	if err := d.Decode(&p); err != nil {
+		return Process{}, oops.Code("invalid-settings").Wrapf(err, "see docs/operators.md for the members of a process's settings file")
+	}
+	return p, p.check(role)
+}
+
+func (p Process) check(role fleet.Role) error {
+	fail := func(member, remedy string) error {
+		return oops.Code("invalid-settings").Errorf("%s: %s", member, remedy)
+	}
+	switch {
+	case p.Name == "":
+		return fail("name", "give the instance's name in the platform's list")
+	case p.FailureDomain == "":
+		return fail("failure-domain", "give the instance's failure domain")
+	case !p.PeerListen.IsValid():
+		return fail("peer-listen", "give an address and port, such as \"127.0.0.1:7100\"")
+	case !p.Platform.IsValid() && len(p.Peers) == 0:
+		return fail("platform", "give the address of the object API, or peers to learn the settings from")
+	case role == fleet.EntryRole && !p.Listen.IsValid():
+		return fail("listen", "give the address and port for callers")
+	case role == fleet.AgentRole && !p.Upstream.Address.IsValid():
+		return fail("upstream.address", "give the upstream's address and port")
+	case role == fleet.AgentRole && p.Upstream.Kind != Engine && p.Upstream.Kind != Service:
+		return fail("upstream.kind", "write \"engine\" or \"service\"")
+	case role == fleet.AgentRole && p.Upstream.Target == "":
+		return fail("upstream.target", "give the service or model group that the upstream belongs to")
+	case p.LogFormat != log.Text && p.LogFormat != log.JSON:
+		return fail("log-format", "write \"text\" or \"json\"")
+	case (p.TLS.Certificate == "") != (p.TLS.Key == "") || (p.TLS.Certificate == "") != (p.TLS.Authority == ""):
+		return fail("tls", "give certificate, key and authority together")
+	}
+	return p.checkExposure()
+}
+
+// checkExposure refuses to listen off loopback without TLS unless told so.
+func (p Process) checkExposure() error {
+	if p.PlainOutsideLoopback || p.TLS.Certificate != "" {
+		return nil
+	}
+	for _, a := range []netip.AddrPort{p.Listen, p.PeerListen, p.DebugListen} {
+		if a.IsValid() && !a.Addr().IsLoopback() {
+			return oops.Code("invalid-settings").Errorf("%s: is not a loopback address; name tls certificates, or set plain-outside-loopback to true", a)
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/process/log/log.go
@@ -0,0 +1,68 @@
+// Package log owns the shape of the processes' logs: logr over slog, with a
+// fixed prefix for each part of a process.
+package log
+
+import (
+	"context"
+	"io"
+	"log/slog"
+
+	"github.com/go-logr/logr"
+)
+
+// Format is how log lines are written.
+type Format string
+
+// The log formats.
+const (
+	Text Format = "text"
+	JSON Format = "json"
+)
+
+// Logger makes the loggers of a process's parts.
+type Logger struct {
+	handler  slog.Handler
+	instance string
+	level    *slog.LevelVar
+}
+
+// prefixed puts a part's prefix before each message.
+type prefixed struct {
+	slog.Handler
+	prefix string
+}
+
+// Handle implements slog.Handler.
+func (p prefixed) Handle(ctx context.Context, r slog.Record) error {
+	r.Message = p.prefix + ": " + r.Message
+	return p.Handler.Handle(ctx, r)
+}
+
+// WithAttrs implements slog.Handler.
+func (p prefixed) WithAttrs(attrs []slog.Attr) slog.Handler {
+	return prefixed{p.Handler.WithAttrs(attrs), p.prefix}
+}
+
+// WithGroup implements slog.Handler.
+func (p prefixed) WithGroup(name string) slog.Handler {
+	return prefixed{p.Handler.WithGroup(name), p.prefix}
+}
+
+// New returns a logger for the named instance that writes to w.
+func New(w io.Writer, f Format, instance string) *Logger {
+	level := new(slog.LevelVar)
+	options := &slog.HandlerOptions{Level: level}
+	var h slog.Handler = slog.NewTextHandler(w, options)
+	if f == JSON {
+		h = slog.NewJSONHandler(w, options)
+	}
+	return &Logger{handler: h, instance: instance, level: level}
+}
+
+// Part returns the logger of one part; the part is its prefix.
+func (l *Logger) Part(name string) logr.Logger {
+	return logr.FromSlogHandler(prefixed{l.handler, name}).WithValues("instance", l.instance)
+}
+
+// SetVerbosity sets how much is logged, 0 for the least.
+func (l *Logger) SetVerbosity(v int) { l.level.Set(slog.Level(-v)) }
--- /dev/null
+++ b/internal/process/spread/spread.go
@@ -0,0 +1,392 @@
+// Package spread keeps a process's replica of the replicated objects up to
+// date: from the platform where the process holds a watch, and from its peers
+// always. The rules of what is newer are in core/platform, the choice of peers
+// in core/instance.
+package spread
+
+import (
+	"context"
+	"maps"
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"bramleydeal/internal/core/instance"
+	"bramleydeal/internal/core/platform"
+	"bramleydeal/internal/platform/object"
+	"bramleydeal/internal/process/ring"
+	"bramleydeal/internal/settings/reference"
+	"bramleydeal/internal/settings/snapshot"
+	"bramleydeal/internal/settings/tree"
+	"bramleydeal/internal/wire/dial"
+	"bramleydeal/internal/wire/peer"
+	"bramleydeal/internal/world/fleet"
+	"github.com/go-logr/logr"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+)
+
+// Timings of the calls that keep the replica up to date.
+const (
+	platformTimeout = 5 * time.Second
+	compareTimeout  = 2 * time.Second
+	watchWait       = 20 * time.Second
+	// checkInterval is how often a process without a watch asks the platform for changes.
+	checkInterval = 8 * time.Second
+	// lonelyInterval is the same for a process that knows no peers.
+	lonelyInterval = time.Second
+	retryPause     = 500 * time.Millisecond
+	ringSize       = 64
+)
+
+// Spread is the part of a process that keeps its replica.
+type Spread struct {
+	peer.UnimplementedSpreadServer
+
+	self     string
+	domain   fleet.FailureDomain
+	role     fleet.Role
+	platform *object.Client
+	seeds    []netip.AddrPort
+	pool     *dial.Pool
+	log      logr.Logger
+	random   *rand.Rand
+
+	replica *ring.Loop[*platform.Replica]
+	current atomic.Pointer[snapshot.Snapshot]
+	updated chan struct{}
+
+	mu          sync.Mutex
+	subscribers []func(*snapshot.Snapshot)
+
+	watching     atomic.Bool
+	platformSeen atomic.Int64
+	stats        Stats
+}
+
+// Stats counts what the spread did.
+type Stats struct {
+	PlatformCalls, PlatformErrors, Compares, CompareErrors, Served, Stale atomic.Uint64
+}
+
+// Option configures a Spread.
+type Option func(*Spread)
+
+// WithPlatform lets the process read from the platform itself.
+func WithPlatform(c *object.Client) Option { return func(s *Spread) { s.platform = c } }
+
+// WithSeeds names peers to start from while the platform is away.
+func WithSeeds(seeds []netip.AddrPort) Option { return func(s *Spread) { s.seeds = seeds } }
+
+// WithLog sets the logger.
+func WithLog(l logr.Logger) Option { return func(s *Spread) { s.log = l } }
+
+// WithSeed seeds the choice among peers.
+func WithSeed(seed uint64) Option {
+	return func(s *Spread) { s.random = rand.New(rand.NewPCG(seed, seed)) }
+}
+
+// New returns the spread of the named instance, at revision 0.
+func New(self string, domain fleet.FailureDomain, role fleet.Role, pool *dial.Pool, options ...Option) *Spread {
+	s := &Spread{
+		self: self, domain: domain, role: role, pool: pool, log: logr.Discard(),
+		random:  rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		replica: ring.NewLoop(platform.NewReplica(), ringSize),
+		updated: make(chan struct{}, 1),
+	}
+	for _, o := range options {
+		o(s)
+	}
+	s.current.Store(snapshot.Build(platform.NewReplica(), nil))
+	return s
+}
+
+// Current returns the snapshot in force. Its revision never falls.
+func (s *Spread) Current() *snapshot.Snapshot { return s.current.Load() }
+
+// Subscribe calls f with the snapshot in force now and with each later one, in
+// order and one at a time.
+func (s *Spread) Subscribe(f func(*snapshot.Snapshot)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.subscribers = append(s.subscribers, f)
+	f(s.Current())
+}
+
+// Run keeps the replica up to date until ctx ends.
+func (s *Spread) Run(ctx context.Context) {
+	var group sync.WaitGroup
+	for _, duty := range []func(context.Context){s.replica.Run, s.runPlatform, s.runCompare} {
+		group.Go(func() { duty(ctx) })
+	}
+	group.Wait()
+}
+
+// apply moves the replica forward and publishes the new snapshot.
+func (s *Spread) apply(ctx context.Context, u platform.Update, source string) platform.Outcome {
+	outcome := platform.Current
+	// An error means that the process is stopping.
+	_ = s.replica.Do(ctx, func(r *platform.Replica) {
+		before := r.Revision()
+		outcome = r.Apply(u)
+		s.stats.Stale.Store(r.Stale())
+		if outcome == platform.Applied {
+			s.publish(r, before, source)
+		}
+	})
+	if outcome == platform.Stale {
+		s.log.Info("refused an old revision", "source", source, "revision", u.Revision, "in-force", s.Current().Revision)
+	}
+	return outcome
+}
+
+// publish runs on the replica's goroutine, so snapshots follow each other.
+func (s *Spread) publish(r *platform.Replica, before uint64, source string) {
+	next := snapshot.Build(r, s.Current())
+	s.mu.Lock()
+	s.current.Store(next)
+	for _, f := range s.subscribers {
+		f(next)
+	}
+	s.mu.Unlock()
+	s.log.Info("settings in force", "revision", next.Revision, "from", before, "source", source)
+	for _, text := range next.Rejected {
+		s.log.Info("object left out", "reason", text)
+	}
+	select {
+	case s.updated <- struct{}{}:
+	default:
+	}
+}
+
+// runPlatform watches the platform, or asks it now and then.
+func (s *Spread) runPlatform(ctx context.Context) {
+	if s.platform == nil {
+		return
+	}
+	for ctx.Err() == nil {
+		pause := s.askPlatform(ctx)
+		s.sleep(ctx, pause)
+	}
+}
+
+// askPlatform performs one call and returns the pause before the next.
+func (s *Spread) askPlatform(ctx context.Context) time.Duration {
+	now := s.Current()
+	watch := s.isWatcher(now)
+	s.watching.Store(watch)
+	var u platform.Update
+	var err error
+	s.stats.PlatformCalls.Add(1)
+	switch {
+	case now.Revision == 0:
+		u, err = s.list(ctx)
+	case watch:
+		u, err = s.watch(ctx, now.Revision, watchWait)
+	default:
+		u, err = s.watch(ctx, now.Revision, 0)
+	}
+	if err != nil {
+		s.stats.PlatformErrors.Add(1)
+		s.log.V(1).Info("the platform did not answer", "error", err.Error())
+		return s.jitter(retryPause)
+	}
+	s.platformSeen.Store(time.Now().UnixNano())
+	if s.apply(ctx, u, "platform") == platform.Stale {
+		return s.jitter(checkInterval)
+	}
+	switch {
+	case watch:
+		return 0
+	case len(s.peers()) == 0:
+		return s.jitter(lonelyInterval)
+	default:
+		return s.jitter(checkInterval)
+	}
+}
+
+func (s *Spread) list(ctx context.Context) (platform.Update, error) {
+	ctx, cancel := context.WithTimeout(ctx, platformTimeout)
+	defer cancel()
+	return s.platform.List(ctx, fleet.ReplicatedPrefix)
+}
+
+func (s *Spread) watch(ctx context.Context, after uint64, wait time.Duration) (platform.Update, error) {
+	ctx, cancel := context.WithTimeout(ctx, wait+platformTimeout)
+	defer cancel()
+	return s.platform.Watch(ctx, fleet.ReplicatedPrefix, after, wait)
+}
+
+func (s *Spread) isWatcher(now *snapshot.Snapshot) bool {
+	if s.role != fleet.EntryRole {
+		return false
+	}
+	count := tree.Get(now.Tree, s.scope(), reference.Watchers)
+	return instance.IsWatcher(slices.Collect(maps.Values(now.Instances)), s.self, s.domain, count)
+}
+
+func (s *Spread) scope() tree.Scope { return tree.Scope{FailureDomain: string(s.domain)} }
+
+// runCompare compares with one peer each interval, and with all of them at
+// once after the replica moved forward.
+func (s *Spread) runCompare(ctx context.Context) {
+	for ctx.Err() == nil {
+		peers := s.peers()
+		interval := tree.Get(s.Current().Tree, s.scope(), reference.SpreadInterval)
+		timer := time.NewTimer(s.jitter(interval))
+		select {
+		case <-s.updated:
+			s.compareAll(ctx, peers)
+		case <-timer.C:
+			if len(peers) > 0 {
+				s.compare(ctx, peers[s.random.IntN(len(peers))])
+			}
+		case <-ctx.Done():
+		}
+		timer.Stop()
+	}
+}
+
+func (s *Spread) compareAll(ctx context.Context, peers []netip.AddrPort) {
+	var group sync.WaitGroup
+	for _, a := range peers {
+		group.Go(func() { s.compare(ctx, a) })
+	}
+	group.Wait()
+}
+
+func (s *Spread) peers() []netip.AddrPort {
+	now := s.Current()
+	out := slices.Clone(s.seeds)
+	for _, i := range instance.Peers(slices.Collect(maps.Values(now.Instances)), s.self, s.domain) {
+		if !slices.Contains(out, i.Address) {
+			out = append(out, i.Address)
+		}
+	}
+	return out
+}
+
+// compare brings this process and a peer to the higher of their revisions.
+func (s *Spread) compare(ctx context.Context, a netip.AddrPort) {
+	connection, err := s.pool.Get(a)
+	if err != nil {
+		s.stats.CompareErrors.Add(1)
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, compareTimeout)
+	defer cancel()
+	client := peer.NewSpreadClient(connection)
+	s.stats.Compares.Add(1)
+	reply, err := client.Compare(ctx, &peer.CompareRequest{Instance: s.self, Revision: s.Current().Revision, Watching: s.watching.Load()})
+	if err != nil {
+		s.stats.CompareErrors.Add(1)
+		s.log.V(1).Info("a peer did not answer", "peer", a, "error", err.Error())
+		return
+	}
+	if reply.Revision > s.Current().Revision {
+		s.apply(ctx, updateOf(reply.From, reply.Revision, reply.Objects), reply.Instance)
+		return
+	}
+	if reply.Revision < s.Current().Revision {
+		s.offer(ctx, client, reply.Revision)
+	}
+}
+
+// offer sends a peer what it lacks since revision from.
+func (s *Spread) offer(ctx context.Context, client peer.SpreadClient, from uint64) {
+	var u platform.Update
+	if s.replica.Do(ctx, func(r *platform.Replica) { u = r.Since(from) }) != nil {
+		return
+	}
+	request := &peer.CompareRequest{Instance: s.self, Revision: u.Revision, From: u.From, Objects: messages(u.Objects)}
+	if _, err := client.Compare(ctx, request, grpc.WaitForReady(false)); err != nil {
+		s.stats.CompareErrors.Add(1)
+	}
+}
+
+// Compare implements peer.SpreadServer.
+func (s *Spread) Compare(ctx context.Context, request *peer.CompareRequest) (*peer.CompareReply, error) {
+	s.stats.Served.Add(1)
+	if len(request.Objects) > 0 || request.From > 0 {
+		s.apply(ctx, updateOf(request.From, request.Revision, request.Objects), request.Instance)
+	}
+	reply := &peer.CompareReply{Instance: s.self, Revision: s.Current().Revision}
+	if reply.Revision <= request.Revision {
+		return reply, nil
+	}
+	err := s.replica.Do(ctx, func(r *platform.Replica) {
+		u := r.Since(request.Revision)
+		reply.From, reply.Revision, reply.Objects = u.From, u.Revision, messages(u.Objects)
+	})
+	if err != nil {
+		return nil, status.Error(codes.Unavailable, err.Error())
+	}
+	return reply, nil
+}
+
+func updateOf(from, revision uint64, objects []*peer.Object) platform.Update {
+	u := platform.Update{From: from, Revision: revision}
+	for _, o := range objects {
+		u.Objects = append(u.Objects, platform.Object{Name: o.Name, Version: o.Version, Value: o.Value, Deleted: o.Deleted})
+	}
+	return u
+}
+
+func messages(objects []platform.Object) []*peer.Object {
+	out := make([]*peer.Object, 0, len(objects))
+	for _, o := range objects {
+		out = append(out, &peer.Object{Name: o.Name, Version: o.Version, Value: o.Value, Deleted: o.Deleted})
+	}
+	return out
+}
+
+// jitter spreads d over half to one and a half times itself.
+func (s *Spread) jitter(d time.Duration) time.Duration {
+	return d/2 + time.Duration(rand.Int64N(int64(d)+1))
+}
+
+func (s *Spread) sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+// State is the spread's part of the dump.
+type State struct {
+	Revision           uint64   `json:"revision"`
+	Watching           bool     `json:"watching"`
+	PlatformAnsweredAt string   `json:"platform-answered-at,omitempty"`
+	PlatformCalls      uint64   `json:"platform-calls"`
+	PlatformErrors     uint64   `json:"platform-errors"`
+	Compares           uint64   `json:"compares"`
+	CompareErrors      uint64   `json:"compare-errors"`
+	ComparesServed     uint64   `json:"compares-served"`
+	OldRevisions       uint64   `json:"old-revisions-refused"`
+	Rejected           []string `json:"rejected-objects,omitempty"`
+	Peers              []string `json:"peers"`
+}
+
+// State returns the spread's part of the dump.
+func (s *Spread) State() State {
+	now := s.Current()
+	out := State{
+		Revision: now.Revision, Watching: s.watching.Load(), Rejected: now.Rejected,
+		PlatformCalls: s.stats.PlatformCalls.Load(), PlatformErrors: s.stats.PlatformErrors.Load(),
+		Compares: s.stats.Compares.Load(), CompareErrors: s.stats.CompareErrors.Load(),
+		ComparesServed: s.stats.Served.Load(), OldRevisions: s.stats.Stale.Load(),
+	}
+	if at := s.platformSeen.Load(); at > 0 {
+		out.PlatformAnsweredAt = time.Unix(0, at).UTC().Format(time.RFC3339Nano)
+	}
+	for _, a := range s.peers() {
+		out.Peers = append(out.Peers, a.String())
+	}
+	return out
+}
--- /dev/null
+++ b/internal/wire/dial/pool.go
@@ -0,0 +1,118 @@
+// Package dial owns the connections from one process to its peers. It decides
+// nothing about which peers to use.
+package dial
+
+import (
+	"context"
+	"net/netip"
+	"sync"
+	"time"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/backoff"
+	"google.golang.org/grpc/connectivity"
+	"google.golang.org/grpc/credentials"
+	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/keepalive"
+
+	"github.com/samber/oops"
+)
+
+// Timings and sizes of the connections between processes.
+const (
+	keepaliveTime    = 10 * time.Second
+	keepaliveTimeout = 3 * time.Second
+	minBackoff       = 50 * time.Millisecond
+	maxBackoff       = time.Second
+	// MaxMessage bounds a message in bytes; it leaves room for a complete settings tree.
+	MaxMessage = 64 << 20
+	// idleAfter closes connections that have not been used.
+	idleAfter = 5 * time.Minute
+)
+
+// Pool holds one connection per peer address.
+type Pool struct {
+	credentials credentials.TransportCredentials
+	mu          sync.Mutex
+	connections map[netip.AddrPort]*grpc.ClientConn
+}
+
+// NewPool returns a pool whose connections use the given credentials, or none
+// when they are nil.
+func NewPool(c credentials.TransportCredentials) *Pool {
+	if c == nil {
+		c = insecure.NewCredentials()
+	}
+	return &Pool{credentials: c, connections: map[netip.AddrPort]*grpc.ClientConn{}}
+}
+
+// Get returns the connection to a peer without waiting for it.
+func (p *Pool) Get(a netip.AddrPort) (*grpc.ClientConn, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if c, ok := p.connections[a]; ok {
+		return c, nil
+	}
+	c, err := grpc.NewClient("passthrough:///"+a.String(),
+		grpc.WithTransportCredentials(p.credentials),
+		grpc.WithIdleTimeout(idleAfter),
+		grpc.WithDisableRetry(),
+		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(MaxMessage), grpc.MaxCallSendMsgSize(MaxMessage)),
+		grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: keepaliveTime, Timeout: keepaliveTimeout}),
+		grpc.WithConnectParams(grpc.ConnectParams{
+			Backoff:           backoff.Config{BaseDelay: minBackoff, Multiplier: 1.6, Jitter: 0.2, MaxDelay: maxBackoff},
+			MinConnectTimeout: maxBackoff,
+		}),
+	)
+	if err != nil {
+		return nil, oops.Code("dial").Wrapf(err, "connect to %s", a)
+	}
+	p.connections[a] = c
+	return c, nil
+}
+
+// Ready returns the connection to a peer once it is established. An error
+// proves that nothing was sent on it by this caller.
+func (p *Pool) Ready(ctx context.Context, a netip.AddrPort, wait time.Duration) (*grpc.ClientConn, error) {
+	c, err := p.Get(a)
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, wait)
+	defer cancel()
+	for {
+		s := c.GetState()
+		if s == connectivity.Ready {
+			return c, nil
+		}
+		c.Connect()
+		if !c.WaitForStateChange(ctx, s) {
+			return nil, oops.Code("unreachable").Errorf("%s cannot be reached", a)
+		}
+	}
+}
+
+// Close closes all connections.
+func (p *Pool) Close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for a, c := range p.connections {
+		// The process is going; an error while closing changes nothing.
+		_ = c.Close()
+		delete(p.connections, a)
+	}
+}
+
+// ServerOptions returns the options of a process's gRPC server.
+func ServerOptions(c credentials.TransportCredentials) []grpc.ServerOption {
+	options := []grpc.ServerOption{
+		grpc.MaxRecvMsgSize(MaxMessage),
+		grpc.MaxSendMsgSize(MaxMessage),
+		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: keepaliveTime / 2, PermitWithoutStream: true}),
+		grpc.KeepaliveParams(keepalive.ServerParameters{Time: keepaliveTime, Timeout: keepaliveTimeout}),
+	}
+	if c != nil {
+		options = append(options, grpc.Creds(c))
+	}
+	return options
+}
--- /dev/null
+++ b/internal/world/answer/kind.go
@@ -0,0 +1,106 @@
+// Package answer owns the closed list of error kinds and the one table that
+// turns a kind into an HTTP answer. It does not decide when a kind applies.
+package answer
+
+import (
+	"net/http"
+	"time"
+)
+
+// Kind names one way in which a request is not answered by an upstream.
+// The list is closed: every Kind has exactly one row in the table.
+type Kind string
+
+// Run says whether a refused request ran at an upstream.
+type Run string
+
+// What is known about a refused request. NotRun is a promise: the request has
+// not run, and no copy of it that is still under way will.
+const (
+	NotRun  Run = "not-run"
+	Ran     Run = "ran"
+	Unknown Run = "unknown"
+)
+
+// The error kinds.
+const (
+	InvalidRequest   Kind = "invalid-request"
+	Unauthorized     Kind = "unauthorized"
+	Forbidden        Kind = "forbidden"
+	NotFound         Kind = "not-found"
+	TooLarge         Kind = "too-large"
+	Overloaded       Kind = "overloaded"
+	QueueTimeout     Kind = "queue-timeout"
+	NoUpstream       Kind = "no-upstream"
+	Leaving          Kind = "leaving"
+	Sealed           Kind = "sealed"
+	Undecided        Kind = "undecided"
+	ClaimUnavailable Kind = "claim-unavailable"
+	OwnerUnreachable Kind = "owner-unreachable"
+	OutcomeUnknown   Kind = "outcome-unknown"
+	TermMoved        Kind = "term-moved"
+	KeyReused        Kind = "key-reused"
+	AnswerGone       Kind = "answer-gone"
+	StreamLost       Kind = "stream-lost"
+	UpstreamFailed   Kind = "upstream-failed"
+	DeadlineExceeded Kind = "deadline-exceeded"
+	Internal         Kind = "internal"
+)
+
+// Row is the answer given for a kind.
+type Row struct {
+	Kind   Kind
+	Status int
+	Run    Run
+	// Retry tells whether sending the same request again may succeed.
+	Retry bool
+	// RetryAfter is the time to come back when the refusal itself names none.
+	RetryAfter time.Duration
+	// OpenAIType is the error type in the OpenAI error shape.
+	OpenAIType string
+	Meaning    string
+}
+
+// table is ordered as the reference page prints it.
+var table = []Row{
+	{InvalidRequest, http.StatusBadRequest, NotRun, false, 0, "invalid_request_error", "The request is malformed; the detail names the place and the remedy."},
+	{Unauthorized, http.StatusUnauthorized, NotRun, false, 0, "authentication_error", "The bearer key is missing or belongs to no client account."},
+	{Forbidden, http.StatusForbidden, NotRun, false, 0, "permission_error", "The client account may not use this service or model."},
+	{NotFound, http.StatusNotFound, NotRun, false, 0, "invalid_request_error", "No such service, model or path."},
+	{TooLarge, http.StatusRequestEntityTooLarge, NotRun, false, 0, "invalid_request_error", "The body is larger than body-limit."},
+	{Overloaded, http.StatusServiceUnavailable, NotRun, true, time.Second, "overloaded_error", "The upstreams' queues are full, or the request could not have been served in time."},
+	{QueueTimeout, http.StatusServiceUnavailable, NotRun, true, time.Second, "overloaded_error", "The request waited for queue-wait without being started."},
+	{NoUpstream, http.StatusServiceUnavailable, NotRun, true, 2 * time.Second, "overloaded_error", "No upstream of this service or model can be reached."},
+	{Leaving, http.StatusServiceUnavailable, NotRun, true, time.Second, "overloaded_error", "The upstream is leaving and takes no new work."},
+	{Sealed, http.StatusConflict, NotRun, true, time.Second, "conflict_error", "This attempt was refused earlier and arrived late; a new attempt may run."},
+	{Undecided, http.StatusServiceUnavailable, Unknown, true, 2 * time.Second, "overloaded_error", "This attempt was refused, but an earlier one with the same key may have run. Retry with the same key."},
+	{ClaimUnavailable, http.StatusServiceUnavailable, Unknown, true, 5 * time.Second, "overloaded_error", "The platform that decides keys without a session is away. This attempt did not run; an earlier one with the same key may have. Retry with the same key, or open a session."},
+	{OwnerUnreachable, http.StatusGatewayTimeout, Unknown, true, 2 * time.Second, "api_error", "The owner of this session or key does not answer. Retry with the same key and session; new work goes under the new session in the answer's header."},
+	{OutcomeUnknown, http.StatusBadGateway, Unknown, false, 0, "api_error", "The request may have run; its owner or its upstream was lost. It will not run again under this key."},
+	{TermMoved, http.StatusServiceUnavailable, Unknown, true, time.Second, "api_error", "The owner handed its ledger to a successor that cannot be reached yet. Retry with the same key."},
+	{KeyReused, http.StatusUnprocessableEntity, Unknown, false, 0, "invalid_request_error", "The key was used before with another request."},
+	{AnswerGone, http.StatusGone, Ran, false, 0, "api_error", "The request ran; its answer was larger than answer-buffer and is no longer kept."},
+	{StreamLost, http.StatusGone, Unknown, false, 0, "api_error", "The stream named by Last-Event-ID is no longer held and cannot be repeated exactly. Send the request anew."},
+	{UpstreamFailed, http.StatusBadGateway, Unknown, true, time.Second, "api_error", "Every upstream tried failed before the end of its answer."},
+	{DeadlineExceeded, http.StatusGatewayTimeout, Unknown, true, time.Second, "api_error", "The request's deadline passed while it was running."},
+	{Internal, http.StatusInternalServerError, Unknown, false, 0, "api_error", "A fault in bramleydeal itself; the log has the request id."},
+}
+
+var rows = func() map[Kind]Row {
+	m := make(map[Kind]Row, len(table))
+	for _, r := range table {
+		m[r.Kind] = r
+	}
+	return m
+}()
+
+// Lookup returns the row of a kind, that of Internal for a kind not in the list.
+func Lookup(k Kind) Row {
+	if r, ok := rows[k]; ok {
+		return r
+	}
+	return rows[Internal]
+}
+
+// Table returns all rows in the order of the reference page.
+func Table() []Row { return append([]Row(nil), table...) }
