--- a/internal/entry/agent/call.go
+++ b/internal/entry/agent/call.go
@@ -89,10 +89,15 @@
 func (b *Balancer) cancelWhenSilent(ctx context.Context, cancel context.CancelFunc, scope tree.Scope, to fleet.Instance) {
 	ticker := time.NewTicker(silenceCheck)
 	defer ticker.Stop()
+	last := time.Now()
 	for {
 		select {
 		case <-ticker.C:
-			if b.Silent(ctx, scope, to) {
+			// After a pause of this process itself, reports that came meanwhile
+			// are still to be read.
+			paused := time.Since(last) > 2*silenceCheck
+			last = time.Now()
+			if !paused && b.Silent(ctx, scope, to) {
 				cancel()
 				return
 			}
--- a/internal/entry/caller/idempotent.go
+++ b/internal/entry/caller/idempotent.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"slices"
 	"time"
@@ -53,18 +54,28 @@
 			refusals = append(refusals, refused.Refusal)
 			continue
 		}
-		if _, sent := last.(agent.NotSent); !sent && (!h.balancer.Retry(ctx, rq.scope) || !p.prepareMove(out, try)) {
+		if !h.mayMove(ctx, rq, last, out) || !p.prepareMove(out, try) {
 			break
 		}
 		h.stats.Moved.Add(1)
 		rq.log.Info("moved", "from", i.Name, "position", out.position)
 	}
-	if _, whole := last.(agent.Complete); whole || out.gone {
+	if _, whole := last.(agent.Complete); whole || out.gone || errors.Is(ctx.Err(), context.Canceled) {
 		return
 	}
 	h.fail(rq, out, finalRefusal(ctx, last, refusals))
 }
 
+// mayMove tells whether a request may go to another upstream after a failure.
+// An answer that its caller has begun to read goes on whatever the budget: its
+// old upstream no longer works on it, so the move adds no load.
+func (h *Handler) mayMove(ctx context.Context, rq *request, last agent.Event, out *relay) bool {
+	if _, unsent := last.(agent.NotSent); unsent || out.headSent {
+		return true
+	}
+	return h.balancer.Retry(ctx, rq.scope)
+}
+
 // choose picks the agent for the next try.
 func (h *Handler) choose(ctx context.Context, rq *request, p plan) (fleet.Instance, bool) {
 	q := core.Query{Prefix: p.execute.Prefix, Exclude: slices.Clone(p.exclude)}
--- a/test/proof/deployment_test.go
+++ b/test/proof/deployment_test.go
@@ -265,27 +265,32 @@
 func (d *deployment) counts() map[string]int {
 	d.t.Helper()
 	sum := map[string]int{}
-	for name, p := range d.processes {
+	for name := range d.processes {
 		if !strings.HasPrefix(name, "service-") {
 			continue
 		}
-		response, err := http.Get("http://" + p.address.String() + "/standin/counts")
-		if err != nil {
-			d.t.Fatal(err)
-		}
-		var counts map[string]int
-		err = json.NewDecoder(response.Body).Decode(&counts)
-		response.Body.Close()
-		if err != nil {
-			d.t.Fatal(err)
-		}
-		for id, n := range counts {
+		for id, n := range d.countsOf(name) {
 			sum[id] += n
 		}
 	}
 	return sum
 }
 
+// countsOf returns the executions of one service by key.
+func (d *deployment) countsOf(service string) map[string]int {
+	d.t.Helper()
+	response, err := http.Get("http://" + d.processes[service].address.String() + "/standin/counts")
+	if err != nil {
+		d.t.Fatal(err)
+	}
+	defer response.Body.Close()
+	var counts map[string]int
+	if err := json.NewDecoder(response.Body).Decode(&counts); err != nil {
+		d.t.Fatal(err)
+	}
+	return counts
+}
+
 // addAgent starts an upstream with its agent and returns the agent's name.
 func (d *deployment) addAgent(name string, domain fleet.FailureDomain, kind config.UpstreamKind, target string, rank int) string {
 	upstream := freeAddress(d.t)
