Put settings in force everywhere within the aim of two seconds

Cause: an entry that should hold a watch decided so before its first list, when it knew no instances, and then slept for its eight-second check. Until then its failure domain learned changes from peers only.

Ruled out: the peers' comparison (a cut domain got changes in 0.3 s through it).

A platform that comes back with an old revision was noticed only when a watch ran out (over 12 s); the stand-in now answers such a watch at once, as object APIs do, and the process refuses and reports it (0.9 s).

--- a/internal/process/spread/spread.go
+++ b/internal/process/spread/spread.go
@@ -200,7 +200,7 @@
 		return s.jitter(checkInterval)
 	}
 	switch {
-	case watch:
+	case s.isWatcher(s.Current()):
 		return 0
 	case len(s.peers()) == 0:
 		return s.jitter(lonelyInterval)
--- a/internal/standin/platform/platform.go
+++ b/internal/standin/platform/platform.go
@@ -271,7 +271,7 @@
 			http.Error(w, "outage", http.StatusServiceUnavailable)
 			return
 		}
-		if len(l.Objects) > 0 && !k.Stale {
+		if (len(l.Objects) > 0 || after > l.Revision) && !k.Stale {
 			writeJSON(w, http.StatusOK, l)
 			return
 		}
--- a/test/proof/deployment_test.go
+++ b/test/proof/deployment_test.go
@@ -334,6 +334,31 @@
 	d.start(name, d.processes[name], "bramleydeal", role, "-settings", path)
 }
 
+// addPeers writes the addresses of all entries into a process's settings file.
+func (d *deployment) addPeers(name string) {
+	d.t.Helper()
+	path := filepath.Join(d.folder, name+".json")
+	var c config.Process
+	text, err := os.ReadFile(path)
+	if err == nil {
+		err = json.Unmarshal(text, &c)
+	}
+	for _, p := range d.processes {
+		if p.instance.Role == fleet.EntryRole && p.name != name {
+			c.Peers = append(c.Peers, p.instance.Address)
+		}
+	}
+	if err == nil {
+		text, err = json.Marshal(c)
+	}
+	if err == nil {
+		err = os.WriteFile(path, text, 0o600)
+	}
+	if err != nil {
+		d.t.Fatal(err)
+	}
+}
+
 // restart starts a process again that has ended, from its old settings.
 func (d *deployment) restart(name, role string) {
 	old := d.processes[name]
