Lead groups under a lease, and step on without leader or platform

An entry that holds a group's lease observes loads, plans, stages and has maps granted; three entries contend for each lease, so that the platform's calls do not grow with the fleet. Each agent puts its rank's plan to the engine before it answers, and completes a change that its leader left open.

A rank that lost its memory between staging and promise ran 2,856 steps on a map that it did not hold. A promise now names the map, and the engine refuses it when the map is not staged. 2. A leader whose answers took longer than its resend interval never heard all ranks at once and changed nothing any more; it now keeps what it heard. 3. A lease read back after a lost answer counted from the read; it now counts from the write. (Found on reading, held by the search in core/platform.)

--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -17,6 +17,7 @@
 	"bramleydeal/internal/standin/engine"
 	"bramleydeal/internal/standin/load"
 	"bramleydeal/internal/standin/platform"
+	"bramleydeal/internal/standin/ranks"
 	"bramleydeal/internal/standin/serve"
 	"bramleydeal/internal/standin/service"
 	"github.com/google/subcommands"
@@ -97,6 +98,40 @@
 	}
 }
 
+func ranksCommand() *standin {
+	var listen string
+	var step time.Duration
+	var honour bool
+	var drift time.Duration
+	return &standin{
+		name: "ranks", synopsis: "the ranks of a group in lock-step, each at its own address, with drifting expert loads",
+		flags: func(f *flag.FlagSet) {
+			f.StringVar(&listen, "listen", "127.0.0.1:7500,127.0.0.1:7501", "loopback addresses of the ranks, separated by commas")
+			f.DurationVar(&step, "step", 5*time.Millisecond, "time of one step")
+			f.BoolVar(&honour, "honour-fencing", true, "refuse a plan that replaces another version than the one read")
+			f.DurationVar(&drift, "drift", 5*time.Second, "time in which the popularity of experts moves on by one")
+		},
+		run: func(ctx context.Context) error {
+			addresses := strings.Split(listen, ",")
+			popularity := func(layer, expert int, s uint64) float64 {
+				shift := int(time.Duration(s) * step / drift)
+				return 1000 / float64(1+(expert+7*layer+shift)%16)
+			}
+			g := ranks.New(len(addresses), step, honour, popularity)
+			go g.Run(ctx)
+			errs := make(chan error, len(addresses))
+			for i, text := range addresses {
+				a, err := netip.ParseAddrPort(text)
+				if err != nil {
+					return err
+				}
+				go func() { errs <- serve.HTTP(ctx, a, g.Handler(i)) }()
+			}
+			return <-errs
+		},
+	}
+}
+
 func loadCommand() *standin {
 	var o load.Options
 	var targets, keys string
@@ -128,7 +163,7 @@
 
 func main() {
 	subcommands.Register(subcommands.HelpCommand(), "")
-	for _, c := range []*standin{platformCommand(), engineCommand(), serviceCommand(), loadCommand()} {
+	for _, c := range []*standin{platformCommand(), engineCommand(), serviceCommand(), ranksCommand(), loadCommand()} {
 		subcommands.Register(c, "")
 	}
 	flag.Parse()
--- /dev/null
+++ b/internal/agent/rank/rank.go
@@ -0,0 +1,277 @@
+package rank
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"bramleydeal/internal/core/group"
+	"bramleydeal/internal/settings/reference"
+	"bramleydeal/internal/settings/snapshot"
+	"bramleydeal/internal/settings/tree"
+	"bramleydeal/internal/wire/dial"
+	"bramleydeal/internal/wire/orders"
+	"bramleydeal/internal/wire/peer"
+	"github.com/go-logr/logr"
+	"github.com/samber/oops"
+	"google.golang.org/grpc/codes"
+	grpcstatus "google.golang.org/grpc/status"
+)
+
+// Times of the completion of a change whose leader does not answer.
+const (
+	watchInterval = 200 * time.Millisecond
+	// leaveOpen is how long a held rank waits for its leader; each rank waits a
+	// little longer than the one before, so that they do not all begin at once.
+	leaveOpen    = 600 * time.Millisecond
+	leaveOpenGap = 150 * time.Millisecond
+	completeFor  = 5 * time.Second
+)
+
+// Rank is the agent's part in its group. All calls to the engine that change
+// its plan are made one at a time.
+type Rank struct {
+	self    string
+	scope   tree.Scope
+	current func() *snapshot.Snapshot
+	engine  *engine
+	pool    *dial.Pool
+	log     logr.Logger
+
+	mu        sync.Mutex
+	heldSince time.Time
+	lastOrder time.Time
+	stats     Stats
+}
+
+// Stats counts what a rank did.
+type Stats struct{ Accepted, Refused, Completed atomic.Uint64 }
+
+// Config is what a Rank is made of.
+type Config struct {
+	Self    string
+	Scope   tree.Scope
+	Current func() *snapshot.Snapshot
+	Engine  netip.AddrPort
+	Pool    *dial.Pool
+	Log     logr.Logger
+}
+
+// New returns the rank beside the engine at an address.
+func New(c Config) *Rank {
+	return &Rank{self: c.Self, scope: c.Scope, current: c.Current, engine: newEngine(c.Engine), pool: c.Pool, log: c.Log}
+}
+
+// Order carries out one order, or refuses it. An error says that the engine did
+// not answer; the order may or may not have been taken, and may be sent again.
+func (r *Rank) Order(ctx context.Context, m *peer.GrantOrder) (*peer.GrantReply, error) {
+	if m.Kind == peer.GrantOrder_STAGE {
+		if err := r.engine.stage(ctx, m.Map, m.Content); err != nil {
+			return nil, grpcstatus.Error(codes.Unavailable, err.Error())
+		}
+		return &peer.GrantReply{Accepted: true}, nil
+	}
+	o, err := orders.Order(m)
+	if err != nil {
+		return nil, grpcstatus.Error(codes.InvalidArgument, err.Error())
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	reply, err := r.take(ctx, o, m.Loads)
+	if err != nil {
+		return nil, grpcstatus.Error(codes.Unavailable, err.Error())
+	}
+	if reply.Accepted {
+		r.stats.Accepted.Add(1)
+		r.lastOrder = time.Now()
+	} else {
+		r.stats.Refused.Add(1)
+	}
+	return reply, nil
+}
+
+// take reads the engine's plan, which is the rank's state, decides on the order
+// and puts the new plan to the engine before anybody hears of it; r.mu is held.
+func (r *Rank) take(ctx context.Context, o group.Order, loads bool) (*peer.GrantReply, error) {
+	s, err := r.engine.read(ctx, loads)
+	if err != nil {
+		return nil, err
+	}
+	state, err := r.state(ctx, &s)
+	if err != nil {
+		return nil, err
+	}
+	next, accepted := state.Next(o, s.Step)
+	if accepted && !equal(next, state) {
+		p := planOf(next, s.Plan.Version)
+		p.require(o)
+		after, ok, err := r.engine.put(ctx, p)
+		if err != nil {
+			return nil, err
+		}
+		s.Step = after.Step
+		if !ok {
+			next, accepted = state, false
+		}
+	}
+	reply := orders.ReplyMessage(group.Reply{Accepted: accepted, State: next, Step: s.Step})
+	reply.LoadMap, reply.Loads = s.LoadMap, s.Tokens
+	return reply, nil
+}
+
+// state returns the state that the engine keeps. An engine that keeps none has
+// lost its memory: the rank begins a new incarnation, known to the engine
+// before it is known to anybody else.
+func (r *Rank) state(ctx context.Context, s *status) (group.Rank, error) {
+	if s.Plan.State != nil {
+		return *s.Plan.State, nil
+	}
+	fresh := group.Rank{Incarnation: strconv.FormatUint(rand.Uint64(), 36)}
+	after, ok, err := r.engine.put(ctx, planOf(fresh, s.Plan.Version))
+	if err != nil {
+		return group.Rank{}, err
+	}
+	if !ok {
+		return group.Rank{}, oops.Code("engine").Errorf("another agent put a plan to the engine")
+	}
+	s.Plan = after.Plan
+	return fresh, nil
+}
+
+func equal(a, b group.Rank) bool {
+	return a.Incarnation == b.Incarnation && a.Promised == b.Promised && a.Hold == b.Hold && slices.Equal(a.Grants, b.Grants)
+}
+
+// require adds what must be true of the engine for an order to be carried out.
+func (p *plan) require(o group.Order) {
+	switch v := o.(type) {
+	case group.Hold:
+		p.NotPast, p.Needs = v.Step, v.Map
+	case group.Give:
+		p.NotPast, p.Needs = v.Grant.From, v.Grant.Map
+	}
+}
+
+// Run completes changes that their leader leaves open, until ctx ends.
+func (r *Rank) Run(ctx context.Context) {
+	ticker := time.NewTicker(watchInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+			if !r.Enabled() {
+				continue
+			}
+			if b, due := r.leftOpen(ctx, time.Now()); due {
+				r.complete(ctx, b)
+			}
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// Enabled tells whether the rank's group steps on expert maps.
+func (r *Rank) Enabled() bool {
+	return tree.Get(r.current().Tree, r.scope, reference.ExpertParallel)
+}
+
+// leftOpen tells whether the rank has been stopped by a hold for so long that
+// its leader must be lost, and returns the ballot to complete the change under.
+func (r *Rank) leftOpen(ctx context.Context, now time.Time) (group.Ballot, bool) {
+	s, err := r.engine.read(ctx, false)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if err != nil || s.Plan.State == nil || s.Plan.Hold == 0 || s.Step < s.Plan.Hold {
+		r.heldSince = time.Time{}
+		return group.Ballot{}, false
+	}
+	if r.heldSince.IsZero() {
+		r.heldSince = now
+	}
+	patience := leaveOpen + time.Duration(r.index())*leaveOpenGap
+	if now.Sub(r.heldSince) < patience || now.Sub(r.lastOrder) < patience {
+		return group.Ballot{}, false
+	}
+	r.heldSince = time.Time{}
+	p := s.Plan.State.Promised
+	return group.Ballot{Term: p.Term, Attempt: p.Attempt + 1, Proposer: r.self}, true
+}
+
+func (r *Rank) ranks() []string {
+	names := []string{}
+	for _, i := range r.current().Upstreams(r.scope) {
+		names = append(names, i.Name)
+	}
+	return names
+}
+
+func (r *Rank) index() int { return max(slices.Index(r.ranks(), r.self), 0) }
+
+// complete brings the group to where it stands by its ranks' own word.
+func (r *Rank) complete(ctx context.Context, b group.Ballot) {
+	ctx, cancel := context.WithTimeout(ctx, completeFor)
+	defer cancel()
+	ranks := r.ranks()
+	r.log.Info("completing a change that its leader left open", "attempt", b.Attempt)
+	l := group.NewLeader(ranks, b, 0, group.LeaderRules{Resend: orders.CallTimeout / 2, GiveUp: completeFor})
+	orders.Conduct(ctx, r.scope.Group, len(ranks), l, r.call, func(l *group.Leader) bool {
+		if l.Phase() == group.Steady {
+			r.stats.Completed.Add(1)
+			r.log.Info("completed the change", "from-step", l.Current().From, "map", l.Current().Map)
+			return true
+		}
+		return false
+	})
+}
+
+// call sends an order to another rank's agent, or takes it itself.
+func (r *Rank) call(ctx context.Context, rank string, m *peer.GrantOrder) (*peer.GrantReply, error) {
+	if rank == r.self {
+		return r.Order(ctx, m)
+	}
+	return CallAgent(ctx, r.current(), r.pool, rank, m)
+}
+
+// CallAgent sends an order to the agent of a rank.
+func CallAgent(ctx context.Context, now *snapshot.Snapshot, pool *dial.Pool, rank string, m *peer.GrantOrder) (*peer.GrantReply, error) {
+	i, ok := now.Instances[rank]
+	if !ok {
+		return nil, oops.Code("unreachable").Errorf("%s is no instance", rank)
+	}
+	connection, err := pool.Get(i.Address)
+	if err != nil {
+		return nil, err
+	}
+	return peer.NewAgentClient(connection).Order(ctx, m)
+}
+
+// State is the rank's part of the dump.
+type State struct {
+	Step      uint64     `json:"step"`
+	Rank      group.Rank `json:"rank"`
+	Accepted  uint64     `json:"orders-accepted"`
+	Refused   uint64     `json:"orders-refused"`
+	Completed uint64     `json:"changes-completed"`
+	Error     string     `json:"error,omitempty"`
+}
+
+// State returns the rank's part of the dump.
+func (r *Rank) State(ctx context.Context) State {
+	out := State{Accepted: r.stats.Accepted.Load(), Refused: r.stats.Refused.Load(), Completed: r.stats.Completed.Load()}
+	s, err := r.engine.read(ctx, false)
+	if err != nil {
+		out.Error = err.Error()
+		return out
+	}
+	out.Step = s.Step
+	if s.Plan.State != nil {
+		out.Rank = *s.Plan.State
+	}
+	return out
+}
--- a/internal/agent/server/server.go
+++ b/internal/agent/server/server.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"bramleydeal/internal/agent/entry"
+	"bramleydeal/internal/agent/rank"
 	"bramleydeal/internal/agent/upstream"
 	"bramleydeal/internal/platform/object"
 	"bramleydeal/internal/process/config"
@@ -35,12 +36,14 @@
 
 // Agent is one agent process.
 type Agent struct {
-	config  config.Process
-	log     *log.Logger
-	files   *tlsfiles.Files
-	pool    *dial.Pool
-	spread  *spread.Spread
-	door    *entry.Server
+	config config.Process
+	log    *log.Logger
+	files  *tlsfiles.Files
+	pool   *dial.Pool
+	spread *spread.Spread
+	door   *entry.Server
+	// rank is nil for an agent beside a plain service.
+	rank    *rank.Rank
 	metrics *expvar.Map
 	drain   chan struct{}
 }
@@ -59,10 +62,17 @@
 		options = append(options, spread.WithPlatform(object.NewClient(c.Platform)))
 	}
 	a.spread = spread.New(c.Name, c.FailureDomain, fleet.AgentRole, a.pool, options...)
-	a.door = entry.NewServer(ctx, entry.Config{
+	door := entry.Config{
 		Self: c.Name, Incarnation: incarnation(), Target: c.Upstream.Target, Scope: a.scope(),
 		Current: a.spread.Current, Client: upstream.NewClient(c.Upstream.Address), Pool: a.pool, Log: logger.Part("door"),
-	})
+	}
+	if c.Upstream.Kind == config.Engine {
+		a.rank = rank.New(rank.Config{
+			Self: c.Name, Scope: a.scope(), Current: a.spread.Current, Engine: c.Upstream.Address, Pool: a.pool, Log: logger.Part("rank"),
+		})
+		door.Orders = a.rank
+	}
+	a.door = entry.NewServer(ctx, door)
 	a.metrics.Set("door", expvar.Func(func() any { return a.door.State(ctx) }))
 	a.metrics.Set("spread", expvar.Func(func() any { return a.spread.State() }))
 	a.metrics.Set("memstats", expvar.Get("memstats"))
@@ -92,6 +102,9 @@
 	go a.door.Run(ctx)
 	a.spread.Subscribe(a.settingsChanged)
 	go a.spread.Run(ctx)
+	if a.rank != nil {
+		go a.rank.Run(ctx)
+	}
 	listener, err := net.Listen("tcp", a.config.PeerListen.String())
 	if err != nil {
 		return oops.Code("listen").Wrapf(err, "peer-listen: give another address, or end the process that holds it")
@@ -156,12 +169,18 @@
 	Revision      uint64              `json:"revision"`
 	Door          entry.State         `json:"door"`
 	Spread        spread.State        `json:"spread"`
+	Rank          *rank.State         `json:"rank,omitempty"`
 }
 
 // State returns the agent's dump.
 func (a *Agent) State(ctx context.Context) State {
-	return State{
+	out := State{
 		Instance: a.config.Name, Role: fleet.AgentRole, FailureDomain: a.config.FailureDomain,
 		Revision: a.spread.Current().Revision, Door: a.door.State(ctx), Spread: a.spread.State(),
 	}
+	if a.rank != nil && a.rank.Enabled() {
+		s := a.rank.State(ctx)
+		out.Rank = &s
+	}
+	return out
 }
--- a/internal/core/group/leader.go
+++ b/internal/core/group/leader.go
@@ -132,7 +132,7 @@
 		return nil
 	}
 	l.sentAt = now
-	if l.phase == Steady {
+	if l.phase == Steady && len(l.agreed) == len(l.ranks) {
 		l.agreed = map[string]bool{}
 	}
 	var out []Send
@@ -149,7 +149,7 @@
 	incarnation := l.replies[rank].State.Incarnation
 	switch l.phase {
 	case Holding:
-		return Hold{l.ballot, incarnation, l.change.From}, true
+		return Hold{l.ballot, incarnation, l.change.From, l.change.Map}, true
 	case Giving, Releasing:
 		return Give{l.ballot, incarnation, l.change}, true
 	case Completing:
--- a/internal/core/group/rank.go
+++ b/internal/core/group/rank.go
@@ -15,8 +15,9 @@
 // Ballot orders the attempts to change a group's map. Term is the fencing
 // number of the lease under which the attempt began.
 type Ballot struct {
-	Term, Attempt uint64
-	Proposer      string
+	Term     uint64 `json:"term"`
+	Attempt  uint64 `json:"attempt"`
+	Proposer string `json:"proposer"`
 }
 
 // Compare orders ballots.
@@ -25,7 +26,10 @@
 }
 
 // Grant allows a rank to use a map from a step on, until the next grant.
-type Grant struct{ From, Map uint64 }
+type Grant struct {
+	From uint64 `json:"from"`
+	Map  uint64 `json:"map"`
+}
 
 // Order is what a leader, or whoever completes its change, asks of a rank.
 type Order interface{ order() }
@@ -45,6 +49,8 @@
 	Ballot      Ballot
 	Incarnation string
 	Step        uint64
+	// Map is the map that the rank must have staged to promise.
+	Map uint64
 }
 
 // Give grants a map from a step on, and ends a hold at that step.
@@ -71,12 +77,12 @@
 // goes by; the agent puts them to the engine before it answers.
 type Rank struct {
 	// Incarnation changes whenever the rank loses its grants and promises.
-	Incarnation string
-	Promised    Ballot
+	Incarnation string `json:"incarnation"`
+	Promised    Ballot `json:"promised"`
 	// Grants are in the order of their steps.
-	Grants []Grant
+	Grants []Grant `json:"grants"`
 	// Hold is the step before which the rank stops, 0 for none.
-	Hold uint64
+	Hold uint64 `json:"hold"`
 }
 
 // Reply is a rank's answer to an order.
@@ -108,7 +114,8 @@
 
 // Next returns the rank's state after an order, and whether the order is
 // accepted. step is the next step that the rank would start; whoever applies
-// the new state must make sure that the rank has not started a later one.
+// the new state must make sure that the rank has not started a later one, and
+// that it has staged the map that the order names.
 func (r Rank) Next(o Order, step uint64) (Rank, bool) {
 	switch v := o.(type) {
 	case Collect:
--- a/internal/core/platform/lease.go
+++ b/internal/core/platform/lease.go
@@ -30,6 +30,7 @@
 	view        LeaseView
 	known       bool
 	heldUntil   time.Time
+	wroteAt     time.Time
 	lastAttempt time.Time
 }
 
@@ -65,9 +66,11 @@
 		return Read{}
 	}
 	if c.view.Lease.Holder == c.Name && c.view.Version != 0 {
+		c.wroteAt = now
 		return Write{Lease: c.next(c.view.Lease.Term), IfVersion: c.view.Version}
 	}
 	if c.view.Version == 0 || now.Sub(c.view.SeenAt) > c.view.Lease.Duration {
+		c.wroteAt = now
 		return Write{Lease: c.next(c.view.Lease.Term + 1), IfVersion: c.view.Version}
 	}
 	return Read{}
@@ -77,26 +80,26 @@
 	return Lease{Holder: c.Name, Term: term, Duration: c.Duration}
 }
 
-// Observed records the state of the object that a call returned. A holder
-// counts its time from the start of the call that wrote, everybody else from
-// the end of the call that read, so the two never overlap. A version not newer
-// than the known one changes nothing.
-func (c *Candidate) Observed(l Lease, version uint64, started, ended time.Time) {
-	if c.known && version <= c.view.Version && c.view.Version != 0 {
+// Observed records the state of the object that a call returned, which ended at
+// ended. A holder counts its time from the start of its write, everybody else
+// from the end of the call that showed the version first, so that the two never
+// overlap. Seeing the own lease again renews nothing.
+func (c *Candidate) Observed(l Lease, version uint64, ended time.Time) {
+	if version != 0 && version <= c.view.Version {
+		c.known = c.known || version == c.view.Version
 		return
 	}
 	c.known = true
 	c.view = LeaseView{Lease: l, Version: version, SeenAt: ended}
+	c.heldUntil = time.Time{}
 	if l.Holder == c.Name && version != 0 {
-		c.heldUntil = started.Add(l.Duration)
-	} else {
-		c.heldUntil = time.Time{}
+		c.heldUntil = c.wroteAt.Add(l.Duration)
 	}
 }
 
 // Failed records that a call gave no answer. A write may have taken effect all
 // the same, so the object is read before it is written again.
-func (c *Candidate) Failed() { c.known = c.known && c.view.Lease.Holder != c.Name }
+func (c *Candidate) Failed() { c.known = false }
 
 // Term returns the fencing number while the lease is held at now. Holding ends
 // by the holder's own clock, counted from before the call that took it.
--- /dev/null
+++ b/internal/core/platform/platform_test.go
@@ -0,0 +1,164 @@
+package platform
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"sort"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+// TestMain searches more histories than rapid's own default, unless told how many.
+func TestMain(m *testing.M) {
+	if err := flag.Lookup("rapid.checks").Value.Set("3000"); err != nil {
+		panic(err)
+	}
+	os.Exit(m.Run())
+}
+
+// call is one call of a candidate that is under way or whose answer is.
+type call struct {
+	from   int
+	action LeaseAction
+	lease  Lease
+	// answered calls have taken effect; version is what they saw.
+	answered bool
+	version  uint64
+}
+
+// TestNoTwoHoldersAtOnce lets candidates race with slow, lost and late calls,
+// pauses of any length, and late effects of writes.
+func TestNoTwoHoldersAtOnce(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const duration = 10 * time.Second
+		now := time.Unix(1000, 0)
+		var object Lease
+		var version uint64
+		var candidates []*Candidate
+		for i := range 3 {
+			candidates = append(candidates, &Candidate{Name: fmt.Sprint("c", i), Duration: duration})
+		}
+		var calls []call
+		busy := map[int]bool{}
+		terms := map[uint64]string{}
+		for range rapid.IntRange(50, 300).Draw(t, "events") {
+			switch kind := rapid.IntRange(0, 9).Draw(t, "event"); {
+			case kind < 3:
+				now = now.Add(time.Duration(rapid.IntRange(1, 6000).Draw(t, "milliseconds")) * time.Millisecond)
+			case kind < 6:
+				i := rapid.IntRange(0, 2).Draw(t, "ticking")
+				if busy[i] {
+					break
+				}
+				if a := candidates[i].Tick(now); a != (Wait{}) {
+					busy[i] = true
+					calls = append(calls, call{from: i, action: a})
+				}
+			case len(calls) > 0:
+				n := rapid.IntRange(0, len(calls)-1).Draw(t, "call")
+				c := calls[n]
+				calls = append(calls[:n], calls[n+1:]...)
+				if !c.answered {
+					if w, ok := c.action.(Write); ok && w.IfVersion == version {
+						object, version = w.Lease, version+1
+					}
+					c.answered, c.lease, c.version = true, object, version
+					if kind == 9 {
+						candidates[c.from].Failed() // the answer is lost, the effect stays
+						busy[c.from] = false
+						break
+					}
+					calls = append(calls, c)
+					break
+				}
+				candidates[c.from].Observed(c.lease, c.version, now)
+				busy[c.from] = false
+			}
+			holder := ""
+			for _, c := range candidates {
+				term, ok := c.Term(now)
+				if !ok {
+					continue
+				}
+				if holder != "" {
+					t.Fatalf("%s and %s both hold the lease", holder, c.Name)
+				}
+				holder = c.Name
+				if was, known := terms[term]; known && was != c.Name {
+					t.Fatalf("term %d was held by %s and by %s", term, was, c.Name)
+				}
+				terms[term] = c.Name
+			}
+		}
+	})
+}
+
+// TestReplicasOnlyMoveForward exchanges updates between replicas in any order,
+// late, doubled and lost, while objects change and go.
+func TestReplicasOnlyMoveForward(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		source := NewReplica()
+		replicas := []*Replica{NewReplica(), NewReplica(), NewReplica()}
+		var flight []Update
+		for range rapid.IntRange(10, 120).Draw(t, "events") {
+			switch kind := rapid.IntRange(0, 5).Draw(t, "event"); {
+			case kind < 2:
+				revision := source.Revision() + 1
+				name := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "name")
+				source.Apply(Update{From: source.Revision(), Revision: revision, Objects: []Object{{
+					Name: name, Version: revision, Value: []byte(fmt.Sprint(revision)), Deleted: rapid.Bool().Draw(t, "deleted"),
+				}}})
+			case kind < 4:
+				from := append(replicas[:0:0], append(replicas, source)...)[rapid.IntRange(0, 3).Draw(t, "sender")]
+				flight = append(flight, from.Since(uint64(rapid.IntRange(0, int(from.Revision())).Draw(t, "since"))))
+			case len(flight) > 0:
+				u := flight[rapid.IntRange(0, len(flight)-1).Draw(t, "update")] // it stays, so that it can come again
+				r := replicas[rapid.IntRange(0, 2).Draw(t, "receiver")]
+				before, held := r.Revision(), r.Since(0)
+				r.Apply(u)
+				if r.Revision() < before {
+					t.Fatalf("revision fell from %d to %d", before, r.Revision())
+				}
+				for _, o := range held.Objects {
+					if n := r.objects[o.Name]; n.Version < o.Version {
+						t.Fatalf("%s fell from version %d to %d", o.Name, o.Version, n.Version)
+					}
+				}
+			}
+		}
+		for _, r := range replicas {
+			r.Apply(source.Since(r.Revision()))
+			if r.Revision() != source.Revision() || names(r) != names(source) {
+				t.Fatalf("%s at %d instead of %s at %d", names(r), r.Revision(), names(source), source.Revision())
+			}
+		}
+	})
+}
+
+func names(r *Replica) string {
+	var out []string
+	for _, o := range r.List("") {
+		out = append(out, fmt.Sprintf("%s=%s", o.Name, o.Value))
+	}
+	sort.Strings(out)
+	return fmt.Sprint(out)
+}
+
+func TestReplicaForgetsOldTombstones(t *testing.T) {
+	is := is.New(t)
+	r := NewReplica()
+	for n := uint64(1); n <= 3*MaxTombstones; n++ {
+		r.Apply(Update{From: n - 1, Revision: n, Objects: []Object{{Name: fmt.Sprint(n), Version: n, Deleted: n%2 == 0}}})
+	}
+	is.True(r.tombstones <= MaxTombstones)
+	is.Equal(r.Since(1).From, uint64(0)) // too old for a difference
+	late := NewReplica()
+	late.Apply(Update{From: 0, Revision: 2, Objects: []Object{{Name: "2", Version: 2}}})
+	late.Apply(r.Since(2))
+	_, ok := late.Get("2")
+	is.True(!ok) // its deletion is not missed
+}
--- a/internal/core/platform/replica.go
+++ b/internal/core/platform/replica.go
@@ -18,11 +18,10 @@
 }
 
 // Replica is a process's copy of the replicated objects. Each object and the
-// revision only ever move forward; older input is refused and counted.
+// revision only ever move forward; older input is refused.
 type Replica struct {
 	objects  map[string]Object
 	revision uint64
-	stale    uint64
 	// tombstoneFloor is the revision below which tombstones were dropped.
 	tombstoneFloor uint64
 	tombstones     int
@@ -37,9 +36,6 @@
 // Revision returns the revision up to which the replica is complete.
 func (r *Replica) Revision() uint64 { return r.revision }
 
-// Stale returns how many times input older than the replica was refused.
-func (r *Replica) Stale() uint64 { return r.stale }
-
 // Get returns the object of that name, if it exists.
 func (r *Replica) Get(name string) (Object, bool) {
 	o, ok := r.objects[name]
@@ -86,7 +82,6 @@
 func (r *Replica) Apply(u Update) Outcome {
 	switch {
 	case u.Revision < r.revision:
-		r.stale++
 		return Stale
 	case u.Revision == r.revision:
 		return Current
--- a/internal/entry/server/server.go
+++ b/internal/entry/server/server.go
@@ -15,6 +15,7 @@
 	"bramleydeal/internal/entry/agent"
 	"bramleydeal/internal/entry/caller"
 	"bramleydeal/internal/entry/platform"
+	"bramleydeal/internal/entry/rank"
 	"bramleydeal/internal/platform/object"
 	"bramleydeal/internal/process/config"
 	"bramleydeal/internal/process/debug"
@@ -80,6 +81,9 @@
 		Self: c.Name, FailureDomain: c.FailureDomain, Current: e.spread.Current,
 		Balancer: e.balancer, Claims: platform.NewClaims(objects), Log: logger.Part("caller"),
 	})
+	if objects != nil {
+		e.duties = append(e.duties, rank.New(c.Name, c.FailureDomain, objects, e.pool, e.spread.Current, logger.Part("groups")))
+	}
 	e.publishMetrics()
 	return e, nil
 }
--- a/internal/process/spread/spread.go
+++ b/internal/process/spread/spread.go
@@ -133,14 +133,10 @@
 	_ = s.replica.Do(ctx, func(r *platform.Replica) {
 		before := r.Revision()
 		outcome = r.Apply(u)
-		s.stats.Stale.Store(r.Stale())
 		if outcome == platform.Applied {
 			s.publish(r, before, source)
 		}
 	})
-	if outcome == platform.Stale {
-		s.log.Info("refused an old revision", "source", source, "revision", u.Revision, "in-force", s.Current().Revision)
-	}
 	return outcome
 }
 
@@ -196,9 +192,12 @@
 		return s.jitter(retryPause)
 	}
 	s.platformSeen.Store(time.Now().UnixNano())
-	if s.apply(ctx, u, "platform") == platform.Stale {
+	if u.Revision < now.Revision {
+		s.stats.Stale.Add(1)
+		s.log.Info("the platform shows an old revision, refused", "revision", u.Revision, "in-force", now.Revision)
 		return s.jitter(checkInterval)
 	}
+	s.apply(ctx, u, "platform")
 	switch {
 	case s.isWatcher(s.Current()):
 		return 0
--- a/internal/settings/reference/declarations.go
+++ b/internal/settings/reference/declarations.go
@@ -128,6 +128,12 @@
 
 // Settings of expert placement.
 var (
+	ExpertParallel = declare("expert-parallel", false, groupOnly, nil,
+		"Whether the group's engines are ranks that step in lock-step on an expert map.")
+	WeightFetch = declare("weight-fetch", 200*time.Millisecond, groups, atLeast(time.Millisecond),
+		"Time that the weight store takes to serve one expert's weights.")
+	PlacementHorizon = declare("placement-horizon", 30*time.Minute, groups, atLeast(time.Minute),
+		"Time for which a shorter step is counted as saved when a move is weighed.")
 	Layers = declare("layers", 8, groups, within(1, 1024),
 		"Layers of the model that have experts.")
 	Experts = declare("experts", 64, groups, within(1, 4096),
--- /dev/null
+++ b/internal/wire/orders/orders.go
@@ -0,0 +1,145 @@
+// Package orders turns the orders of core/group into messages and back, and
+// conducts a leader: it sends what the leader asks for and feeds back the
+// answers. The rules are in core/group.
+package orders
+
+import (
+	"context"
+	"time"
+
+	"bramleydeal/internal/core/group"
+	"bramleydeal/internal/wire/peer"
+	"github.com/samber/oops"
+)
+
+// Message returns the message of an order to a group's rank.
+func Message(name string, o group.Order) *peer.GrantOrder {
+	m := &peer.GrantOrder{Group: name}
+	switch v := o.(type) {
+	case group.Collect:
+		m.Kind, m.Ballot = peer.GrantOrder_COLLECT, ballotMessage(v.Ballot)
+		if v.Confirm {
+			m.Kind = peer.GrantOrder_CONFIRM
+		}
+	case group.Hold:
+		m.Kind, m.Ballot, m.Incarnation, m.Step, m.Map = peer.GrantOrder_HOLD, ballotMessage(v.Ballot), v.Incarnation, v.Step, v.Map
+	case group.Give:
+		m.Kind, m.Ballot, m.Incarnation, m.Grants = peer.GrantOrder_GIVE, ballotMessage(v.Ballot), v.Incarnation, grantMessages([]group.Grant{v.Grant})
+	case group.Restore:
+		m.Kind, m.Ballot, m.Incarnation, m.Grants = peer.GrantOrder_RESTORE, ballotMessage(v.Ballot), v.Incarnation, grantMessages(v.Grants)
+	}
+	return m
+}
+
+// Order returns the order of a message.
+func Order(m *peer.GrantOrder) (group.Order, error) {
+	b := ballotOf(m.Ballot)
+	switch m.Kind {
+	case peer.GrantOrder_COLLECT, peer.GrantOrder_CONFIRM:
+		return group.Collect{Ballot: b, Confirm: m.Kind == peer.GrantOrder_CONFIRM}, nil
+	case peer.GrantOrder_HOLD:
+		return group.Hold{Ballot: b, Incarnation: m.Incarnation, Step: m.Step, Map: m.Map}, nil
+	case peer.GrantOrder_GIVE:
+		if len(m.Grants) != 1 {
+			return nil, oops.Code("invalid-order").Errorf("a GIVE order carries one grant, not %d", len(m.Grants))
+		}
+		return group.Give{Ballot: b, Incarnation: m.Incarnation, Grant: grantsOf(m.Grants)[0]}, nil
+	case peer.GrantOrder_RESTORE:
+		return group.Restore{Ballot: b, Incarnation: m.Incarnation, Grants: grantsOf(m.Grants)}, nil
+	}
+	return nil, oops.Code("invalid-order").Errorf("no order of kind %v", m.Kind)
+}
+
+// ReplyMessage returns the message of a rank's answer.
+func ReplyMessage(r group.Reply) *peer.GrantReply {
+	return &peer.GrantReply{
+		Accepted: r.Accepted, Incarnation: r.State.Incarnation, Promised: ballotMessage(r.State.Promised),
+		Grants: grantMessages(r.State.Grants), Hold: r.State.Hold, Step: r.Step,
+	}
+}
+
+// Reply returns the answer of a message.
+func Reply(m *peer.GrantReply) group.Reply {
+	return group.Reply{Accepted: m.Accepted, Step: m.Step, State: group.Rank{
+		Incarnation: m.Incarnation, Promised: ballotOf(m.Promised), Grants: grantsOf(m.Grants), Hold: m.Hold,
+	}}
+}
+
+func ballotMessage(b group.Ballot) *peer.Ballot {
+	return &peer.Ballot{Term: b.Term, Attempt: b.Attempt, Proposer: b.Proposer}
+}
+
+func ballotOf(m *peer.Ballot) group.Ballot {
+	return group.Ballot{Term: m.GetTerm(), Attempt: m.GetAttempt(), Proposer: m.GetProposer()}
+}
+
+func grantMessages(grants []group.Grant) []*peer.Grant {
+	out := make([]*peer.Grant, 0, len(grants))
+	for _, g := range grants {
+		out = append(out, &peer.Grant{FromStep: g.From, Map: g.Map})
+	}
+	return out
+}
+
+func grantsOf(messages []*peer.Grant) []group.Grant {
+	out := make([]group.Grant, 0, len(messages))
+	for _, m := range messages {
+		out = append(out, group.Grant{From: m.FromStep, Map: m.Map})
+	}
+	return out
+}
+
+// Times of a conducted leader.
+const (
+	tickInterval = 10 * time.Millisecond
+	// CallTimeout bounds one order's call.
+	CallTimeout = time.Second
+)
+
+// Caller sends a message to a rank's agent.
+type Caller func(ctx context.Context, rank string, m *peer.GrantOrder) (*peer.GrantReply, error)
+
+// answered is a rank's answer on its way to the leader.
+type answered struct {
+	rank  string
+	order group.Order
+	reply group.Reply
+}
+
+// Conduct drives a leader until until reports true or ctx ends. until is called
+// after each event, on the goroutine that owns the leader; it may propose.
+func Conduct(ctx context.Context, name string, ranks int, l *group.Leader, call Caller, until func(*group.Leader) bool) {
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	// Each rank has at most a few orders under way; a full ring drops answers,
+	// which are asked for again.
+	answers := make(chan answered, 4*ranks)
+	for {
+		for _, s := range l.Tick(time.Now()) {
+			go send(ctx, name, s, call, answers)
+		}
+		select {
+		case a := <-answers:
+			l.Replied(a.rank, a.order, a.reply)
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+		if until(l) {
+			return
+		}
+	}
+}
+
+func send(ctx context.Context, name string, s group.Send, call Caller, answers chan<- answered) {
+	ctx, cancel := context.WithTimeout(ctx, CallTimeout)
+	defer cancel()
+	reply, err := call(ctx, s.Rank, Message(name, s.Order))
+	if err != nil {
+		return // the leader asks again
+	}
+	select {
+	case answers <- answered{s.Rank, s.Order, Reply(reply)}:
+	default:
+	}
+}
--- a/test/proof/deployment_test.go
+++ b/test/proof/deployment_test.go
@@ -92,7 +92,7 @@
 	d.platform = freeAddress(t)
 	d.start("platform", nil, "standin", "platform", "-listen", d.platform.String())
 	d.waitHTTP(d.platform, "/standin/counts")
-	var engines, services []string
+	engines, services := []string{}, []string{}
 	for n := range s.engines {
 		engines = append(engines, d.addAgent(fmt.Sprintf("w%d", n+1), domains[n%len(domains)], config.Engine, "quotes", n))
 	}
@@ -339,20 +339,27 @@
 	d.t.Helper()
 	path := filepath.Join(d.folder, name+".json")
 	var c config.Process
-	text, err := os.ReadFile(path)
-	if err == nil {
-		err = json.Unmarshal(text, &c)
-	}
+	d.readSettings(name, &c)
 	for _, p := range d.processes {
 		if p.instance.Role == fleet.EntryRole && p.name != name {
 			c.Peers = append(c.Peers, p.instance.Address)
 		}
 	}
+	text, err := json.Marshal(c)
 	if err == nil {
-		text, err = json.Marshal(c)
+		err = os.WriteFile(path, text, 0o600)
 	}
+	if err != nil {
+		d.t.Fatal(err)
+	}
+}
+
+// readSettings reads a process's settings file.
+func (d *deployment) readSettings(name string, into any) {
+	d.t.Helper()
+	text, err := os.ReadFile(filepath.Join(d.folder, name+".json"))
 	if err == nil {
-		err = os.WriteFile(path, text, 0o600)
+		err = json.Unmarshal(text, into)
 	}
 	if err != nil {
 		d.t.Fatal(err)
@@ -431,20 +438,20 @@
 // cut makes a link swallow everything both ways while its connections stay open.
 func (d *deployment) cut(name string) {
 	d.t.Helper()
-	d.addToxic(name, "upstream", `{"timeout":0}`)
-	d.addToxic(name, "downstream", `{"timeout":0}`)
+	d.addToxic(name, "timeout", "upstream", `{"timeout":0}`)
+	d.cutAnswers(name)
 }
 
 // cutAnswers makes a link swallow what comes back, so that requests arrive
 // whose answers are lost.
 func (d *deployment) cutAnswers(name string) {
 	d.t.Helper()
-	d.addToxic(name, "downstream", `{"timeout":0}`)
+	d.addToxic(name, "timeout", "downstream", `{"timeout":0}`)
 }
 
-func (d *deployment) addToxic(name, direction, attributes string) {
+func (d *deployment) addToxic(name, kind, direction, attributes string) {
 	d.t.Helper()
-	text := fmt.Sprintf(`{"name":"cut-%s","type":"timeout","stream":%q,"attributes":%s}`, direction, direction, attributes)
+	text := fmt.Sprintf(`{"name":"%s-%s","type":%q,"stream":%q,"attributes":%s}`, kind, direction, kind, direction, attributes)
 	if _, err := d.links[name].Toxics.AddToxicJson(strings.NewReader(text)); err != nil {
 		d.t.Fatal(err)
 	}
