--- a/internal/agent/entry/drain.go
+++ b/internal/agent/entry/drain.go
@@ -116,7 +116,8 @@
 // prepareHandOver closes the term here and returns what goes to the successor.
 func (s *Server) prepareHandOver(ctx context.Context, term, successor string) *peer.HandOverRequest {
 	var keys []core.Exported[*job]
-	if s.loop.Do(ctx, func(d *door) { keys = d.ledger.HandOver(term, successor) }) != nil {
+	held := false
+	if s.loop.Do(ctx, func(d *door) { keys, held = d.ledger.HandOver(term, successor) }) != nil || !held {
 		return nil
 	}
 	request := &peer.HandOverRequest{From: s.self, Term: term, Last: true}
--- a/internal/core/client/queue.go
+++ b/internal/core/client/queue.go
@@ -55,6 +55,7 @@
 	serviceGain    = 0.1
 	minRetryAfter  = 100 * time.Millisecond
 	maxRetryAfter  = 30 * time.Second
+	minWeight      = 0.01
 )
 
 // NewQueue returns an empty queue.
@@ -120,7 +121,7 @@
 	q.ordinal++
 	r.order = q.ordinal
 	r.start = max(q.virtual, a.finish)
-	a.finish = r.start + 1/max(r.Weight, 0.01)
+	a.finish = r.start + r.cost()
 }
 
 func (q *Queue) begin(r *Request, a *share) {
@@ -143,12 +144,12 @@
 // the account with the most waiting by weight, if that is above r's own.
 func (q *Queue) victim(r *Request) *Request {
 	var worst *Request
-	worstShare := (float64(q.accounts[r.Account].waiting) + 1) / max(r.Weight, 0.01)
+	worstShare := (float64(q.accounts[r.Account].waiting) + 1) * r.cost()
 	for _, w := range q.waiting {
 		if w.Priority > r.Priority {
 			continue
 		}
-		s := float64(q.accounts[w.Account].waiting) / max(w.Weight, 0.01)
+		s := float64(q.accounts[w.Account].waiting) * w.cost()
 		if s > worstShare || (worst != nil && s == worstShare && w.Account == worst.Account && w.order > worst.order) {
 			worst, worstShare = w, s
 		}
@@ -173,12 +174,24 @@
 	}
 }
 
+// remove takes a request out of the line that was not started. It must not
+// count against its account: the account's later requests move up.
 func (q *Queue) remove(r *Request) {
 	q.waiting = slices.DeleteFunc(q.waiting, func(w *Request) bool { return w == r })
-	q.accounts[r.Account].waiting--
+	a := q.accounts[r.Account]
+	a.waiting--
+	a.finish -= r.cost()
+	for _, w := range q.waiting {
+		if w.Account == r.Account && w.order > r.order {
+			w.start -= r.cost()
+		}
+	}
 	q.forget(r.Account)
 }
 
+// cost is a request's share of its account's time, in units of weight.
+func (r *Request) cost() float64 { return 1 / max(r.Weight, minWeight) }
+
 // startNext starts waiting requests while there are slots.
 func (q *Queue) startNext() []Decision {
 	var out []Decision
--- /dev/null
+++ b/internal/core/client/queue_test.go
@@ -0,0 +1,170 @@
+package client
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// simulation drives a queue with arrivals and ends in simulated time.
+type simulation struct {
+	queue   *Queue
+	now     time.Time
+	service time.Duration
+	random  *rand.Rand
+	ends    map[uint64]time.Time
+	account map[uint64]string
+	started map[string]int
+	refused map[string]int
+	arrived map[uint64]time.Time
+	waits   []time.Duration
+	nextID  uint64
+}
+
+func newSimulation(seed uint64, rules Rules, service time.Duration) *simulation {
+	return &simulation{
+		queue: NewQueue(rules), now: time.Unix(0, 0), service: service, random: rand.New(rand.NewPCG(seed, seed)),
+		ends: map[uint64]time.Time{}, account: map[uint64]string{}, started: map[string]int{}, refused: map[string]int{},
+		arrived: map[uint64]time.Time{},
+	}
+}
+
+func (s *simulation) carryOut(decisions []Decision) {
+	for _, d := range decisions {
+		switch v := d.(type) {
+		case Start:
+			s.started[s.account[v.ID]]++
+			s.waits = append(s.waits, s.now.Sub(s.arrived[v.ID]))
+			s.ends[v.ID] = s.now.Add(s.service/2 + time.Duration(s.random.Int64N(int64(s.service))))
+		case Refuse:
+			s.refused[s.account[v.ID]]++
+		}
+	}
+}
+
+func (s *simulation) arrive(account string, weight float64, priority int) {
+	s.nextID++
+	s.account[s.nextID], s.arrived[s.nextID] = account, s.now
+	s.carryOut(s.queue.Offer(Request{ID: s.nextID, Account: account, Weight: weight, Priority: priority}, s.now))
+}
+
+// run lets time pass; each account arrives at its rate a second.
+func (s *simulation) run(length time.Duration, rates map[string]float64, weights map[string]float64) {
+	const tick = time.Millisecond
+	for range length / tick {
+		s.now = s.now.Add(tick)
+		for id, end := range s.ends {
+			if !s.now.Before(end) {
+				delete(s.ends, id)
+				s.carryOut(s.queue.Done(s.account[id], s.service, s.now))
+			}
+		}
+		for _, account := range []string{"a", "b", "c", "d"} {
+			if s.random.Float64() < rates[account]*tick.Seconds() {
+				s.arrive(account, weights[account], 0)
+			}
+		}
+		if s.now.UnixMilli()%100 == 0 {
+			s.carryOut(s.queue.Expire(s.now))
+		}
+	}
+}
+
+var equalWeights = map[string]float64{"a": 1, "b": 1, "c": 1, "d": 1}
+
+// TestOverloadKeepsGoodputAndFairShares offers 2 and 5 times what an upstream
+// can do, most of it from one large account.
+func TestOverloadKeepsGoodputAndFairShares(t *testing.T) {
+	const slots, service = 10, 100 * time.Millisecond
+	const capacity = 100.0 // a second
+	for _, factor := range []float64{2, 5} {
+		t.Run(fmt.Sprintf("%v times capacity", factor), func(t *testing.T) {
+			is := is.New(t)
+			s := newSimulation(1, Rules{Slots: slots, Length: 64, Wait: 2 * time.Second}, service)
+			offered := factor * capacity
+			// b, c and d together ask for less than their share of 25 each.
+			s.run(20*time.Second, map[string]float64{"a": offered - 45, "b": 15, "c": 15, "d": 15}, equalWeights)
+			total := 0
+			for account, n := range s.started {
+				total += n
+				t.Logf("%s started %d, refused %d", account, n, s.refused[account])
+			}
+			is.True(float64(total) > 0.9*capacity*20)
+			for _, small := range []string{"b", "c", "d"} {
+				is.True(float64(s.started[small]) > 0.9*15*20) // no small account starves
+			}
+			for _, w := range s.waits {
+				is.True(w <= 2*time.Second+100*time.Millisecond)
+			}
+		})
+	}
+}
+
+func TestSharesFollowWeights(t *testing.T) {
+	is := is.New(t)
+	s := newSimulation(2, Rules{Slots: 10, Length: 64, Wait: 2 * time.Second}, 100*time.Millisecond)
+	s.run(20*time.Second, map[string]float64{"a": 200, "b": 200}, map[string]float64{"a": 3, "b": 1})
+	ratio := float64(s.started["a"]) / float64(s.started["b"])
+	t.Logf("started %v", s.started)
+	is.True(ratio > 2.5 && ratio < 3.5)
+}
+
+func TestHigherPriorityStartsFirst(t *testing.T) {
+	is := is.New(t)
+	q := NewQueue(Rules{Slots: 1, Length: 10, Wait: time.Minute})
+	now := time.Unix(0, 0)
+	q.Offer(Request{ID: 1, Account: "a", Weight: 1}, now)
+	q.Offer(Request{ID: 2, Account: "a", Weight: 1}, now)
+	q.Offer(Request{ID: 3, Account: "b", Weight: 1, Priority: 1}, now)
+	is.Equal(q.Done("a", time.Second, now), []Decision{Start{3}})
+	is.Equal(q.Done("b", time.Second, now), []Decision{Start{2}})
+}
+
+func TestRequestThatCannotStartInTimeIsRefusedAtOnce(t *testing.T) {
+	is := is.New(t)
+	q := NewQueue(Rules{Slots: 1, Length: 1000, Wait: time.Second})
+	now := time.Unix(0, 0)
+	waiting := 0
+	for id := uint64(1); ; id++ {
+		d := q.Offer(Request{ID: id, Account: "a", Weight: 1}, now)
+		if r, ok := d[0].(Refuse); ok {
+			is.True(r.RetryAfter > 0)
+			is.True(!r.Expired)
+			break
+		}
+		waiting = q.Waiting()
+	}
+	is.Equal(waiting, 10) // at the initial estimate of 100 ms a request
+}
+
+// TestComingBackWhenToldFindsRoom holds the time to come back honest: a refused
+// caller who comes back then is mostly served.
+func TestComingBackWhenToldFindsRoom(t *testing.T) {
+	is := is.New(t)
+	s := newSimulation(3, Rules{Slots: 10, Length: 20, Wait: 2 * time.Second}, 100*time.Millisecond)
+	s.run(5*time.Second, map[string]float64{"a": 300}, equalWeights)
+	after := s.queue.RetryAfter()
+	t.Logf("told to come back after %v", after)
+	// The burst ends; whoever was refused last comes back when told.
+	s.run(after, nil, equalWeights)
+	before := s.refused["b"]
+	for range 10 {
+		s.arrive("b", 1, 0)
+	}
+	is.Equal(s.refused["b"], before)
+}
+
+func TestCancelledRequestLeavesTheQueue(t *testing.T) {
+	is := is.New(t)
+	q := NewQueue(Rules{Slots: 1, Length: 10, Wait: time.Minute})
+	now := time.Unix(0, 0)
+	q.Offer(Request{ID: 1, Account: "a", Weight: 1}, now)
+	q.Offer(Request{ID: 2, Account: "b", Weight: 1}, now)
+	is.True(q.Cancel(2))
+	is.True(!q.Cancel(2))
+	is.Equal(len(q.Done("a", time.Second, now)), 0)
+	is.Equal(len(q.accounts), 1) // b is forgotten
+}
--- a/internal/core/upstream/ledger.go
+++ b/internal/core/upstream/ledger.go
@@ -5,6 +5,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"sort"
 	"strings"
 	"time"
@@ -108,7 +109,9 @@
 func (l *Ledger[A]) Adopted() []string {
 	out := make([]string, 0, len(l.adopted))
 	for term := range l.adopted {
-		out = append(out, term)
+		if _, gone := l.handedOver[term]; !gone {
+			out = append(out, term)
+		}
 	}
 	sort.Strings(out)
 	return out
@@ -303,11 +306,13 @@
 
 // HandOver gives the term away to a successor and returns its keys. From then
 // on the ledger refuses the term, so that no two agents ever hold it; Running
-// keys must have ended before, and go over as Lost if they have not.
-func (l *Ledger[A]) HandOver(term, successor string) []Exported[A] {
+// keys must have ended before, and go over as Lost if they have not. It reports
+// false when the ledger does not hold the term: there is nothing to offer then,
+// and an empty offer would let keys run again.
+func (l *Ledger[A]) HandOver(term, successor string) ([]Exported[A], bool) {
 	g, _ := l.generation(term)
 	if g == nil {
-		return nil
+		return nil, false
 	}
 	l.handedOver[term] = successor
 	out := make([]Exported[A], 0, len(g.entries))
@@ -319,7 +324,7 @@
 		out = append(out, x)
 	}
 	sort.Slice(out, func(i, j int) bool { return out[i].Key < out[j].Key })
-	return out
+	return out, true
 }
 
 // Holds tells whether the ledger holds a term.
@@ -347,11 +352,12 @@
 
 // Terms returns the terms held, the current one first.
 func (l *Ledger[A]) Terms() []string {
-	out := []string{l.current.term}
+	terms := []string{l.current.term}
 	if l.previous != nil {
-		out = append(out, l.previous.term)
+		terms = append(terms, l.previous.term)
 	}
-	return append(out, l.Adopted()...)
+	terms = append(terms, l.Adopted()...)
+	return slices.DeleteFunc(terms, func(term string) bool { return !l.Holds(term) })
 }
 
 // Adopt takes over a term with all its keys. It reports false, and takes
