--- a/internal/core/upstream/choice.go
+++ b/internal/core/upstream/choice.go
@@ -159,8 +159,9 @@
 		return "", false
 	}
 	drawn := s.draw(usable, q.Prefix)
+	// Of equals the first one drawn is taken, so that none is left untried.
 	best := slices.MinFunc(drawn, func(a, b *Candidate) int {
-		return cmp.Or(cmp.Compare(a.cost(q.Prefix), b.cost(q.Prefix)), cmp.Compare(a.Name, b.Name))
+		return cmp.Compare(a.cost(q.Prefix), b.cost(q.Prefix))
 	})
 	s.Begin(best.Name, now)
 	return best.Name, true
