--- a/internal/agent/entry/door.go
+++ b/internal/agent/entry/door.go
@@ -42,8 +42,10 @@
 	waiting map[uint64]*job
 	nextID  uint64
 	leaving bool
-	// prefixes are those of the prompts run last, newest last.
+	// prefixes are those of the prompts run last, newest last; noted counts all
+	// that were ever added.
 	prefixes []uint64
+	noted    uint64
 
 	resumeWindow time.Duration
 	answerBuffer int
@@ -51,7 +53,7 @@
 }
 
 // maxPrefixes bounds the prompt prefixes that an agent reports.
-const maxPrefixes = 256
+const maxPrefixes = 64
 
 // digest identifies a request's content, so that a key used for another
 // request is noticed.
@@ -217,6 +219,7 @@
 		}
 	}
 	d.prefixes = append(d.prefixes, p)
+	d.noted++
 	if len(d.prefixes) > maxPrefixes {
 		d.prefixes = d.prefixes[1:]
 	}
@@ -257,15 +260,24 @@
 	}
 }
 
+// prefixesSince returns the prefixes added after the first ones noted, and
+// whether they are all that are held.
+func (d *door) prefixesSince(noted uint64) (prefixes []uint64, anew bool) {
+	added := d.noted - noted
+	if added >= uint64(len(d.prefixes)) {
+		return slices.Clone(d.prefixes), true
+	}
+	return slices.Clone(d.prefixes[len(d.prefixes)-int(added):]), false
+}
+
 // report returns the agent's load.
 func (d *door) report(slots int) *peer.LoadReport {
 	return &peer.LoadReport{
-		Term:     d.ledger.Term(),
-		Running:  uint32(d.queue.Running()),
-		Queued:   uint32(d.queue.Waiting()),
-		Slots:    uint32(slots),
-		Leaving:  d.leaving,
-		Prefixes: slices.Clone(d.prefixes),
-		Adopted:  d.ledger.Adopted(),
+		Term:    d.ledger.Term(),
+		Running: uint32(d.queue.Running()),
+		Queued:  uint32(d.queue.Waiting()),
+		Slots:   uint32(slots),
+		Leaving: d.leaving,
+		Adopted: d.ledger.Adopted(),
 	}
 }
--- a/internal/agent/entry/server.go
+++ b/internal/agent/entry/server.go
@@ -309,9 +309,18 @@
 	every := min(max(r.Every.AsDuration(), minReportEvery), maxReportEvery)
 	ticker := time.NewTicker(every)
 	defer ticker.Stop()
+	noted, anew := uint64(0), true
 	for {
 		changed := s.changes()
-		if err := stream.Send(s.load(stream.Context())); err != nil {
+		report := s.load(stream.Context())
+		// An error means that the process is stopping.
+		_ = s.loop.Do(stream.Context(), func(d *door) {
+			if report.Prefixes, report.PrefixesAnew = d.prefixesSince(noted); anew {
+				report.PrefixesAnew = true
+			}
+			noted, anew = d.noted, false
+		})
+		if err := stream.Send(report); err != nil {
 			return err
 		}
 		select {
@@ -341,7 +350,8 @@
 	s.changed = make(chan struct{})
 }
 
-// load returns the agent's load report, an empty one while it is stopping.
+// load returns the agent's load report without prefixes, an empty one while it
+// is stopping.
 func (s *Server) load(ctx context.Context) *peer.LoadReport {
 	var report *peer.LoadReport
 	if s.loop.Do(ctx, func(d *door) { report = d.report(int(s.slots.Load())) }) != nil {
--- a/internal/agent/server/server.go
+++ b/internal/agent/server/server.go
@@ -7,7 +7,6 @@
 	"errors"
 	"expvar"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"strconv"
 	"time"
@@ -27,7 +26,6 @@
 	"bramleydeal/internal/wire/dial"
 	"bramleydeal/internal/wire/peer"
 	"bramleydeal/internal/world/fleet"
-	"github.com/samber/oops"
 	"google.golang.org/grpc"
 )
 
@@ -36,12 +34,13 @@
 
 // Agent is one agent process.
 type Agent struct {
-	config config.Process
-	log    *log.Logger
-	files  *tlsfiles.Files
-	pool   *dial.Pool
-	spread *spread.Spread
-	door   *entry.Server
+	config  config.Process
+	log     *log.Logger
+	files   *tlsfiles.Files
+	pool    *dial.Pool
+	traffic dial.Traffic
+	spread  *spread.Spread
+	door    *entry.Server
 	// rank is nil for an agent beside a plain service.
 	rank    *rank.Rank
 	metrics *expvar.Map
@@ -56,7 +55,7 @@
 		return nil, err
 	}
 	a := &Agent{config: c, log: logger, files: files, metrics: new(expvar.Map).Init(), drain: make(chan struct{}, 1)}
-	a.pool = dial.NewPool(files.Peers())
+	a.pool = dial.NewPool(files.Peers(), &a.traffic)
 	options := []spread.Option{spread.WithSeeds(c.Peers), spread.WithLog(logger.Part("spread")), spread.WithSeed(seed)}
 	if c.Platform.IsValid() {
 		options = append(options, spread.WithPlatform(object.NewClient(c.Platform)))
@@ -75,6 +74,7 @@
 	a.door = entry.NewServer(ctx, door)
 	a.metrics.Set("door", expvar.Func(func() any { return a.door.State(ctx) }))
 	a.metrics.Set("spread", expvar.Func(func() any { return a.spread.State() }))
+	a.metrics.Set("peers", expvar.Func(func() any { return a.traffic.State() }))
 	a.metrics.Set("memstats", expvar.Get("memstats"))
 	return a, nil
 }
@@ -105,9 +105,9 @@
 	if a.rank != nil {
 		go a.rank.Run(ctx)
 	}
-	listener, err := net.Listen("tcp", a.config.PeerListen.String())
+	listener, err := a.traffic.Listen(a.config.PeerListen.String())
 	if err != nil {
-		return oops.Code("listen").Wrapf(err, "peer-listen: give another address, or end the process that holds it")
+		return err
 	}
 	peers := grpc.NewServer(dial.ServerOptions(a.files.Peers())...)
 	peer.RegisterAgentServer(peers, a.door)
@@ -169,6 +169,7 @@
 	Revision      uint64              `json:"revision"`
 	Door          entry.State         `json:"door"`
 	Spread        spread.State        `json:"spread"`
+	Peers         dial.TrafficState   `json:"peers"`
 	Rank          *rank.State         `json:"rank,omitempty"`
 }
 
@@ -176,7 +177,7 @@
 func (a *Agent) State(ctx context.Context) State {
 	out := State{
 		Instance: a.config.Name, Role: fleet.AgentRole, FailureDomain: a.config.FailureDomain,
-		Revision: a.spread.Current().Revision, Door: a.door.State(ctx), Spread: a.spread.State(),
+		Revision: a.spread.Current().Revision, Door: a.door.State(ctx), Spread: a.spread.State(), Peers: a.traffic.State(),
 	}
 	if a.rank != nil && a.rank.Enabled() {
 		s := a.rank.State(ctx)
--- a/internal/core/upstream/choice.go
+++ b/internal/core/upstream/choice.go
@@ -19,8 +19,9 @@
 	// outstanding those that have not ended.
 	sent        int
 	outstanding int
-	prefixes    map[uint64]bool
-	health      health
+	// prefixes are those reported, the latest last.
+	prefixes []uint64
+	health   health
 	// listed and said are the platform's and the agent's word that it leaves.
 	listed, said bool
 	known        bool
@@ -35,7 +36,10 @@
 	Running, Queued, Slots int
 	Leaving                bool
 	ServiceTime            time.Duration
-	Prefixes               []uint64
+	// Prefixes were added to the upstream's cache since the last report; Anew
+	// says that they are all it holds.
+	Prefixes []uint64
+	Anew     bool
 }
 
 type health struct {
@@ -77,6 +81,8 @@
 	prefixBonus = 0.25
 	// distanceUnit is the distance that weighs as much as a full load.
 	distanceUnit = 50 * time.Millisecond
+	// maxPrefixes bounds the prefixes kept of one upstream.
+	maxPrefixes = 64
 	// choices is how many candidates are drawn at random.
 	choices = 2
 )
@@ -133,12 +139,19 @@
 	c.report, c.reportedAt, c.known = r, now, true
 	c.sent = 0
 	c.said = r.Leaving
-	if r.Prefixes != nil {
-		c.prefixes = make(map[uint64]bool, len(r.Prefixes))
-		for _, p := range r.Prefixes {
-			c.prefixes[p] = true
-		}
+	c.addPrefixes(r)
+}
+
+// addPrefixes keeps the latest prefixes that the upstream reported. What it has
+// dropped since is not known, so a prefix is a hint and no more.
+func (c *Candidate) addPrefixes(r Report) {
+	if r.Anew {
+		c.prefixes = nil
+	}
+	for _, p := range r.Prefixes {
+		c.prefixes = append(slices.DeleteFunc(c.prefixes, func(held uint64) bool { return held == p }), p)
 	}
+	c.prefixes = c.prefixes[max(0, len(c.prefixes)-maxPrefixes):]
 }
 
 // Query describes a request that needs an upstream.
@@ -171,7 +184,7 @@
 func (s *Set) draw(usable []*Candidate, prefix uint64) []*Candidate {
 	var drawn []*Candidate
 	if prefix != 0 {
-		if holders := slices.DeleteFunc(slices.Clone(usable), func(c *Candidate) bool { return !c.prefixes[prefix] }); len(holders) > 0 {
+		if holders := slices.DeleteFunc(slices.Clone(usable), func(c *Candidate) bool { return !slices.Contains(c.prefixes, prefix) }); len(holders) > 0 {
 			drawn = append(drawn, holders[s.random.IntN(len(holders))])
 		}
 	}
@@ -233,7 +246,7 @@
 	slots := max(c.report.Slots, 1)
 	load := float64(max(c.report.Running+c.report.Queued+c.sent, c.outstanding)) / float64(slots)
 	load += float64(c.Distance) / float64(distanceUnit)
-	if prefix != 0 && c.prefixes[prefix] {
+	if prefix != 0 && slices.Contains(c.prefixes, prefix) {
 		load -= prefixBonus
 	}
 	return load
--- a/internal/entry/agent/balancer.go
+++ b/internal/entry/agent/balancer.go
@@ -26,8 +26,6 @@
 // Sizes and times of the balancer.
 const (
 	ringSize = 4096
-	// subsetSize is the number of agents per service or group that an entry listens to.
-	subsetSize = 16
 	// remoteDistance is the one-way time to another failure domain.
 	remoteDistance = 2 * time.Millisecond
 	listenPause    = 200 * time.Millisecond
@@ -89,7 +87,7 @@
 	for _, s := range b.scopes(now) {
 		members := now.Upstreams(s)
 		sets[targetOf(s)] = membership{members: b.members(members), rules: rules(now, s)}
-		for _, i := range instance.Subset(members, b.self, b.domain, subsetSize) {
+		for _, i := range instance.Subset(members, b.self, b.domain, tree.Get(now.Tree, s, reference.AgentsHeard)) {
 			listen[i.Name] = i
 		}
 	}
@@ -240,7 +238,7 @@
 		}
 		for _, target := range s.targets[r.Instance] {
 			s.sets[target].Reported(r.Instance, core.Report{
-				Running: int(r.Running), Queued: int(r.Queued), Slots: int(r.Slots), Leaving: r.Leaving, Prefixes: r.Prefixes,
+				Running: int(r.Running), Queued: int(r.Queued), Slots: int(r.Slots), Leaving: r.Leaving, Prefixes: r.Prefixes, Anew: r.PrefixesAnew,
 			}, time.Now())
 		}
 	})
--- a/internal/entry/server/server.go
+++ b/internal/entry/server/server.go
@@ -45,6 +45,7 @@
 	log      *log.Logger
 	files    *tlsfiles.Files
 	pool     *dial.Pool
+	traffic  dial.Traffic
 	spread   *spread.Spread
 	balancer *agent.Balancer
 	handler  *caller.Handler
@@ -68,7 +69,7 @@
 		return nil, err
 	}
 	e := &Entry{config: c, log: logger, files: files, metrics: new(expvar.Map).Init(), drain: make(chan struct{}, 1)}
-	e.pool = dial.NewPool(files.Peers())
+	e.pool = dial.NewPool(files.Peers(), &e.traffic)
 	options := []spread.Option{spread.WithSeeds(c.Peers), spread.WithLog(logger.Part("spread")), spread.WithSeed(seed)}
 	var objects *object.Client
 	if c.Platform.IsValid() {
@@ -91,6 +92,7 @@
 func (e *Entry) publishMetrics() {
 	e.metrics.Set("caller", expvar.Func(func() any { return e.handler.State() }))
 	e.metrics.Set("spread", expvar.Func(func() any { return e.spread.State() }))
+	e.metrics.Set("peers", expvar.Func(func() any { return e.traffic.State() }))
 	e.metrics.Set("memstats", expvar.Get("memstats"))
 }
 
@@ -137,9 +139,9 @@
 	if c := e.files.Callers(); c != nil {
 		callerListener = tls.NewListener(callerListener, c)
 	}
-	peerListener, err := net.Listen("tcp", e.config.PeerListen.String())
+	peerListener, err := e.traffic.Listen(e.config.PeerListen.String())
 	if err != nil {
-		return nil, nil, errors.Join(oops.Code("listen").Wrapf(err, "peer-listen: give another address"), callerListener.Close())
+		return nil, nil, errors.Join(err, callerListener.Close())
 	}
 	peers := grpc.NewServer(dial.ServerOptions(e.files.Peers())...)
 	peer.RegisterSpreadServer(peers, e.spread)
@@ -208,6 +210,7 @@
 	Spread        spread.State                     `json:"spread"`
 	Upstreams     map[string][]core.CandidateState `json:"upstreams"`
 	Listening     []string                         `json:"listening-to"`
+	Peers         dial.TrafficState                `json:"peers"`
 	Duties        []any                            `json:"duties,omitempty"`
 }
 
@@ -216,7 +219,7 @@
 	out := State{
 		Instance: e.config.Name, Role: fleet.EntryRole, FailureDomain: e.config.FailureDomain,
 		Revision: e.spread.Current().Revision, Caller: e.handler.State(), Spread: e.spread.State(),
-		Upstreams: e.balancer.State(ctx), Listening: e.balancer.Listening(),
+		Upstreams: e.balancer.State(ctx), Listening: e.balancer.Listening(), Peers: e.traffic.State(),
 	}
 	for _, d := range e.duties {
 		out.Duties = append(out.Duties, d.State())
--- a/internal/settings/reference/declarations.go
+++ b/internal/settings/reference/declarations.go
@@ -82,6 +82,8 @@
 		"Time for which an upstream is ejected the first time; it doubles with each repetition up to ten times.")
 	SlowFactor = declare("slow-factor", 4.0, targets, atLeast(1.0),
 		"An upstream whose typical time is this many times the median's is ejected as slow.")
+	AgentsHeard = declare("agents-heard", 16, targets, within(1, 1024),
+		"Agents of one service or model group whose load reports an entry listens to.")
 	ReportInterval = declare("report-interval", 500*time.Millisecond, outer, within(50*time.Millisecond, 10*time.Second),
 		"Interval of the agents' load reports.")
 	ResumeWindow = declare("resume-window", 10*time.Second, targets, atLeast(time.Duration(0)),
--- a/internal/wire/dial/pool.go
+++ b/internal/wire/dial/pool.go
@@ -33,17 +33,18 @@
 // Pool holds one connection per peer address.
 type Pool struct {
 	credentials credentials.TransportCredentials
+	traffic     *Traffic
 	mu          sync.Mutex
 	connections map[netip.AddrPort]*grpc.ClientConn
 }
 
 // NewPool returns a pool whose connections use the given credentials, or none
-// when they are nil.
-func NewPool(c credentials.TransportCredentials) *Pool {
+// when they are nil, and are counted in t.
+func NewPool(c credentials.TransportCredentials, t *Traffic) *Pool {
 	if c == nil {
 		c = insecure.NewCredentials()
 	}
-	return &Pool{credentials: c, connections: map[netip.AddrPort]*grpc.ClientConn{}}
+	return &Pool{credentials: c, traffic: t, connections: map[netip.AddrPort]*grpc.ClientConn{}}
 }
 
 // Get returns the connection to a peer without waiting for it.
@@ -54,6 +55,7 @@
 		return c, nil
 	}
 	c, err := grpc.NewClient("passthrough:///"+a.String(),
+		grpc.WithContextDialer(p.traffic.dial),
 		grpc.WithTransportCredentials(p.credentials),
 		grpc.WithIdleTimeout(idleAfter),
 		grpc.WithDisableRetry(),
--- a/test/proof/deployment_test.go
+++ b/test/proof/deployment_test.go
@@ -35,13 +35,15 @@
 // serves the others behind a fault-injecting proxy, and reaches the platform
 // through one of its own.
 type deployment struct {
-	t         *testing.T
-	folder    string
-	proxies   *toxiproxy.ApiServer
-	platform  netip.AddrPort
-	processes map[string]*process
-	levels    map[string]map[string]any
-	links     map[string]*toxiproxy.Proxy
+	t           testing.TB
+	folder      string
+	proxies     *toxiproxy.ApiServer
+	platform    netip.AddrPort
+	processes   map[string]*process
+	levels      map[string]map[string]any
+	links       map[string]*toxiproxy.Proxy
+	proxied     bool
+	engineFlags []string
 	// revision is that of the last object written.
 	revision uint64
 }
@@ -78,14 +80,24 @@
 }
 
 // size is how many processes a deployment has.
-type size struct{ entries, engines, services int }
+type size struct {
+	entries, engines, services int
+	// engineFlags are added to the engines' command lines.
+	engineFlags []string
+}
 
 // deploy starts a fleet and waits until every entry is ready. Settings change
 // levels of the tree before the start.
-func deploy(t *testing.T, s size, settings map[string]map[string]any) *deployment {
+func deploy(t testing.TB, s size, settings map[string]map[string]any) *deployment {
+	t.Helper()
+	return deployAt(t, s, settings, true)
+}
+
+// deployAt starts a fleet whose links can be cut only if proxied.
+func deployAt(t testing.TB, s size, settings map[string]map[string]any, proxied bool) *deployment {
 	t.Helper()
 	d := &deployment{
-		t: t, folder: t.TempDir(), processes: map[string]*process{}, levels: map[string]map[string]any{}, links: map[string]*toxiproxy.Proxy{},
+		t: t, proxied: proxied, engineFlags: s.engineFlags, folder: t.TempDir(), processes: map[string]*process{}, levels: map[string]map[string]any{}, links: map[string]*toxiproxy.Proxy{},
 		proxies: toxiproxy.NewServer(toxiproxy.NewMetricsContainer(nil), zerolog.Nop()),
 	}
 	t.Cleanup(d.close)
@@ -279,22 +291,32 @@
 // countsOf returns the executions of one service by key.
 func (d *deployment) countsOf(service string) map[string]int {
 	d.t.Helper()
-	response, err := http.Get("http://" + d.processes[service].address.String() + "/standin/counts")
+	var counts map[string]int
+	d.getJSON("http://"+d.processes[service].address.String()+"/standin/counts", &counts)
+	return counts
+}
+
+// getJSON reads a page of a stand-in.
+func (d *deployment) getJSON(url string, into any) {
+	d.t.Helper()
+	response, err := http.Get(url)
 	if err != nil {
 		d.t.Fatal(err)
 	}
 	defer response.Body.Close()
-	var counts map[string]int
-	if err := json.NewDecoder(response.Body).Decode(&counts); err != nil {
+	if err := json.NewDecoder(response.Body).Decode(into); err != nil {
 		d.t.Fatal(err)
 	}
-	return counts
 }
 
 // addAgent starts an upstream with its agent and returns the agent's name.
 func (d *deployment) addAgent(name string, domain fleet.FailureDomain, kind config.UpstreamKind, target string, rank int) string {
 	upstream := freeAddress(d.t)
-	p := d.start(string(kind)+"-"+name, nil, "standin", string(kind), "-listen", upstream.String())
+	flags := []string{string(kind), "-listen", upstream.String()}
+	if kind == config.Engine {
+		flags = append(flags, d.engineFlags...)
+	}
+	p := d.start(string(kind)+"-"+name, nil, "standin", flags...)
 	p.address = upstream
 	d.waitHTTP(upstream, "/standin/counts")
 	c := d.config(name, domain, fleet.AgentRole)
@@ -426,6 +448,9 @@
 // link puts a proxy before an address.
 func (d *deployment) link(name string, to netip.AddrPort) netip.AddrPort {
 	d.t.Helper()
+	if !d.proxied {
+		return to
+	}
 	at := freeAddress(d.t)
 	p := toxiproxy.NewProxy(d.proxies, name, at.String(), to.String())
 	if err := p.Start(); err != nil {
@@ -518,7 +543,7 @@
 
 // freeAddress returns a loopback address of its own, so that no port that the
 // system gives to a connection can be in the way.
-func freeAddress(t *testing.T) netip.AddrPort {
+func freeAddress(t testing.TB) netip.AddrPort {
 	t.Helper()
 	const port, perByte = 7000, 250
 	n := addresses.Add(1)
--- a/test/proof/group_test.go
+++ b/test/proof/group_test.go
@@ -1,7 +1,6 @@
 package proof
 
 import (
-	"encoding/json"
 	"fmt"
 	"math/rand/v2"
 	"net/http"
@@ -51,15 +50,8 @@
 
 func (d *deployment) record() ranks.Record {
 	d.t.Helper()
-	response, err := http.Get("http://" + d.processes["ranks"].address.String() + "/standin/record")
-	if err != nil {
-		d.t.Fatal(err)
-	}
-	defer response.Body.Close()
 	var r ranks.Record
-	if err := json.NewDecoder(response.Body).Decode(&r); err != nil {
-		d.t.Fatal(err)
-	}
+	d.getJSON("http://"+d.processes["ranks"].address.String()+"/standin/record", &r)
 	return r
 }
 
--- a/test/proof/main_test.go
+++ b/test/proof/main_test.go
@@ -43,7 +43,7 @@
 
 // eventually waits until a condition holds, and fails the test if it does not
 // within the limit.
-func eventually(t *testing.T, limit time.Duration, what string, condition func() bool) {
+func eventually(t testing.TB, limit time.Duration, what string, condition func() bool) {
 	t.Helper()
 	deadline := time.Now().Add(limit)
 	for !condition() {
--- a/test/proof/path_test.go
+++ b/test/proof/path_test.go
@@ -75,7 +75,7 @@
 }
 
 // checkAnswer fails unless an answer of the service is the one for a request.
-func checkAnswer(t *testing.T, r reply, key, body string) {
+func checkAnswer(t testing.TB, r reply, key, body string) {
 	t.Helper()
 	is := is.New(t)
 	var a service.Answer
