Fewer messages and allocations on the path of a plain call

Cause: the profile of an agent at 2,200 calls a second showed a quarter of its time in the collector, fed by a 64 KiB read buffer for each answer. Buffers are pooled now, head, data and ending go in one message when they are ready together, and the load that rides on answers no longer takes a turn of the loop. A steady leader asks at 50 ranks a second whatever the group's size, and staged maps are compressed.

Ruled out: waking goroutines (GOMAXPROCS 1, 2 and 4 made no difference).

--- a/internal/agent/entry/drain.go
+++ b/internal/agent/entry/drain.go
@@ -29,7 +29,11 @@
 func (s *Server) Drain(ctx context.Context) {
 	limit := tree.Get(s.current().Tree, s.scope, reference.DrainLimit)
 	s.log.Info("leaving, new work is refused", "limit", limit.String())
-	if s.loop.Do(ctx, func(d *door) { d.leaving = true }) != nil {
+	err := s.loop.Do(ctx, func(d *door) {
+		d.leaving = true
+		s.publish(d)
+	})
+	if err != nil {
 		return
 	}
 	s.tellAll()
--- a/internal/agent/entry/server.go
+++ b/internal/agent/entry/server.go
@@ -40,16 +40,18 @@
 type Server struct {
 	peer.UnimplementedAgentServer
 
-	self     string
-	target   string
-	scope    tree.Scope
-	current  func() *snapshot.Snapshot
-	client   *upstream.Client
-	pool     *dial.Pool
-	orders   Orders
-	log      logr.Logger
-	loop     *ring.Loop[*door]
-	slots    atomic.Int64
+	self    string
+	target  string
+	scope   tree.Scope
+	current func() *snapshot.Snapshot
+	client  *upstream.Client
+	pool    *dial.Pool
+	orders  Orders
+	log     logr.Logger
+	loop    *ring.Loop[*door]
+	slots   atomic.Int64
+	// latest is the load as of the loop's last event.
+	latest   atomic.Pointer[peer.LoadReport]
 	lifetime context.Context
 
 	mu      sync.Mutex
@@ -96,6 +98,7 @@
 		start:   s.start,
 	}
 	s.configure(d, c.Current())
+	s.publish(d)
 	s.loop = ring.NewLoop(d, ringSize)
 	return s
 }
@@ -114,7 +117,10 @@
 	for {
 		select {
 		case <-ticker.C:
-			s.loop.Send(func(d *door) { d.tick(time.Now()) })
+			s.loop.Send(func(d *door) {
+				d.tick(time.Now())
+				s.publish(d)
+			})
 		case <-ctx.Done():
 			return
 		}
@@ -149,29 +155,33 @@
 	s.stats.Executed.Add(1)
 	var j *job
 	var refusal *peer.Refusal
-	if err := s.loop.Do(ctx, func(d *door) { j, refusal = d.admit(r, deadline, time.Now()) }); err != nil {
+	err := s.loop.Do(ctx, func(d *door) {
+		j, refusal = d.admit(r, deadline, time.Now())
+		s.publish(d)
+	})
+	if err != nil {
 		return status.Error(codes.Unavailable, err.Error())
 	}
 	if refusal != nil {
-		return s.refuse(ctx, refusal, stream)
+		return s.refuse(refusal, stream)
 	}
 	return s.deliver(ctx, j, r, stream)
 }
 
-func (s *Server) refuse(ctx context.Context, r *peer.Refusal, stream peer.Agent_ExecuteServer) error {
+func (s *Server) refuse(r *peer.Refusal, stream peer.Agent_ExecuteServer) error {
 	s.stats.Refused.Add(1)
-	return stream.Send(&peer.Part{Kind: &peer.Part_Refusal{Refusal: r}, Load: s.load(ctx)})
+	return stream.Send(&peer.Part{Refusal: r, Load: s.latest.Load()})
 }
 
 // deliver follows the job's answer from where the caller stands.
 func (s *Server) deliver(ctx context.Context, j *job, r *peer.ExecuteRequest, stream peer.Agent_ExecuteServer) error {
-	reader, ok := j.buffer.Read(r.ResumeFrom)
+	reader, ok := j.buffer.Read(r.ResumeFrom, !r.Events)
 	if !ok {
 		kind := answer.StreamLost
 		if r.Once {
 			kind = answer.AnswerGone
 		}
-		return s.refuse(ctx, &peer.Refusal{Kind: string(kind), Detail: "that part of the answer is no longer kept"}, stream)
+		return s.refuse(&peer.Refusal{Kind: string(kind), Detail: "that part of the answer is no longer kept"}, stream)
 	}
 	if j.request != r {
 		s.stats.Attached.Add(1)
@@ -186,34 +196,46 @@
 		if err != nil {
 			return status.FromContextError(ctx.Err()).Err()
 		}
-		if err := s.send(ctx, step, stream); err != nil || step.Ending != nil {
+		if err := s.send(step, stream); err != nil || step.Ending != nil {
 			return err
 		}
 	}
 }
 
-func (s *Server) send(ctx context.Context, step upstream.Step, stream peer.Agent_ExecuteServer) error {
-	switch {
-	case step.Head != nil:
-		return stream.Send(&peer.Part{Kind: &peer.Part_Head{Head: headMessage(step.Head)}})
-	case step.Ending != nil && step.Ending.Refusal != nil:
-		return s.refuse(ctx, refusalMessage(step.Ending.Refusal), stream)
-	case step.Ending != nil:
-		return stream.Send(&peer.Part{
-			Kind: &peer.Part_End{End: &peer.End{Complete: step.Ending.Complete, Detail: step.Ending.Detail}},
-			Load: s.load(ctx),
-		})
+// send sends what is ready in as few parts as it fits.
+func (s *Server) send(step upstream.Step, stream peer.Agent_ExecuteServer) error {
+	if step.Ending != nil && step.Ending.Refusal != nil {
+		return s.refuse(refusalMessage(step.Ending.Refusal), stream)
+	}
+	part := &peer.Part{}
+	if step.Head != nil {
+		part.Head = headMessage(step.Head)
+	}
+	data := join(step.Pieces)
+	for i, d := range data {
+		part.Data = d
+		if i < len(data)-1 {
+			if err := stream.Send(part); err != nil {
+				return err
+			}
+			part = &peer.Part{}
+		}
+	}
+	if step.Ending != nil {
+		part.End = &peer.End{Complete: step.Ending.Complete, Detail: step.Ending.Detail}
+		part.Load = s.latest.Load()
 	}
-	return sendPieces(step.Pieces, stream)
+	return stream.Send(part)
 }
 
 // maxData bounds the content of one message in bytes, well below the limit of
 // a message.
 const maxData = 1 << 20
 
-// sendPieces joins neighbouring pieces, so that what is ready together goes in
-// one message.
-func sendPieces(pieces []upstream.Piece, stream peer.Agent_ExecuteServer) error {
+// join joins neighbouring pieces, so that what is ready together goes in one
+// message.
+func join(pieces []upstream.Piece) []*peer.Data {
+	var out []*peer.Data
 	for len(pieces) > 0 {
 		joined := pieces[0]
 		n := 1
@@ -225,13 +247,10 @@
 			joined.Count += pieces[n].Count
 			n++
 		}
-		data := &peer.Data{Position: joined.Position, Count: uint32(joined.Count), Content: joined.Content}
-		if err := stream.Send(&peer.Part{Kind: &peer.Part_Data{Data: data}}); err != nil {
-			return err
-		}
+		out = append(out, &peer.Data{Position: joined.Position, Count: uint32(joined.Count), Content: joined.Content})
 		pieces = pieces[n:]
 	}
-	return nil
+	return out
 }
 
 func headMessage(h *upstream.Head) *peer.Head {
@@ -259,7 +278,10 @@
 			s.stats.Broken.Add(1)
 			s.log.V(1).Info("the answer broke off", "request", j.request.RequestId, "may-have-run", mayHaveRun, "detail", j.buffer.Ended().Detail)
 		}
-		s.loop.Send(func(d *door) { d.finished(j, mayHaveRun, time.Since(begun), time.Now()) })
+		s.loop.Send(func(d *door) {
+			d.finished(j, mayHaveRun, time.Since(begun), time.Now())
+			s.publish(d)
+		})
 	}()
 }
 
@@ -312,9 +334,10 @@
 	noted, anew := uint64(0), true
 	for {
 		changed := s.changes()
-		report := s.load(stream.Context())
+		report := &peer.LoadReport{Leaving: true}
 		// An error means that the process is stopping.
 		_ = s.loop.Do(stream.Context(), func(d *door) {
+			report = s.report(d)
 			if report.Prefixes, report.PrefixesAnew = d.prefixesSince(noted); anew {
 				report.PrefixesAnew = true
 			}
@@ -350,19 +373,18 @@
 	s.changed = make(chan struct{})
 }
 
-// load returns the agent's load report without prefixes, an empty one while it
-// is stopping.
-func (s *Server) load(ctx context.Context) *peer.LoadReport {
-	var report *peer.LoadReport
-	if s.loop.Do(ctx, func(d *door) { report = d.report(int(s.slots.Load())) }) != nil {
-		report = &peer.LoadReport{Leaving: true}
-	}
+// report returns the agent's load without prefixes; it runs on the loop.
+func (s *Server) report(d *door) *peer.LoadReport {
+	report := d.report(int(s.slots.Load()))
 	report.Instance = s.self
 	report.Targets = []string{s.target}
 	report.Revision = s.current().Revision
 	return report
 }
 
+// publish keeps the load for answers to carry; it runs on the loop.
+func (s *Server) publish(d *door) { s.latest.Store(s.report(d)) }
+
 // Order implements peer.AgentServer.
 func (s *Server) Order(ctx context.Context, o *peer.GrantOrder) (*peer.GrantReply, error) {
 	if s.orders == nil {
--- a/internal/agent/rank/rank.go
+++ b/internal/agent/rank/rank.go
@@ -19,7 +19,9 @@
 	"bramleydeal/internal/wire/peer"
 	"github.com/go-logr/logr"
 	"github.com/samber/oops"
+	"google.golang.org/grpc"
 	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/encoding/gzip"
 	grpcstatus "google.golang.org/grpc/status"
 )
 
@@ -248,6 +250,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if m.Kind == peer.GrantOrder_STAGE {
+		return peer.NewAgentClient(connection).Order(ctx, m, grpc.UseCompressor(gzip.Name))
+	}
 	return peer.NewAgentClient(connection).Order(ctx, m)
 }
 
--- a/internal/agent/upstream/buffer.go
+++ b/internal/agent/upstream/buffer.go
@@ -166,17 +166,25 @@
 	buffer   *Buffer
 	position uint64
 	headSent bool
+	// together makes the reader wait for a good part of the answer, for callers
+	// who are given it as a whole.
+	together bool
 }
 
+// togetherSize is how much of an answer in bytes a reader that wants it together
+// waits for at most.
+const togetherSize = 64 << 10
+
 // Read begins to follow the buffer from a position. It reports false when what
-// stood there has been dropped.
-func (b *Buffer) Read(from uint64) (*Reader, bool) {
+// stood there has been dropped. A reader that wants the answer together is given
+// few large steps in place of many small ones.
+func (b *Buffer) Read(from uint64, together bool) (*Reader, bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if b.dropped && (len(b.pieces) == 0 || from < b.pieces[0].Position) {
 		return nil, false
 	}
-	r := &Reader{buffer: b, position: from}
+	r := &Reader{buffer: b, position: from, together: together}
 	b.readers[r] = struct{}{}
 	return r, true
 }
@@ -191,7 +199,8 @@
 	return len(b.readers)
 }
 
-// Step is what a reader is given next: a head, pieces, or the ending.
+// Step is what a reader is given next: a head, pieces and the ending, as far as
+// they are there.
 type Step struct {
 	Head   *Head
 	Pieces []Piece
@@ -221,21 +230,28 @@
 // step returns what is ready; the buffer's lock is held.
 func (r *Reader) step() (Step, bool) {
 	b := r.buffer
-	if !r.headSent && b.head != nil {
+	pieces := r.ready()
+	if b.ending == nil && r.together && sizeOf(pieces) < min(togetherSize, b.limit/2) {
+		return Step{}, false
+	}
+	s := Step{Pieces: pieces, Ending: b.ending}
+	if b.head != nil && !r.headSent {
+		s.Head = b.head
 		r.headSent = true
-		return Step{Head: b.head}, true
 	}
-	if r.headSent {
-		if pieces := r.ready(); len(pieces) > 0 {
-			r.position = pieces[len(pieces)-1].end()
-			b.notify()
-			return Step{Pieces: pieces}, true
-		}
+	if len(pieces) > 0 {
+		r.position = pieces[len(pieces)-1].end()
+		b.notify()
 	}
-	if b.ending != nil {
-		return Step{Ending: b.ending}, true
+	return s, s.Head != nil || len(pieces) > 0 || s.Ending != nil
+}
+
+func sizeOf(pieces []Piece) int {
+	n := 0
+	for _, p := range pieces {
+		n += len(p.Content)
 	}
-	return Step{}, false
+	return n
 }
 
 // ready returns the pieces at and after the reader's position, the first one
--- a/internal/agent/upstream/client.go
+++ b/internal/agent/upstream/client.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"sync"
 	"syscall"
 	"time"
 
@@ -134,15 +135,19 @@
 	return h
 }
 
+// readBuffers hold what is read of an answer before it is copied to its size.
+var readBuffers = sync.Pool{New: func() any { return new([readSize]byte) }}
+
 // copyBody moves the answer's body into the buffer.
 func copyBody(ctx context.Context, r Request, response *http.Response, b *Buffer) error {
 	if r.Events && response.StatusCode == http.StatusOK {
 		return copyEvents(ctx, r, response, b)
 	}
 	var position uint64
-	text := make([]byte, readSize)
+	text := readBuffers.Get().(*[readSize]byte)
+	defer readBuffers.Put(text)
 	for {
-		n, err := response.Body.Read(text)
+		n, err := response.Body.Read(text[:])
 		if n > 0 {
 			p := Piece{Position: position, Count: uint64(n), Content: bytes.Clone(text[:n])}
 			if err := b.Append(ctx, p); err != nil {
@@ -166,9 +171,10 @@
 	if response.Header.Get(ResumedHeader) == "" {
 		s.skip = r.ResumeFrom
 	}
-	text := make([]byte, readSize)
+	text := readBuffers.Get().(*[readSize]byte)
+	defer readBuffers.Put(text)
 	for {
-		n, err := response.Body.Read(text)
+		n, err := response.Body.Read(text[:])
 		if p, ok := s.feed(text[:n]); ok {
 			if err := b.Append(ctx, p); err != nil {
 				return err
--- a/internal/core/group/leader.go
+++ b/internal/core/group/leader.go
@@ -34,6 +34,8 @@
 type LeaderRules struct {
 	// Resend is after how long orders are sent again.
 	Resend time.Duration
+	// Poll is the interval at which a steady leader asks the ranks for their steps.
+	Poll time.Duration
 	// GiveUp is how long a change waits for promises before it is given up.
 	GiveUp time.Duration
 	// Ahead is the number of steps between the fastest rank and a change, enough
@@ -128,7 +130,7 @@
 	if l.phase == Holding && now.Sub(l.begun) >= l.rules.GiveUp {
 		l.giveUp()
 	}
-	if !l.sentAt.IsZero() && now.Sub(l.sentAt) < l.rules.Resend {
+	if !l.sentAt.IsZero() && now.Sub(l.sentAt) < l.interval() {
 		return nil
 	}
 	l.sentAt = now
@@ -144,6 +146,14 @@
 	return out
 }
 
+// interval is the time between two rounds of orders.
+func (l *Leader) interval() time.Duration {
+	if l.phase == Steady && len(l.agreed) == len(l.ranks) {
+		return max(l.rules.Poll, l.rules.Resend)
+	}
+	return l.rules.Resend
+}
+
 // orderFor returns what a rank is to be sent in this phase.
 func (l *Leader) orderFor(rank string) (Order, bool) {
 	incarnation := l.replies[rank].State.Incarnation
--- a/internal/entry/agent/call.go
+++ b/internal/entry/agent/call.go
@@ -67,6 +67,8 @@
 	stream   peer.Agent_ExecuteClient
 	cancel   context.CancelFunc
 	failed   Event
+	// ready are events that have come and were not taken yet.
+	ready []Event
 }
 
 // Execute sends a request to an agent. Failures come as the call's first event.
@@ -113,28 +115,40 @@
 	if c.failed != nil {
 		return c.failed
 	}
-	part, err := c.stream.Recv()
-	switch {
-	case errors.Is(err, io.EOF):
-		return Lost{"the agent ended the call without an ending"}
-	case err != nil:
-		return Lost{err.Error()}
-	}
-	c.balancer.Reported(part.Load)
-	switch kind := part.Kind.(type) {
-	case *peer.Part_Head:
-		return Head{Status: int(kind.Head.Status), Headers: kind.Head.Headers}
-	case *peer.Part_Data:
-		return Data{Position: kind.Data.Position, Count: uint64(kind.Data.Count), Content: kind.Data.Content}
-	case *peer.Part_End:
-		if kind.End.Complete {
-			return Complete{}
+	for len(c.ready) == 0 {
+		part, err := c.stream.Recv()
+		switch {
+		case errors.Is(err, io.EOF):
+			return Lost{"the agent ended the call without an ending"}
+		case err != nil:
+			return Lost{err.Error()}
 		}
-		return Broken{kind.End.Detail}
-	case *peer.Part_Refusal:
-		return Refused{kind.Refusal}
+		c.balancer.Reported(part.Load)
+		c.ready = eventsOf(part)
+	}
+	next := c.ready[0]
+	c.ready = c.ready[1:]
+	return next
+}
+
+// eventsOf returns the events of one part, in their order.
+func eventsOf(part *peer.Part) []Event {
+	var out []Event
+	if part.Head != nil {
+		out = append(out, Head{Status: int(part.Head.Status), Headers: part.Head.Headers})
+	}
+	if d := part.Data; d != nil {
+		out = append(out, Data{Position: d.Position, Count: uint64(d.Count), Content: d.Content})
+	}
+	switch {
+	case part.Refusal != nil:
+		out = append(out, Refused{part.Refusal})
+	case part.End != nil && part.End.Complete:
+		out = append(out, Complete{})
+	case part.End != nil:
+		out = append(out, Broken{part.End.Detail})
 	}
-	return Lost{"the agent sent a part of no known kind"}
+	return out
 }
 
 // Close ends the call.
--- a/internal/entry/rank/duty.go
+++ b/internal/entry/rank/duty.go
@@ -152,8 +152,14 @@
 	delete(d.leading, name)
 }
 
+// pollPerRank is the time that a steady leader takes for each rank in a round of
+// asking, so that a large group costs its leader no more than a small one.
+const pollPerRank = 20 * time.Millisecond
+
 // leaderRules are the times of a leader; Ahead is in steps.
-var leaderRules = group.LeaderRules{Resend: 500 * time.Millisecond, GiveUp: 3 * time.Second, Ahead: 60}
+func leaderRules(ranks int) group.LeaderRules {
+	return group.LeaderRules{Resend: 500 * time.Millisecond, Poll: time.Duration(ranks) * pollPerRank, GiveUp: 3 * time.Second, Ahead: 60}
+}
 
 // firstMap is the version of the uniform map that every group begins with.
 const firstMap = 1
@@ -171,7 +177,7 @@
 	}
 	d.log.Info("leading a group", "group", name, "term", term, "ranks", len(ranks))
 	g := newGroup(d, name, scope, ranks, term)
-	l := group.NewLeader(ranks, group.Ballot{Term: term, Proposer: d.holder}, firstMap, leaderRules)
+	l := group.NewLeader(ranks, group.Ballot{Term: term, Proposer: d.holder}, firstMap, leaderRules(len(ranks)))
 	orders.Conduct(ctx, name, len(ranks), l, g.call, func(l *group.Leader) bool {
 		g.event(ctx, l)
 		return false
