--- a/internal/core/instance/subset.go
+++ b/internal/core/instance/subset.go
@@ -48,6 +48,17 @@
 	return false
 }
 
+// contenders is the number of entries that contend for the lease of a duty, so
+// that the platform's calls do not grow with the fleet.
+const contenders = 3
+
+// Contends tells whether self is one of the entries that contend for the lease
+// of a duty.
+func Contends(instances []fleet.Instance, self, duty string) bool {
+	entries := Filter(instances, func(i fleet.Instance) bool { return i.Role == fleet.EntryRole && !i.Leaving })
+	return slices.ContainsFunc(head(Rank(entries, duty), contenders), func(i fleet.Instance) bool { return i.Name == self })
+}
+
 // Numbers of peers that a process compares settings with.
 const (
 	// LocalPeers are in the process's own failure domain.
--- a/internal/core/upstream/choice.go
+++ b/internal/core/upstream/choice.go
@@ -1,10 +1,11 @@
 package upstream
 
 import (
-	"cmp"
 	"math/rand/v2"
 	"slices"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // Candidate is what an entry knows of one upstream of a service or group.
@@ -15,10 +16,11 @@
 
 	report     Report
 	reportedAt time.Time
-	// sent counts requests of this entry begun since the last report, and
-	// outstanding those that have not ended.
-	sent        int
+	// outstanding counts this entry's requests that have not ended, others what
+	// the last report had beyond them.
 	outstanding int
+	// It is averaged, since a report is older than what it reports lasts.
+	others float64
 	// prefixes are those reported, the latest last.
 	prefixes []uint64
 	health   health
@@ -70,6 +72,8 @@
 	minSilence = 1500 * time.Millisecond
 	// maxEjectionFactor bounds the doubling of the ejection time.
 	maxEjectionFactor = 10
+	// othersTime is the time over which the others' load is averaged.
+	othersTime = 10 * time.Second
 	// typicalGain is the weight of a new time in the moving average.
 	typicalGain = 0.1
 	// minSamplesSlow is how many upstreams must have a typical time before one
@@ -77,13 +81,16 @@
 	minSamplesSlow = 3
 	// minSlowTime is a typical time below which no upstream is called slow.
 	minSlowTime = 20 * time.Millisecond
-	// prefixBonus is the share of a full load that a cached prefix outweighs.
-	prefixBonus = 0.25
+	// prefixBonus is the share of a full load that a preferred upstream's cache
+	// outweighs, holderBonus that of one that reported the prefix some time ago.
+	prefixBonus = 0.5
+	holderBonus = 0.15
 	// distanceUnit is the distance that weighs as much as a full load.
 	distanceUnit = 50 * time.Millisecond
 	// maxPrefixes bounds the prefixes kept of one upstream.
 	maxPrefixes = 64
-	// choices is how many candidates are drawn at random.
+	// choices is how many candidates are drawn at random, and how many a prefix
+	// prefers.
 	choices = 2
 )
 
@@ -136,9 +143,14 @@
 	if c.known && now.Sub(c.reportedAt) > s.silence() {
 		c.health.failures = 0
 	}
-	c.report, c.reportedAt, c.known = r, now, true
-	c.sent = 0
+	others := float64(max(r.Running+r.Queued-c.outstanding, 0))
+	gain := 1.0
+	if age := now.Sub(c.reportedAt); c.known {
+		gain = float64(age) / float64(age+othersTime)
+	}
+	c.others += gain * (others - c.others)
 	c.said = r.Leaving
+	c.report, c.reportedAt, c.known = r, now, true
 	c.addPrefixes(r)
 }
 
@@ -162,34 +174,70 @@
 	Exclude []string
 }
 
-// Choose returns the upstream for a request and counts it as begun. Two random
-// candidates are drawn, one more that holds the prefix if there is one, and the
-// least loaded is taken: drawing keeps entries with equally old reports from
-// all choosing the same one.
+// Choose returns the upstream for a request and counts it as begun. Compared are
+// two drawn at random and, for a prompt with a prefix, the two that the prefix's
+// hash prefers and one that reported to hold it. All entries prefer the same
+// ones, so that a prefix is cached in few places without any word between them;
+// drawing keeps entries with equally old reports from all choosing the same.
 func (s *Set) Choose(q Query, now time.Time) (string, bool) {
 	usable := s.usable(q, now)
 	if len(usable) == 0 {
 		return "", false
 	}
-	drawn := s.draw(usable, q.Prefix)
-	// Of equals the first one drawn is taken, so that none is left untried.
-	best := slices.MinFunc(drawn, func(a, b *Candidate) int {
-		return cmp.Compare(a.cost(q.Prefix), b.cost(q.Prefix))
-	})
+	best, least := (*Candidate)(nil), 0.0
+	for _, d := range s.draw(usable, q.Prefix) {
+		// Of equals the first one drawn is taken, so that none is left untried.
+		if cost := d.cost() - d.bonus; best == nil || cost < least {
+			best, least = d.Candidate, cost
+		}
+	}
 	s.Begin(best.Name, now)
 	return best.Name, true
 }
 
+// drawn is a candidate to compare, with what its cache is worth.
+type drawn struct {
+	*Candidate
+	bonus float64
+}
+
 // draw picks the candidates to compare.
-func (s *Set) draw(usable []*Candidate, prefix uint64) []*Candidate {
-	var drawn []*Candidate
+func (s *Set) draw(usable []*Candidate, prefix uint64) []drawn {
+	var out []drawn
 	if prefix != 0 {
+		for _, c := range preferred(usable, prefix) {
+			out = append(out, drawn{c, prefixBonus})
+		}
 		if holders := slices.DeleteFunc(slices.Clone(usable), func(c *Candidate) bool { return !slices.Contains(c.prefixes, prefix) }); len(holders) > 0 {
-			drawn = append(drawn, holders[s.random.IntN(len(holders))])
+			out = append(out, drawn{holders[s.random.IntN(len(holders))], holderBonus})
 		}
 	}
 	s.random.Shuffle(len(usable), func(i, j int) { usable[i], usable[j] = usable[j], usable[i] })
-	return append(drawn, usable[:min(choices, len(usable))]...)
+	for _, c := range usable[:min(choices, len(usable))] {
+		out = append(out, drawn{Candidate: c})
+	}
+	return out
+}
+
+// preferred returns the candidates that a prefix's hash ranks highest. One that
+// comes or goes changes the preference of few prefixes.
+func preferred(usable []*Candidate, prefix uint64) []*Candidate {
+	var out []*Candidate
+	var scores []uint64
+	for _, c := range usable {
+		score := xxhash.Sum64String(c.Name) ^ prefix
+		score = (score ^ score>>31) * 0x9e3779b97f4a7c15
+		score ^= score >> 29
+		i := 0
+		for i < len(scores) && scores[i] >= score {
+			i++
+		}
+		if i < choices {
+			out, scores = slices.Insert(out, i, c), slices.Insert(scores, i, score)
+			out, scores = out[:min(len(out), choices)], scores[:min(len(scores), choices)]
+		}
+	}
+	return out
 }
 
 // usable returns the candidates that may take work, the better known first: if
@@ -240,16 +288,11 @@
 	return now.Before(c.health.ejectedUntil) || c.health.probing
 }
 
-// cost is the candidate's load in shares of its slots, with what distance and
-// a cached prefix add and take away.
-func (c *Candidate) cost(prefix uint64) float64 {
-	slots := max(c.report.Slots, 1)
-	load := float64(max(c.report.Running+c.report.Queued+c.sent, c.outstanding)) / float64(slots)
-	load += float64(c.Distance) / float64(distanceUnit)
-	if prefix != 0 && slices.Contains(c.prefixes, prefix) {
-		load -= prefixBonus
-	}
-	return load
+// cost is the candidate's load in shares of its slots, with what its distance
+// adds. Of the reported load, what this entry knows better itself is its own.
+func (c *Candidate) cost() float64 {
+	load := (c.others + float64(c.outstanding)) / float64(max(c.report.Slots, 1))
+	return load + float64(c.Distance)/float64(distanceUnit)
 }
 
 // Begin counts a request sent to the named upstream without a choice.
@@ -258,7 +301,6 @@
 	if c == nil {
 		return
 	}
-	c.sent++
 	c.outstanding++
 	if !c.health.ejectedUntil.IsZero() && !now.Before(c.health.ejectedUntil) {
 		c.health.probing = true
@@ -380,7 +422,7 @@
 		out = append(out, CandidateState{
 			Name: name, Running: c.report.Running, Queued: c.report.Queued, Slots: c.report.Slots,
 			Outstanding: c.outstanding, Leaving: c.leaving(), Silent: s.silent(c, now), Ejected: s.ejected(c, now),
-			Failures: c.health.failures, TypicalMS: float64(c.health.typical) / float64(time.Millisecond), Cost: c.cost(0),
+			Failures: c.health.failures, TypicalMS: float64(c.health.typical) / float64(time.Millisecond), Cost: c.cost(),
 		})
 	}
 	return out
--- a/internal/entry/rank/duty.go
+++ b/internal/entry/rank/duty.go
@@ -8,7 +8,6 @@
 	"context"
 	"encoding/json"
 	"maps"
-	"math/rand/v2"
 	"slices"
 	"strconv"
 	"sync"
@@ -29,10 +28,6 @@
 	"github.com/go-logr/logr"
 )
 
-// contenders is the number of entries that contend for the lease of a group, so
-// that the platform's calls do not grow with the fleet.
-const contenders = 3
-
 // lookInterval is how often the duty looks which groups it contends for.
 const lookInterval = time.Second
 
@@ -52,11 +47,11 @@
 }
 
 // New returns the duty of one entry.
-func New(self string, domain fleet.FailureDomain, objects *object.Client, pool *dial.Pool, current func() *snapshot.Snapshot, log logr.Logger) *Duty {
+// holder names this run of its process.
+func New(self, holder string, domain fleet.FailureDomain, objects *object.Client, pool *dial.Pool, current func() *snapshot.Snapshot, log logr.Logger) *Duty {
 	return &Duty{
 		self: self, domain: domain, objects: objects, pool: pool, current: current, log: log,
-		holder:  self + "#" + strconv.FormatUint(rand.Uint64(), 36),
-		running: map[string]context.CancelFunc{}, leading: map[string]*State{},
+		holder: holder, running: map[string]context.CancelFunc{}, leading: map[string]*State{},
 	}
 }
 
@@ -122,11 +117,7 @@
 	if !tree.Get(now.Tree, tree.Scope{Group: name}, reference.ExpertParallel) {
 		return false
 	}
-	entries := instance.Filter(slices.Collect(maps.Values(now.Instances)), func(i fleet.Instance) bool {
-		return i.Role == fleet.EntryRole && !i.Leaving
-	})
-	ranked := instance.Rank(entries, "lead/"+name)
-	return slices.ContainsFunc(ranked[:min(contenders, len(ranked))], func(i fleet.Instance) bool { return i.Name == d.self })
+	return instance.Contends(slices.Collect(maps.Values(now.Instances)), d.self, "lead/"+name)
 }
 
 // State returns the duty's part of the dump.
--- a/internal/entry/server/server.go
+++ b/internal/entry/server/server.go
@@ -7,10 +7,15 @@
 	"crypto/tls"
 	"errors"
 	"expvar"
+	"maps"
+	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
+	"strconv"
 	"time"
 
+	"bramleydeal/internal/core/instance"
 	core "bramleydeal/internal/core/upstream"
 	"bramleydeal/internal/entry/agent"
 	"bramleydeal/internal/entry/caller"
@@ -83,7 +88,10 @@
 		Balancer: e.balancer, Claims: platform.NewClaims(objects), Log: logger.Part("caller"),
 	})
 	if objects != nil {
-		e.duties = append(e.duties, rank.New(c.Name, c.FailureDomain, objects, e.pool, e.spread.Current, logger.Part("groups")))
+		holder := c.Name + "#" + strconv.FormatUint(rand.Uint64(), 36)
+		e.duties = append(e.duties,
+			rank.New(c.Name, holder, c.FailureDomain, objects, e.pool, e.spread.Current, logger.Part("groups")),
+			platform.NewSweep(objects, holder, c.FailureDomain, e.contends, e.spread.Current, logger.Part("claims")))
 	}
 	e.publishMetrics()
 	return e, nil
@@ -128,6 +136,12 @@
 	e.log.SetVerbosity(tree.Get(now.Tree, e.scope(), reference.LogLevel))
 }
 
+// contends tells whether this entry is among the few that contend for the lease
+// of a duty.
+func (e *Entry) contends(duty string) bool {
+	return instance.Contends(slices.Collect(maps.Values(e.spread.Current().Instances)), e.config.Name, duty)
+}
+
 func (e *Entry) scope() tree.Scope { return tree.Scope{FailureDomain: string(e.config.FailureDomain)} }
 
 // listen opens the entry's listeners and serves them.
--- a/internal/settings/reference/declarations.go
+++ b/internal/settings/reference/declarations.go
@@ -119,7 +119,7 @@
 	EntryConcurrency = declare("entry-concurrency", 4096, outer, within(1, 1<<20),
 		"Requests in progress at one entry; one more is refused at once.")
 	LeaseDuration = declare("lease-duration", 10*time.Second, outer, atLeast(500*time.Millisecond),
-		"Duration of the leases of control duties.")
+		"Duration of the leases of control duties; it holds from the next time an entry begins to contend for one.")
 	SpreadInterval = declare("spread-interval", time.Second, outer, within(50*time.Millisecond, 30*time.Second),
 		"Interval at which a process compares settings with a peer.")
 	Watchers = declare("watchers", 2, outer, within(1, 16),
--- a/test/proof/bench_test.go
+++ b/test/proof/bench_test.go
@@ -179,7 +179,7 @@
 
 // BenchmarkChangeInForce measures how long a change takes to reach everybody.
 func BenchmarkChangeInForce(b *testing.B) {
-	d := deployAt(b, size{entries: 8, engines: 24, services: 0}, map[string]map[string]any{"fleet": {"spread-interval": "1s"}}, false)
+	d := deployAt(b, size{entries: 8, engines: 24, services: 0}, map[string]map[string]any{"fleet": {"spread-interval": "1s", "agents-heard": 64}}, false)
 	for b.Loop() {
 		slowest := time.Duration(0)
 		for n := range 20 {
