Keep a lost owner out of the next session; hold further ahead on slow links

(2) a leader whose answers took longer than 60 steps chose a step that the ranks had passed, and gave up every change; it now adds the steps that pass in three rounds of its own asking.

--- a/internal/core/group/leader.go
+++ b/internal/core/group/leader.go
@@ -28,6 +28,34 @@
 	change  Grant
 	wanted  uint64
 	aborted int
+	pace    pace
+}
+
+// pace is what a leader knows of the group's speed and of its own links.
+type pace struct {
+	step uint64
+	at   time.Time
+	// rate is in steps a second, round the time of the last round of asking.
+	rate  float64
+	round time.Duration
+}
+
+// maxAhead bounds the steps between the fastest rank and a change.
+const maxAhead = 10000
+
+// ahead is the number of steps that the group makes while promises are asked
+// for, answered and followed by grants, over links as slow as the last round.
+func (p pace) ahead() uint64 {
+	const rounds = 3
+	return uint64(min(rounds*p.round.Seconds()*p.rate, maxAhead))
+}
+
+// heard takes in the outcome of a round of asking.
+func (p *pace) heard(step uint64, begun, now time.Time) {
+	if took := now.Sub(p.at).Seconds(); !p.at.IsZero() && took > 0 && step > p.step {
+		p.rate = float64(step-p.step) / took
+	}
+	p.step, p.at, p.round = step, now, now.Sub(begun)
 }
 
 // LeaderRules are the times of a leader.
@@ -38,8 +66,9 @@
 	Poll time.Duration
 	// GiveUp is how long a change waits for promises before it is given up.
 	GiveUp time.Duration
-	// Ahead is the number of steps between the fastest rank and a change, enough
-	// for all promises and grants to arrive before any rank gets there.
+	// Ahead is the least number of steps between the fastest rank and a change;
+	// slow links add to it, so that promises and grants arrive before any rank
+	// gets there.
 	Ahead uint64
 }
 
@@ -136,6 +165,7 @@
 	l.sentAt = now
 	if l.phase == Steady && len(l.agreed) == len(l.ranks) {
 		l.agreed = map[string]bool{}
+		l.begun = now
 	}
 	var out []Send
 	for _, rank := range l.ranks {
@@ -193,8 +223,8 @@
 	return Grant{From: r.State.Hold, Map: m}, true
 }
 
-// Replied records a rank's answer to an order of this leader.
-func (l *Leader) Replied(rank string, o Order, r Reply) {
+// Replied records a rank's answer to an order of this leader, which came at now.
+func (l *Leader) Replied(rank string, o Order, r Reply, now time.Time) {
 	if ballotOf(o) != l.ballot || !slices.Contains(l.ranks, rank) {
 		return
 	}
@@ -211,7 +241,7 @@
 	l.replies[rank] = r
 	switch v := o.(type) {
 	case Collect:
-		l.heard(rank, v, r)
+		l.heard(rank, v, r, now)
 	case Hold:
 		l.held(rank, v, r)
 	case Give:
@@ -247,7 +277,7 @@
 // it promised to higher ballots, so its answer proves nothing about those. All
 // ranks are asked again after it: had a higher ballot been completed before the
 // loss, the other ranks would refuse this one now.
-func (l *Leader) heard(rank string, o Collect, r Reply) {
+func (l *Leader) heard(rank string, o Collect, r Reply, now time.Time) {
 	asked := l.phase == Collecting || l.phase == Steady || l.phase == Confirming && o.Confirm
 	if !r.Accepted || !asked {
 		return
@@ -256,6 +286,7 @@
 	if len(l.agreed) < len(l.ranks) {
 		return
 	}
+	l.pace.heard(l.Step(), l.begun, now)
 	switch {
 	case l.phase == Collecting && l.anyWithoutMemory():
 		l.enter(Confirming)
@@ -308,7 +339,7 @@
 
 // beginChange asks for promises to stop before a step that lies ahead of all.
 func (l *Leader) beginChange() {
-	l.change = Grant{From: max(l.Step(), l.current.From) + l.rules.Ahead, Map: l.wanted}
+	l.change = Grant{From: max(l.Step(), l.current.From) + l.rules.Ahead + l.pace.ahead(), Map: l.wanted}
 	l.wanted = 0
 	l.enter(Holding)
 }
--- a/internal/entry/caller/once.go
+++ b/internal/entry/caller/once.go
@@ -29,9 +29,9 @@
 	maxSuccessors = 3
 )
 
-// newSession binds a caller to an agent and its current term.
-func (h *Handler) newSession(ctx context.Context, rq *request) (session, bool) {
-	var exclude []string
+// newSession binds a caller to an agent and its current term; not to those
+// excluded, which are lost.
+func (h *Handler) newSession(ctx context.Context, rq *request, exclude ...string) (session, bool) {
 	for range maxSuccessors {
 		i, ok := h.choose(ctx, rq, plan{execute: &peer.ExecuteRequest{}, exclude: exclude})
 		if !ok {
@@ -91,7 +91,7 @@
 	if lost {
 		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), retryPause)
 		defer cancel()
-		if next, ok := h.newSession(ctx, rq); ok {
+		if next, ok := h.newSession(ctx, rq, s.agent); ok {
 			out.extra[SessionHeader] = next.token()
 		}
 		return
--- a/internal/wire/orders/orders.go
+++ b/internal/wire/orders/orders.go
@@ -120,7 +120,7 @@
 		}
 		select {
 		case a := <-answers:
-			l.Replied(a.rank, a.order, a.reply)
+			l.Replied(a.rank, a.order, a.reply, time.Now())
 		case <-ticker.C:
 		case <-ctx.Done():
 			return
