--- a/test/proof/deployment_test.go
+++ b/test/proof/deployment_test.go
@@ -487,6 +487,21 @@
 	d.links[name].Toxics.ResetToxics(d.t.Context())
 }
 
+// delayAnswers makes what comes back over a link late by a time.
+func (d *deployment) delayAnswers(name string, late time.Duration) {
+	d.t.Helper()
+	d.addToxic(name, "latency", "downstream", fmt.Sprintf(`{"latency":%d}`, late.Milliseconds()))
+}
+
+// endDelay makes a delayed link prompt again. The proxy would pass everything
+// that is late before it removed the delay, so the delay is set to none.
+func (d *deployment) endDelay(name string) {
+	d.t.Helper()
+	if _, err := d.links[name].Toxics.UpdateToxicJson("latency-downstream", strings.NewReader(`{"attributes":{"latency":0}}`)); err != nil {
+		d.t.Fatal(err)
+	}
+}
+
 func (d *deployment) waitHTTP(a netip.AddrPort, path string) {
 	d.t.Helper()
 	eventually(d.t, 5*time.Second, "an answer at "+a.String(), func() bool {
--- a/test/proof/group_test.go
+++ b/test/proof/group_test.go
@@ -188,7 +188,7 @@
 	d := deployGroup(t, true)
 	eventually(t, 15*time.Second, "the map changes", func() bool { return len(d.record().Maps) > 2 })
 	// The leader hears the promise of one rank late, so the others stay held.
-	d.addToxic("r1", "latency", "downstream", `{"latency":700}`)
+	d.delayAnswers("r1", 700*time.Millisecond)
 	eventually(t, 20*time.Second, "a rank is held", func() bool {
 		var s rankState
 		return d.dump("r2", &s) && s.Rank.Rank.Hold != 0
@@ -197,7 +197,7 @@
 	for _, name := range []string{"e1", "e2", "e3"} {
 		d.kill(name)
 	}
-	d.heal("r1")
+	d.endDelay("r1")
 	d.waitSteps(300, 10*time.Second)
 	completed := 0
 	for n := range groupRanks {
