Ask a steady group at ten ranks a second; benchmarks for capacity

Cause: a leader of 4 ranks spent 1.6% of a core, most of it on waking a hundred times a second; 16 ranks 2.6% and 7.8 KB/s. The price: a rank without memory in a group of 128 is noticed within 13 s.

--- a/internal/core/upstream/choice_test.go
+++ b/internal/core/upstream/choice_test.go
@@ -348,3 +348,36 @@
 	_, ok := s.Choose(Query{}, now)
 	is.True(!ok)
 }
+
+// BenchmarkChoose measures a choice among sets of several sizes.
+func BenchmarkChoose(b *testing.B) {
+	for _, n := range []int{16, 64, 256} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			s := NewSet(1, Rules{EjectionFailures: 5, EjectionTime: time.Second, SlowFactor: 4, ReportInterval: time.Second})
+			var members []Member
+			for i := range n {
+				members = append(members, Member{Name: fmt.Sprint("u", i)})
+			}
+			s.Configure(members, s.rules)
+			now := time.Unix(0, 0)
+			for i := uint64(0); b.Loop(); i++ {
+				name, _ := s.Choose(Query{Prefix: 1 + i%50}, now)
+				s.Ended(name, Succeeded, time.Millisecond, now)
+			}
+		})
+	}
+}
+
+// BenchmarkLedger measures one key from its arrival to its end, and the memory
+// that it takes.
+func BenchmarkLedger(b *testing.B) {
+	now := time.Unix(0, 0)
+	l := NewLedger[string]("a", 1<<30, time.Hour, now)
+	n := 0
+	for b.Loop() {
+		key := fmt.Sprint("account/key-", n)
+		l.Begin(Attempt{Key: key, Term: l.Term(), Digest: 1}, "", now)
+		l.Finish(key, l.Term())
+		n++
+	}
+}
--- a/internal/entry/rank/duty.go
+++ b/internal/entry/rank/duty.go
@@ -145,7 +145,7 @@
 
 // pollPerRank is the time that a steady leader takes for each rank in a round of
 // asking, so that a large group costs its leader no more than a small one.
-const pollPerRank = 20 * time.Millisecond
+const pollPerRank = 100 * time.Millisecond
 
 // leaderRules are the times of a leader; Ahead is in steps.
 func leaderRules(ranks int) group.LeaderRules {
--- a/internal/wire/orders/orders.go
+++ b/internal/wire/orders/orders.go
@@ -92,6 +92,8 @@
 // Times of a conducted leader.
 const (
 	tickInterval = 10 * time.Millisecond
+	// steadyInterval is the same while nothing changes.
+	steadyInterval = 100 * time.Millisecond
 	// CallTimeout bounds one order's call.
 	CallTimeout = time.Second
 )
@@ -109,8 +111,8 @@
 // Conduct drives a leader until until reports true or ctx ends. until is called
 // after each event, on the goroutine that owns the leader; it may propose.
 func Conduct(ctx context.Context, name string, ranks int, l *group.Leader, call Caller, until func(*group.Leader) bool) {
-	ticker := time.NewTicker(tickInterval)
-	defer ticker.Stop()
+	timer := time.NewTimer(0)
+	defer timer.Stop()
 	// Each rank has at most a few orders under way; a full ring drops answers,
 	// which are asked for again.
 	answers := make(chan answered, 4*ranks)
@@ -121,13 +123,18 @@
 		select {
 		case a := <-answers:
 			l.Replied(a.rank, a.order, a.reply, time.Now())
-		case <-ticker.C:
+		case <-timer.C:
 		case <-ctx.Done():
 			return
 		}
 		if until(l) {
 			return
 		}
+		if l.Phase() == group.Steady {
+			timer.Reset(steadyInterval)
+		} else {
+			timer.Reset(tickInterval)
+		}
 	}
 }
 
--- a/test/proof/bench_test.go
+++ b/test/proof/bench_test.go
@@ -170,6 +170,32 @@
 	}
 }
 
+// BenchmarkLeader measures what the leader of a group spends on asking its ranks.
+func BenchmarkLeader(b *testing.B) {
+	for _, n := range []int{4, 8, 16} {
+		b.Run(fmt.Sprintf("%d ranks", n), func(b *testing.B) {
+			d := deployRanks(b, n, true, map[string]any{"placement-interval": "10m"})
+			eventually(b, 15*time.Second, "a leader", func() bool { return d.leader() != "" })
+			const length = 15 * time.Second
+			for b.Loop() {
+				time.Sleep(2 * time.Second)
+				leader := d.leader()
+				other := "e1"
+				if leader == other {
+					other = "e2"
+				}
+				before, beforeOther := d.usage(leader), d.usage(other)
+				time.Sleep(length)
+				after, afterOther := d.usage(leader), d.usage(other)
+				cpu := (after.cpu - before.cpu) - (afterOther.cpu - beforeOther.cpu)
+				traffic := (after.traffic - before.traffic) - (afterOther.traffic - beforeOther.traffic)
+				b.ReportMetric(100*cpu.Seconds()/length.Seconds(), "leader-cpu-%")
+				b.ReportMetric(float64(traffic)/length.Seconds(), "leader-bytes/s")
+			}
+		})
+	}
+}
+
 func (d *deployment) platformCounts() platform.Counts {
 	d.t.Helper()
 	var c platform.Counts
--- a/test/proof/group_test.go
+++ b/test/proof/group_test.go
@@ -21,13 +21,21 @@
 // deployGroup starts a fleet with one expert-parallel group whose loads drift
 // quickly, so that maps change all the time.
 func deployGroup(t *testing.T, honourFencing bool) *deployment {
+	t.Helper()
+	return deployRanks(t, groupRanks, honourFencing, map[string]any{
+		"placement-interval": "200ms", "move-weight": 0.0, "moves-per-hour": 100000000,
+	})
+}
+
+// deployRanks starts a fleet with one group of n ranks.
+func deployRanks(t testing.TB, n int, honourFencing bool, settings map[string]any) *deployment {
 	t.Helper()
 	d := deploy(t, size{entries: 3, engines: 0, services: 1}, map[string]map[string]any{
 		"fleet": {"lease-duration": "1500ms"},
 	})
 	var addresses []string
 	var names []string
-	for n := range groupRanks {
+	for n := range n {
 		names = append(names, fmt.Sprintf("r%d", n+1))
 		addresses = append(addresses, freeAddress(t).String())
 	}
@@ -39,10 +47,8 @@
 		c.Upstream = config.Upstream{Kind: config.Engine, Address: netip.MustParseAddrPort(addresses[n]), Target: "steps", Rank: n}
 		d.launch(name, c, "agent")
 	}
-	d.level("group/steps", map[string]any{
-		"model": "steps-1", "upstreams": names, "expert-parallel": true, "experts": 16, "layers": 2,
-		"placement-interval": "200ms", "move-weight": 0.0, "moves-per-hour": 100000000,
-	})
+	d.level("group/steps", map[string]any{"model": "steps-1", "upstreams": names, "expert-parallel": true, "experts": 16, "layers": 2})
+	d.level("group/steps", settings)
 	d.putLevel("group/steps")
 	d.waitReady()
 	return d
