Bound the answers kept for retries; one home for what entries and agents share

Cause: found on reading. A generation of the ledger may hold 50,000 answers of a megabyte each, with their requests. An agent now keeps answers-total bytes of them, and of ended requests only what names them.

Successor order, hop headers, calls of orders and waiting in drivers stood in two to four places, or in the agent's package for the entry's use.

--- a/internal/agent/entry/door.go
+++ b/internal/agent/entry/door.go
@@ -47,8 +47,14 @@
 	prefixes []uint64
 	noted    uint64
 
+	// kept are the ended jobs whose answers the ledger holds, oldest first, and
+	// keptBytes their size.
+	kept      []*job
+	keptBytes int
+
 	resumeWindow time.Duration
 	answerBuffer int
+	answersTotal int
 	start        func(*job)
 }
 
@@ -66,7 +72,8 @@
 	return h.Sum64()
 }
 
-// admit finds or begins the job for a request.
+// admit finds or begins the job for a request. A job whose request is another
+// one is attached to.
 func (d *door) admit(r *peer.ExecuteRequest, deadline, now time.Time) (*job, *peer.Refusal) {
 	if r.Once {
 		return d.admitOnce(r, deadline, now)
@@ -200,12 +207,36 @@
 		d.forgetAnswer(j)
 	case complete:
 		d.ledger.Finish(j.ledgerKey(), j.request.Term)
+		d.keep(j)
 	case mayHaveRun:
 		d.ledger.Lose(j.ledgerKey(), j.request.Term)
 	default:
 		d.ledger.Refuse(j.ledgerKey(), j.request.Term)
 	}
-	d.carryOut(d.queue.Done(j.request.Account, took, now))
+	account := j.request.Account
+	j.slim()
+	d.carryOut(d.queue.Done(account, took, now))
+}
+
+// jobBytes is what an ended job takes beside its answer, about.
+const jobBytes = 512
+
+// slim forgets what of a request is not needed once it has ended.
+func (j *job) slim() {
+	r := j.request
+	j.request = &peer.ExecuteRequest{RequestId: r.RequestId, Account: r.Account, Key: r.Key, Term: r.Term, Once: r.Once}
+}
+
+// keep bounds the answers that the ledger holds for retries. Of the oldest ones
+// only the fact is kept that they ran.
+func (d *door) keep(j *job) {
+	d.kept = append(d.kept, j)
+	d.keptBytes += j.buffer.Size() + jobBytes
+	for d.keptBytes > d.answersTotal && len(d.kept) > 0 {
+		d.keptBytes -= d.kept[0].buffer.Drop() + jobBytes
+		d.kept[0] = nil
+		d.kept = d.kept[1:]
+	}
 }
 
 func (d *door) notePrefix(p uint64) {
--- a/internal/agent/entry/drain.go
+++ b/internal/agent/entry/drain.go
@@ -7,10 +7,10 @@
 	"bramleydeal/internal/agent/upstream"
 	"bramleydeal/internal/core/instance"
 	core "bramleydeal/internal/core/upstream"
+	"bramleydeal/internal/process/clock"
 	"bramleydeal/internal/settings/reference"
 	"bramleydeal/internal/settings/tree"
 	"bramleydeal/internal/wire/peer"
-	"bramleydeal/internal/world/fleet"
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
 )
@@ -44,7 +44,7 @@
 	s.tellAll()
 	s.waitUntil(limited, func(d *door) bool { return d.queue.Running()+d.queue.Waiting() == 0 })
 	s.waitUntil(limited, func(d *door) bool { return d.readers() == 0 })
-	sleep(ctx, linger)
+	clock.Sleep(ctx, linger)
 	s.log.Info("drained")
 }
 
@@ -66,16 +66,7 @@
 		if s.loop.Do(ctx, func(d *door) { done = ready(d) }) != nil || done {
 			return
 		}
-		sleep(ctx, drainPoll)
-	}
-}
-
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
+		clock.Sleep(ctx, drainPoll)
 	}
 }
 
@@ -90,18 +81,11 @@
 	}
 }
 
-// Successors returns the agents that may adopt a term, in the order in which
-// they are asked. Entries compute the same order to find a term again.
-func Successors(agents []fleet.Instance, leaving, term string) []fleet.Instance {
-	others := instance.Filter(agents, func(i fleet.Instance) bool { return i.Name != leaving && !i.Leaving })
-	return instance.Rank(others, term)
-}
-
 // handOver gives one term to the first successor that can be reached. Once the
 // term has been offered to one, no other is ever asked: the offer may have been
 // taken although its answer was lost.
 func (s *Server) handOver(ctx context.Context, term string) {
-	for _, successor := range Successors(s.current().Upstreams(s.scope), s.self, term) {
+	for _, successor := range instance.Successors(s.current().Upstreams(s.scope), s.self, term) {
 		connection, err := s.pool.Ready(ctx, successor.Address, handOverTimeout)
 		if err != nil {
 			s.log.Info("a successor cannot be reached", "successor", successor.Name)
@@ -142,7 +126,7 @@
 			return
 		}
 		s.log.Info("the hand-over got no answer", "term", request.Term, "successor", successor, "error", err.Error())
-		sleep(ctx, drainPoll)
+		clock.Sleep(ctx, drainPoll)
 	}
 }
 
@@ -197,7 +181,15 @@
 		if d.leaving {
 			return
 		}
-		reply.Accepted = d.ledger.Holds(r.Term) || d.ledger.Adopt(r.Term, keys, time.Now())
+		reply.Accepted = d.ledger.Holds(r.Term)
+		if !reply.Accepted && d.ledger.Adopt(r.Term, keys, time.Now()) {
+			reply.Accepted = true
+			for _, k := range keys {
+				if k.Answer != nil {
+					d.keep(k.Answer)
+				}
+			}
+		}
 	})
 	if err != nil {
 		return nil, status.Error(codes.Unavailable, err.Error())
--- a/internal/agent/entry/server.go
+++ b/internal/agent/entry/server.go
@@ -142,6 +142,7 @@
 	})
 	d.ledger.Configure(tree.Get(now.Tree, s.scope, reference.LedgerCapacity), tree.Get(now.Tree, s.scope, reference.LedgerRetention))
 	d.resumeWindow = tree.Get(now.Tree, s.scope, reference.ResumeWindow)
+	d.answersTotal = tree.Get(now.Tree, s.scope, reference.AnswersTotal)
 	d.answerBuffer = tree.Get(now.Tree, s.scope, reference.AnswerBuffer)
 }
 
@@ -155,8 +156,10 @@
 	s.stats.Executed.Add(1)
 	var j *job
 	var refusal *peer.Refusal
+	attached := false
 	err := s.loop.Do(ctx, func(d *door) {
 		j, refusal = d.admit(r, deadline, time.Now())
+		attached = j != nil && j.request != r
 		s.publish(d)
 	})
 	if err != nil {
@@ -165,6 +168,9 @@
 	if refusal != nil {
 		return s.refuse(refusal, stream)
 	}
+	if attached {
+		s.stats.Attached.Add(1)
+	}
 	return s.deliver(ctx, j, r, stream)
 }
 
@@ -183,9 +189,6 @@
 		}
 		return s.refuse(&peer.Refusal{Kind: string(kind), Detail: "that part of the answer is no longer kept"}, stream)
 	}
-	if j.request != r {
-		s.stats.Attached.Add(1)
-	}
 	defer func() {
 		if reader.Close() == 0 && j.buffer.Ended() == nil {
 			s.loop.Send(func(d *door) { d.detached(j, time.Now()) })
@@ -270,13 +273,14 @@
 	s.stats.Started.Add(1)
 	ctx, cancel := context.WithDeadline(s.lifetime, j.deadline)
 	j.cancel = cancel
+	request := upstreamRequest(s.self, j)
 	go func() {
 		defer cancel()
 		begun := time.Now()
-		mayHaveRun := s.client.Run(ctx, upstreamRequest(s.self, j), j.buffer)
+		mayHaveRun := s.client.Run(ctx, request, j.buffer)
 		if !j.buffer.Ended().Complete {
 			s.stats.Broken.Add(1)
-			s.log.V(1).Info("the answer broke off", "request", j.request.RequestId, "may-have-run", mayHaveRun, "detail", j.buffer.Ended().Detail)
+			s.log.V(1).Info("the answer broke off", "request", request.ID, "may-have-run", mayHaveRun, "detail", j.buffer.Ended().Detail)
 		}
 		s.loop.Send(func(d *door) {
 			d.finished(j, mayHaveRun, time.Since(begun), time.Now())
--- a/internal/agent/rank/rank.go
+++ b/internal/agent/rank/rank.go
@@ -19,9 +19,7 @@
 	"bramleydeal/internal/wire/peer"
 	"github.com/go-logr/logr"
 	"github.com/samber/oops"
-	"google.golang.org/grpc"
 	"google.golang.org/grpc/codes"
-	"google.golang.org/grpc/encoding/gzip"
 	grpcstatus "google.golang.org/grpc/status"
 )
 
@@ -237,23 +235,7 @@
 	if rank == r.self {
 		return r.Order(ctx, m)
 	}
-	return CallAgent(ctx, r.current(), r.pool, rank, m)
-}
-
-// CallAgent sends an order to the agent of a rank.
-func CallAgent(ctx context.Context, now *snapshot.Snapshot, pool *dial.Pool, rank string, m *peer.GrantOrder) (*peer.GrantReply, error) {
-	i, ok := now.Instances[rank]
-	if !ok {
-		return nil, oops.Code("unreachable").Errorf("%s is no instance", rank)
-	}
-	connection, err := pool.Get(i.Address)
-	if err != nil {
-		return nil, err
-	}
-	if m.Kind == peer.GrantOrder_STAGE {
-		return peer.NewAgentClient(connection).Order(ctx, m, grpc.UseCompressor(gzip.Name))
-	}
-	return peer.NewAgentClient(connection).Order(ctx, m)
+	return orders.Call(ctx, r.current(), r.pool, rank, m)
 }
 
 // State is the rank's part of the dump.
--- a/internal/agent/upstream/buffer.go
+++ b/internal/agent/upstream/buffer.go
@@ -148,6 +148,24 @@
 	return *b.head, body, true
 }
 
+// Size returns the bytes of content held.
+func (b *Buffer) Size() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.size
+}
+
+// Drop forgets the content and returns its size. That the answer was complete
+// stays known.
+func (b *Buffer) Drop() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	size := b.size
+	b.pieces, b.size, b.dropped = nil, 0, true
+	b.notify()
+	return size
+}
+
 // Restore returns a buffer that holds a complete answer. Without a body only
 // the fact that the request ran is known.
 func Restore(h Head, body []byte, kept bool) *Buffer {
@@ -155,6 +173,7 @@
 	b.head = &h
 	if len(body) > 0 {
 		b.pieces = []Piece{{Count: uint64(len(body)), Content: body}}
+		b.size = len(body)
 	}
 	b.dropped = !kept
 	b.ending = &Ending{Complete: true}
--- a/internal/agent/upstream/client.go
+++ b/internal/agent/upstream/client.go
@@ -12,6 +12,7 @@
 	"syscall"
 	"time"
 
+	"bramleydeal/internal/wire/header"
 	"bramleydeal/internal/world/answer"
 	"github.com/samber/oops"
 )
@@ -113,19 +114,10 @@
 	return errors.As(err, &op) && op.Op == "dial" || errors.Is(err, syscall.ECONNREFUSED)
 }
 
-// hopHeaders belong to one connection and are not passed on.
-var hopHeaders = map[string]bool{
-	"Connection": true, "Keep-Alive": true, "Proxy-Authenticate": true, "Proxy-Authorization": true,
-	"Te": true, "Trailer": true, "Transfer-Encoding": true, "Upgrade": true,
-}
-
-// IsHopHeader tells whether a header belongs to one connection only.
-func IsHopHeader(name string) bool { return hopHeaders[http.CanonicalHeaderKey(name)] }
-
 func headOf(response *http.Response) Head {
 	h := Head{Status: response.StatusCode}
 	for name, values := range response.Header {
-		if IsHopHeader(name) {
+		if header.IsHop(name) {
 			continue
 		}
 		for _, v := range values {
--- /dev/null
+++ b/internal/agent/upstream/upstream_test.go
@@ -0,0 +1,153 @@
+package upstream
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// read collects what a reader is given until the ending.
+func read(t *testing.T, b *Buffer, from uint64) (string, *Ending) {
+	t.Helper()
+	r, ok := b.Read(from, false)
+	if !ok {
+		t.Fatal("the buffer no longer holds that position")
+	}
+	defer r.Close()
+	var text strings.Builder
+	for {
+		s, err := r.Next(t.Context())
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, p := range s.Pieces {
+			text.Write(p.Content)
+		}
+		if s.Ending != nil {
+			return text.String(), s.Ending
+		}
+	}
+}
+
+func TestReadersFollowFromAnyPosition(t *testing.T) {
+	is := is.New(t)
+	b := NewBuffer(1 << 10)
+	b.SetHead(Head{Status: 200})
+	is.NoErr(b.Append(t.Context(), Piece{Position: 0, Count: 2, Content: []byte("data: a\n\ndata: b\n\n")}))
+	is.NoErr(b.Append(t.Context(), Piece{Position: 2, Count: 1, Content: []byte("data: c\n\n")}))
+	b.End(Ending{Complete: true})
+	for from, want := range []string{"data: a\n\ndata: b\n\ndata: c\n\n", "data: b\n\ndata: c\n\n", "data: c\n\n", ""} {
+		text, ending := read(t, b, uint64(from))
+		is.Equal(text, want)
+		is.True(ending.Complete)
+	}
+}
+
+func TestFullBufferWaitsForItsReader(t *testing.T) {
+	is := is.New(t)
+	b := NewBuffer(4)
+	b.SetHead(Head{Status: 200})
+	r, _ := b.Read(0, false)
+	is.NoErr(b.Append(t.Context(), Piece{Position: 0, Count: 4, Content: []byte("1234")}))
+	appended := make(chan error, 1)
+	go func() { appended <- b.Append(t.Context(), Piece{Position: 4, Count: 2, Content: []byte("56")}) }()
+	select {
+	case <-appended:
+		t.Fatal("a piece that a reader needs was dropped")
+	case <-time.After(50 * time.Millisecond):
+	}
+	_, err := r.Next(t.Context())
+	is.NoErr(err)
+	is.NoErr(<-appended)
+	r.Close()
+	_, ok := b.Read(0, false)
+	is.True(!ok) // what was dropped cannot be read again
+}
+
+func TestDroppedAnswerIsKnownToHaveRun(t *testing.T) {
+	is := is.New(t)
+	b := NewBuffer(100)
+	b.SetHead(Head{Status: 200})
+	is.NoErr(b.Append(t.Context(), Piece{Count: 4, Content: []byte("1234")}))
+	b.End(Ending{Complete: true})
+	is.Equal(b.Drop(), 4)
+	_, ok := b.Read(0, false)
+	is.True(!ok)
+	is.True(b.Ended().Complete)
+	_, _, whole := b.Whole()
+	is.True(!whole)
+}
+
+// run lets a client send one request to a server and returns the buffer.
+func run(t *testing.T, h http.HandlerFunc, r Request) (*Buffer, bool) {
+	t.Helper()
+	server := httptest.NewServer(h)
+	defer server.Close()
+	b := NewBuffer(1 << 16)
+	ran := NewClient(netip.MustParseAddrPort(server.Listener.Addr().String())).Run(t.Context(), r, b)
+	return b, ran
+}
+
+func TestStreamWithoutItsClosingEventIsNotComplete(t *testing.T) {
+	is := is.New(t)
+	for body, complete := range map[string]bool{
+		"data: a\n\ndata: [DONE]\n\n": true,
+		"data: a\n\n":                 false,
+		"data: a\n\ndata: [DO":        false,
+	} {
+		b, ran := run(t, func(w http.ResponseWriter, _ *http.Request) {
+			_, _ = io.WriteString(w, body)
+		}, Request{Method: "POST", Path: "/", Events: true, Handle: "w~k"})
+		is.True(ran)
+		is.Equal(b.Ended().Complete, complete)
+	}
+}
+
+func TestEventsCarryIDsAndSkipWhatTheCallerHas(t *testing.T) {
+	is := is.New(t)
+	b, _ := run(t, func(w http.ResponseWriter, _ *http.Request) {
+		for n := range 3 {
+			fmt.Fprintf(w, "id: own\ndata: %d\n\n", n)
+		}
+		fmt.Fprint(w, "data: [DONE]\n\n")
+	}, Request{Method: "POST", Path: "/", Events: true, Handle: "w~k", ResumeFrom: 2})
+	text, _ := read(t, b, 2)
+	is.Equal(text, "id: w~k-2\ndata: 2\n\nid: w~k-3\ndata: [DONE]\n\n")
+}
+
+// TestOnceRequestIsSentOnce breaks the connection of a keyed request, which
+// net/http would repeat on a connection that it kept.
+func TestOnceRequestIsSentOnce(t *testing.T) {
+	is := is.New(t)
+	count := 0
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/warm" {
+			return
+		}
+		count++
+		panic(http.ErrAbortHandler)
+	}))
+	defer server.Close()
+	c := NewClient(netip.MustParseAddrPort(server.Listener.Addr().String()))
+	c.Run(t.Context(), Request{Method: "GET", Path: "/warm"}, NewBuffer(100))
+	b := NewBuffer(100)
+	ran := c.Run(t.Context(), Request{Method: "POST", Path: "/x", Once: true, Headers: []Header{{"Idempotency-Key", "k"}}}, b)
+	is.True(ran) // it may have
+	is.True(!b.Ended().Complete)
+	is.Equal(count, 1)
+}
+
+func TestRefusedConnectionProvesThatNothingRan(t *testing.T) {
+	is := is.New(t)
+	b := NewBuffer(100)
+	ran := NewClient(netip.MustParseAddrPort("127.0.0.1:1")).Run(t.Context(), Request{Method: "POST", Path: "/", Once: true}, b)
+	is.True(!ran)
+	is.True(b.Ended().Refusal != nil)
+}
--- a/internal/core/instance/subset.go
+++ b/internal/core/instance/subset.go
@@ -59,6 +59,13 @@
 	return slices.ContainsFunc(head(Rank(entries, duty), contenders), func(i fleet.Instance) bool { return i.Name == self })
 }
 
+// Successors returns the agents that may adopt a term of a leaving one, in the
+// order in which they are asked. Entries compute the same order to find a term
+// again.
+func Successors(agents []fleet.Instance, leaving, term string) []fleet.Instance {
+	return Rank(Filter(agents, func(i fleet.Instance) bool { return i.Name != leaving && !i.Leaving }), term)
+}
+
 // Numbers of peers that a process compares settings with.
 const (
 	// LocalPeers are in the process's own failure domain.
--- a/internal/entry/agent/balancer.go
+++ b/internal/entry/agent/balancer.go
@@ -12,6 +12,7 @@
 
 	"bramleydeal/internal/core/instance"
 	core "bramleydeal/internal/core/upstream"
+	"bramleydeal/internal/process/clock"
 	"bramleydeal/internal/process/ring"
 	"bramleydeal/internal/settings/reference"
 	"bramleydeal/internal/settings/snapshot"
@@ -196,12 +197,7 @@
 	for ctx.Err() == nil {
 		err := b.follow(ctx, i, every)
 		b.log.V(1).Info("no load reports", "agent", i.Name, "error", err.Error())
-		timer := time.NewTimer(listenPause)
-		select {
-		case <-timer.C:
-		case <-ctx.Done():
-		}
-		timer.Stop()
+		clock.Sleep(ctx, listenPause)
 	}
 }
 
--- a/internal/entry/caller/once.go
+++ b/internal/entry/caller/once.go
@@ -6,10 +6,11 @@
 	"net/http"
 	"time"
 
-	door "bramleydeal/internal/agent/entry"
+	"bramleydeal/internal/core/instance"
 	core "bramleydeal/internal/core/upstream"
 	"bramleydeal/internal/entry/agent"
 	"bramleydeal/internal/entry/platform"
+	"bramleydeal/internal/process/clock"
 	"bramleydeal/internal/settings/reference"
 	"bramleydeal/internal/settings/tree"
 	"bramleydeal/internal/wire/peer"
@@ -249,7 +250,7 @@
 		return refusal, true
 	case kind == answer.Leaving && !b.movable && time.Since(b.rq.arrived) < sendWindow:
 		// The owner hands its ledger over soon.
-		pause(ctx, retryPause)
+		clock.Sleep(ctx, retryPause)
 		return refusal, true
 	case kind == answer.Sealed:
 		return answer.Refuse(answer.Undecided, "the attempt came too late to be run"), false
@@ -277,7 +278,7 @@
 		b.holder = adopter
 		return nil, true
 	}
-	pause(ctx, retryPause)
+	clock.Sleep(ctx, retryPause)
 	return nil, true
 }
 
@@ -291,7 +292,7 @@
 		return nil, true
 	}
 	now := b.handler.current()
-	successors := door.Successors(now.Upstreams(b.rq.scope), b.session.agent, b.session.term)
+	successors := instance.Successors(now.Upstreams(b.rq.scope), b.session.agent, b.session.term)
 	for _, i := range successors[:min(len(successors), maxSuccessors)] {
 		if !b.asked[i.Name] {
 			b.holder = i.Name
@@ -300,12 +301,3 @@
 	}
 	return answer.Refuse(answer.OutcomeUnknown, "%s", lost.Detail), false
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/entry/caller/service.go
+++ b/internal/entry/caller/service.go
@@ -8,9 +8,9 @@
 	"strconv"
 	"strings"
 
-	"bramleydeal/internal/agent/upstream"
 	"bramleydeal/internal/settings/reference"
 	"bramleydeal/internal/settings/tree"
+	"bramleydeal/internal/wire/header"
 	"bramleydeal/internal/wire/peer"
 	"bramleydeal/internal/world/answer"
 	"github.com/go-chi/chi/v5"
@@ -28,7 +28,7 @@
 func upstreamHeaders(from http.Header, account string) []*peer.Header {
 	out := []*peer.Header{{Name: ownHeaderPrefix + "Account", Value: account}}
 	for name, values := range from {
-		if upstream.IsHopHeader(name) || name == "Authorization" || name == lastEventHeader || strings.HasPrefix(name, ownHeaderPrefix) {
+		if header.IsHop(name) || name == "Authorization" || name == lastEventHeader || strings.HasPrefix(name, ownHeaderPrefix) {
 			continue
 		}
 		for _, v := range values {
--- a/internal/entry/platform/sweep.go
+++ b/internal/entry/platform/sweep.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"bramleydeal/internal/platform/object"
+	"bramleydeal/internal/process/clock"
 	"bramleydeal/internal/settings/reference"
 	"bramleydeal/internal/settings/snapshot"
 	"bramleydeal/internal/settings/tree"
@@ -54,7 +55,7 @@
 		if s.contends(sweepDuty) {
 			s.contend(ctx)
 		}
-		wait(ctx, lookInterval)
+		clock.Sleep(ctx, lookInterval)
 	}
 }
 
@@ -64,7 +65,7 @@
 	defer cancel()
 	go func() {
 		for ctx.Err() == nil && s.contends(sweepDuty) {
-			wait(ctx, lookInterval)
+			clock.Sleep(ctx, lookInterval)
 		}
 		cancel()
 	}()
@@ -74,7 +75,7 @@
 		defer s.holding.Store(false)
 		for part := 0; ctx.Err() == nil; part = (part + 1) % sweepParts {
 			s.sweep(ctx, fmt.Sprintf("%s%02x", ClaimPrefix, part))
-			wait(ctx, sweepPause)
+			clock.Sleep(ctx, sweepPause)
 		}
 	})
 }
@@ -102,16 +103,7 @@
 			return
 		}
 		s.deleted.Add(1)
-		wait(ctx, deletePause)
-	}
-}
-
-func wait(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
+		clock.Sleep(ctx, deletePause)
 	}
 }
 
--- a/internal/entry/rank/duty.go
+++ b/internal/entry/rank/duty.go
@@ -13,7 +13,6 @@
 	"sync"
 	"time"
 
-	agentrank "bramleydeal/internal/agent/rank"
 	"bramleydeal/internal/core/group"
 	"bramleydeal/internal/core/instance"
 	"bramleydeal/internal/entry/platform"
@@ -236,7 +235,7 @@
 			}
 		}
 	}
-	return agentrank.CallAgent(ctx, g.duty.current(), g.duty.pool, rank, m)
+	return orders.Call(ctx, g.duty.current(), g.duty.pool, rank, m)
 }
 
 // mapOf returns a map by its version, from the platform if need be.
@@ -274,7 +273,7 @@
 	if err != nil {
 		return err
 	}
-	_, err = agentrank.CallAgent(ctx, g.duty.current(), g.duty.pool, rank,
+	_, err = orders.Call(ctx, g.duty.current(), g.duty.pool, rank,
 		&peer.GrantOrder{Group: g.name, Kind: peer.GrantOrder_STAGE, Map: version, Content: content})
 	return err
 }
--- a/internal/process/spread/spread.go
+++ b/internal/process/spread/spread.go
@@ -17,6 +17,7 @@
 	"bramleydeal/internal/core/instance"
 	"bramleydeal/internal/core/platform"
 	"bramleydeal/internal/platform/object"
+	"bramleydeal/internal/process/clock"
 	"bramleydeal/internal/process/ring"
 	"bramleydeal/internal/settings/reference"
 	"bramleydeal/internal/settings/snapshot"
@@ -166,7 +167,7 @@
 	}
 	for ctx.Err() == nil {
 		pause := s.askPlatform(ctx)
-		s.sleep(ctx, pause)
+		clock.Sleep(ctx, pause)
 	}
 }
 
@@ -348,15 +349,6 @@
 	return d/2 + time.Duration(rand.Int64N(int64(d)+1))
 }
 
-func (s *Spread) sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
 // State is the spread's part of the dump.
 type State struct {
 	Revision           uint64   `json:"revision"`
--- a/internal/settings/reference/declarations.go
+++ b/internal/settings/reference/declarations.go
@@ -90,6 +90,8 @@
 		"How long an answer without a reader goes on, and is kept, for its caller to come back.")
 	AnswerBuffer = declare("answer-buffer", 1<<20, targets, within(1024, 64<<20),
 		"Bytes of one answer that an agent keeps for retries and resumption.")
+	AnswersTotal = declare("answers-total", 32<<20, outer, within(1024, 1<<30),
+		"Bytes of the answers to keyed requests that an agent keeps for retries; of older ones it knows only that they ran.")
 	EngineResume = declare("engine-resume", true, groups, nil,
 		"Whether the group's engines can go on from the tokens that another engine generated.")
 	LedgerCapacity = declare("ledger-capacity", 50000, outer, within(16, 10_000_000),
--- a/internal/wire/dial/pool.go
+++ b/internal/wire/dial/pool.go
@@ -8,14 +8,13 @@
 	"sync"
 	"time"
 
+	"github.com/samber/oops"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/backoff"
 	"google.golang.org/grpc/connectivity"
 	"google.golang.org/grpc/credentials"
 	"google.golang.org/grpc/credentials/insecure"
 	"google.golang.org/grpc/keepalive"
-
-	"github.com/samber/oops"
 )
 
 // Timings and sizes of the connections between processes.
--- a/internal/wire/orders/orders.go
+++ b/internal/wire/orders/orders.go
@@ -8,8 +8,12 @@
 	"time"
 
 	"bramleydeal/internal/core/group"
+	"bramleydeal/internal/settings/snapshot"
+	"bramleydeal/internal/wire/dial"
 	"bramleydeal/internal/wire/peer"
 	"github.com/samber/oops"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/encoding/gzip"
 )
 
 // Message returns the message of an order to a group's rank.
@@ -150,3 +154,19 @@
 	default:
 	}
 }
+
+// Call sends an order to the agent of a rank.
+func Call(ctx context.Context, now *snapshot.Snapshot, pool *dial.Pool, rank string, m *peer.GrantOrder) (*peer.GrantReply, error) {
+	i, ok := now.Instances[rank]
+	if !ok {
+		return nil, oops.Code("unreachable").Errorf("%s is no instance", rank)
+	}
+	connection, err := pool.Get(i.Address)
+	if err != nil {
+		return nil, err
+	}
+	if m.Kind == peer.GrantOrder_STAGE {
+		return peer.NewAgentClient(connection).Order(ctx, m, grpc.UseCompressor(gzip.Name))
+	}
+	return peer.NewAgentClient(connection).Order(ctx, m)
+}
