--- a/internal/entry/caller/idempotent.go
+++ b/internal/entry/caller/idempotent.go
@@ -9,6 +9,7 @@
 
 	core "bramleydeal/internal/core/upstream"
 	"bramleydeal/internal/entry/agent"
+	"bramleydeal/internal/process/clock"
 	"bramleydeal/internal/settings/reference"
 	"bramleydeal/internal/settings/tree"
 	"bramleydeal/internal/wire/peer"
@@ -35,17 +36,24 @@
 	h.runOn(ctx, rq, p, newRelay(w, p.execute.Events, 0))
 }
 
+// An answer that has begun is not given up because each upstream failed once.
+const (
+	// begunFactor multiplies its tries.
+	begunFactor = 3
+	// begunPause is how long it waits before upstreams that failed it are tried again.
+	begunPause = 300 * time.Millisecond
+)
+
 // runOn runs a plan for a relay that may have begun.
 func (h *Handler) runOn(ctx context.Context, rq *request, p plan, out *relay) {
 	retries := tree.Get(rq.snapshot.Tree, rq.scope, reference.Retries)
 	var last agent.Event
 	var refusals []*peer.Refusal
-	for try := 0; try <= retries; try++ {
-		i, ok := h.choose(ctx, rq, p)
+	for try := 0; try <= retries || out.headSent && try <= begunFactor*retries; try++ {
+		i, ok := h.chooseNext(ctx, rq, &p, out)
 		if !ok {
 			break
 		}
-		p.exclude = append(p.exclude, i.Name)
 		last = h.tryAt(ctx, rq, p, i, out)
 		if h.concluded(rq, last, out) || ctx.Err() != nil || out.gone {
 			break
@@ -76,7 +84,19 @@
 	return h.balancer.Retry(ctx, rq.scope)
 }
 
-// choose picks the agent for the next try.
+// chooseNext picks the agent for the next try and excludes it from later ones.
+func (h *Handler) chooseNext(ctx context.Context, rq *request, p *plan, out *relay) (fleet.Instance, bool) {
+	i, ok := h.choose(ctx, rq, *p)
+	if !ok && out.headSent && len(p.exclude) > 0 {
+		p.exclude = nil
+		clock.Sleep(ctx, begunPause)
+		i, ok = h.choose(ctx, rq, *p)
+	}
+	p.exclude = append(p.exclude, i.Name)
+	return i, ok
+}
+
+// choose picks the agent for a try.
 func (h *Handler) choose(ctx context.Context, rq *request, p plan) (fleet.Instance, bool) {
 	q := core.Query{Prefix: p.execute.Prefix, Exclude: slices.Clone(p.exclude)}
 	for {
