Wait for a term that is on its way to its successor

Cause: a leaving agent closes a term before it offers it. A request that the old holder sent on to the successor arrived there before the offer (110 ms under the race detector), was told that the term is unknown, and ended as outcome-unknown although the ledger was whole. The entry now waits for the heir that the old holder named, up to owner-timeout, and then says term-moved, which allows a retry with the same key.

--- a/internal/entry/caller/once.go
+++ b/internal/entry/caller/once.go
@@ -179,6 +179,8 @@
 	// holder is the agent tried now; it changes when the term moved.
 	holder string
 	asked  map[string]bool
+	// heir is the agent that the term's old holder named as its successor.
+	heir string
 	// sent is true once an attempt may have reached a holder of the term.
 	sent bool
 	// movable is true for a request that any other agent may run as well, as
@@ -256,13 +258,26 @@
 		return answer.Refuse(answer.Undecided, "the attempt came too late to be run"), false
 	case kind == answer.TermMoved && !b.asked[r.Successor]:
 		b.moveTo(r.Successor)
+		b.heir = r.Successor
 		return refusal, true
+	case r.TermUnknown && b.heir == b.holder:
+		return b.awaitHeir(ctx)
 	case kind == answer.TermMoved || r.TermUnknown:
 		return b.nextHolder(ctx, refusal)
 	}
 	return refusal, false
 }
 
+// awaitHeir waits for the hand-over of the term to arrive: its old holder closes
+// the term before it offers it.
+func (b *bound) awaitHeir(ctx context.Context) (*answer.Refusal, bool) {
+	if time.Now().After(b.giveUp) {
+		return answer.Refuse(answer.TermMoved, "the term is on its way to %s", b.heir), false
+	}
+	clock.Sleep(ctx, retryPause)
+	return nil, true
+}
+
 func (b *bound) moveTo(holder string) {
 	b.asked[b.holder] = true
 	b.holder = holder
--- a/test/proof/deployment_test.go
+++ b/test/proof/deployment_test.go
@@ -57,7 +57,6 @@
 	instance fleet.Instance
 	log      *logBuffer
 	done     chan struct{}
-	state    *os.ProcessState
 }
 
 // logBuffer keeps a process's standard error.
@@ -390,13 +389,14 @@
 
 // restart starts a process again that has ended, from its old settings.
 func (d *deployment) restart(name, role string) {
-	old := d.processes[name]
-	d.start(name, &process{name: name, debug: old.debug, address: old.address, instance: old.instance, log: old.log},
-		"bramleydeal", role, "-settings", filepath.Join(d.folder, name+".json"))
+	d.start(name, d.processes[name], "bramleydeal", role, "-settings", filepath.Join(d.folder, name+".json"))
 }
 
 func (d *deployment) start(name string, p *process, program string, args ...string) *process {
 	d.t.Helper()
+	if p == nil {
+		p = d.processes[name]
+	}
 	if p == nil {
 		p = &process{name: name}
 	}
@@ -405,17 +405,21 @@
 	}
 	p.command = exec.Command(filepath.Join(programs, program), args...)
 	p.command.Stderr = p.log
-	p.done = make(chan struct{})
+	done := make(chan struct{})
+	p.done = done
 	if err := p.command.Start(); err != nil {
 		d.t.Fatal(err)
 	}
+	command := p.command
 	go func() {
-		defer close(p.done)
+		defer close(done)
 		// How a process ended is read from its state.
-		_ = p.command.Wait()
-		p.state = p.command.ProcessState
+		_ = command.Wait()
 	}()
-	d.processes[name] = p
+	// The map is read by other goroutines while processes are started again.
+	if d.processes[name] != p {
+		d.processes[name] = p
+	}
 	return p
 }
 
--- a/test/proof/leaving_test.go
+++ b/test/proof/leaving_test.go
@@ -134,7 +134,7 @@
 	}
 	for _, name := range []string{"e1", "w1", "s1", "e2", "w2", "s2", "e3", "w3", "s3"} {
 		d.drain(name, 10*time.Second)
-		is.Equal(d.processes[name].state.ExitCode(), 0)
+		is.Equal(d.processes[name].command.ProcessState.ExitCode(), 0)
 		d.restart(name, map[byte]string{'e': "entry", 'w': "agent", 's': "agent"}[name[0]])
 		d.waitReady()
 		time.Sleep(200 * time.Millisecond)
