--- a/internal/agent/entry/server.go
+++ b/internal/agent/entry/server.go
@@ -381,7 +381,6 @@
 func (s *Server) report(d *door) *peer.LoadReport {
 	report := d.report(int(s.slots.Load()))
 	report.Instance = s.self
-	report.Targets = []string{s.target}
 	report.Revision = s.current().Revision
 	return report
 }
--- a/internal/core/client/queue.go
+++ b/internal/core/client/queue.go
@@ -261,6 +261,3 @@
 
 // Waiting returns the number of requests that wait.
 func (q *Queue) Waiting() int { return len(q.waiting) }
-
-// ServiceTime returns the moving average of the upstream's time for a request.
-func (q *Queue) ServiceTime() time.Duration { return q.service }
--- a/internal/core/platform/lease.go
+++ b/internal/core/platform/lease.go
@@ -10,8 +10,8 @@
 	Duration time.Duration `json:"duration-nanoseconds"`
 }
 
-// LeaseView is what one process knows of a lease object.
-type LeaseView struct {
+// leaseView is what one process knows of a lease object.
+type leaseView struct {
 	Lease Lease
 	// Version is the object's version, 0 when the object does not exist.
 	Version uint64
@@ -27,7 +27,7 @@
 	Name     string
 	Duration time.Duration
 
-	view        LeaseView
+	view        leaseView
 	known       bool
 	heldUntil   time.Time
 	wroteAt     time.Time
@@ -90,7 +90,7 @@
 		return
 	}
 	c.known = true
-	c.view = LeaseView{Lease: l, Version: version, SeenAt: ended}
+	c.view = leaseView{Lease: l, Version: version, SeenAt: ended}
 	c.heldUntil = time.Time{}
 	if l.Holder == c.Name && version != 0 {
 		c.heldUntil = c.wroteAt.Add(l.Duration)
@@ -109,6 +109,3 @@
 	}
 	return 0, false
 }
-
-// View returns what is known of the lease.
-func (c *Candidate) View() LeaseView { return c.view }
--- a/internal/core/upstream/choice.go
+++ b/internal/core/upstream/choice.go
@@ -37,7 +37,6 @@
 type Report struct {
 	Running, Queued, Slots int
 	Leaving                bool
-	ServiceTime            time.Duration
 	// Prefixes were added to the upstream's cache since the last report; Anew
 	// says that they are all it holds.
 	Prefixes []uint64
--- a/internal/process/spread/spread.go
+++ b/internal/process/spread/spread.go
@@ -281,7 +281,7 @@
 	defer cancel()
 	client := peer.NewSpreadClient(connection)
 	s.stats.Compares.Add(1)
-	reply, err := client.Compare(ctx, &peer.CompareRequest{Instance: s.self, Revision: s.Current().Revision, Watching: s.watching.Load()})
+	reply, err := client.Compare(ctx, &peer.CompareRequest{Instance: s.self, Revision: s.Current().Revision})
 	if err != nil {
 		s.stats.CompareErrors.Add(1)
 		s.log.V(1).Info("a peer did not answer", "peer", a, "error", err.Error())
--- a/internal/settings/reference/setting.go
+++ b/internal/settings/reference/setting.go
@@ -46,8 +46,6 @@
 	Type    string
 	Default string
 	Levels  []LevelKind
-	// Restart is true for a setting that takes effect at the next start only.
-	Restart bool
 	check   func(json.RawMessage) error
 }
 
@@ -187,14 +185,10 @@
 	b.WriteString("# Settings\n\nGenerated from the declarations in internal/settings/reference; a test holds this page to them.\n\n")
 	b.WriteString("A level names only what it overrides. Values are taken from the fleet, then the failure domain,\n")
 	b.WriteString("then the service or model group, then the client account; the last one named holds.\n")
-	b.WriteString("A change takes effect without a restart unless its row says otherwise.\n\n")
+	b.WriteString("A change takes effect without a restart.\n\n")
 	b.WriteString("| setting | type | default | levels | meaning |\n|---|---|---|---|---|\n")
 	for _, d := range Declarations() {
-		doc := d.Doc
-		if d.Restart {
-			doc += " Takes effect at the next start."
-		}
-		fmt.Fprintf(&b, "| `%s` | %s | `%s` | %s | %s |\n", d.Name, d.Type, d.Default, joinKinds(d.Levels), doc)
+		fmt.Fprintf(&b, "| `%s` | %s | `%s` | %s | %s |\n", d.Name, d.Type, d.Default, joinKinds(d.Levels), d.Doc)
 	}
 	return b.String()
 }
