--- a/internal/operator/command/fleet.go
+++ b/internal/operator/command/fleet.go
@@ -60,35 +60,60 @@
 	Waiting       int64               `json:"waiting"`
 }
 
+// groupStatus is one group in the answer of status, by its leader's word.
+type groupStatus struct {
+	Leader string `json:"leader"`
+	Group  string `json:"group"`
+	Phase  string `json:"phase"`
+	Step   uint64 `json:"step"`
+	Grant  struct {
+		From uint64 `json:"from"`
+		Map  uint64 `json:"map"`
+	} `json:"grant"`
+	Skew float64 `json:"skew"`
+}
+
+// fleetStatus is the answer of status.
+type fleetStatus struct {
+	Instances []instanceStatus      `json:"instances"`
+	Groups    []groupStatus         `json:"groups"`
+	Leases    []platform.LeaseState `json:"leases"`
+}
+
 func statusCommand() *command {
-	return withOperator("status", "show instances, their load and the settings in force",
+	return withOperator("status", "show instances with their load and settings in force, groups and leases",
 		"status\n\nExample:\n  bramleydeal status -output json",
 		func(ctx context.Context, c *console, o *platform.Operator, _ []string) error {
 			now, err := o.Snapshot(ctx)
 			if err != nil {
 				return err
 			}
-			rows := collectStatus(ctx, now)
-			return c.print(rows, func(w io.Writer) { printStatus(w, rows) })
+			s := collectStatus(ctx, now)
+			if s.Leases, err = o.Leases(ctx); err != nil {
+				return err
+			}
+			return c.print(s, func(w io.Writer) { printStatus(w, s) })
 		})
 }
 
-func collectStatus(ctx context.Context, now *snapshot.Snapshot) []instanceStatus {
+func collectStatus(ctx context.Context, now *snapshot.Snapshot) fleetStatus {
 	var mu sync.Mutex
-	var group sync.WaitGroup
-	var rows []instanceStatus
+	var calls sync.WaitGroup
+	s := fleetStatus{Groups: []groupStatus{}}
 	for _, i := range now.Instances {
-		group.Go(func() {
-			row := statusOf(ctx, i)
+		calls.Go(func() {
+			row, groups := statusOf(ctx, i)
 			mu.Lock()
 			defer mu.Unlock()
-			rows = append(rows, row)
+			s.Instances = append(s.Instances, row)
+			s.Groups = append(s.Groups, groups...)
 		})
 	}
-	group.Wait()
-	markBehind(rows)
-	sort.Slice(rows, func(i, j int) bool { return rows[i].Name < rows[j].Name })
-	return rows
+	calls.Wait()
+	markBehind(s.Instances)
+	sort.Slice(s.Instances, func(i, j int) bool { return s.Instances[i].Name < s.Instances[j].Name })
+	sort.Slice(s.Groups, func(i, j int) bool { return s.Groups[i].Group < s.Groups[j].Group })
+	return s
 }
 
 // markBehind marks the instances below the highest revision that any reports.
@@ -114,31 +139,41 @@
 		Waiting int64 `json:"waiting"`
 		Leaving bool  `json:"leaving"`
 	} `json:"door"`
+	Duties []struct {
+		Leading []groupStatus `json:"leading"`
+	} `json:"duties"`
 }
 
-func statusOf(ctx context.Context, i fleet.Instance) instanceStatus {
+func statusOf(ctx context.Context, i fleet.Instance) (instanceStatus, []groupStatus) {
 	row := instanceStatus{Name: i.Name, Role: i.Role, FailureDomain: i.FailureDomain, Leaving: i.Leaving}
 	if !i.DebugAddress.IsValid() {
-		return row
+		return row, nil
 	}
 	body, err := callDebug(ctx, http.MethodGet, i.DebugAddress, "/debug/state")
 	if err != nil {
-		return row
+		return row, nil
 	}
 	var s processState
 	if json.Unmarshal(body, &s) != nil {
-		return row
+		return row, nil
 	}
 	row.Answers, row.Revision = true, s.Revision
 	row.Leaving = row.Leaving || s.Caller.Draining || s.Door.Leaving
 	row.Busy, row.Waiting = s.Caller.InFlight+s.Door.Running, s.Door.Waiting
-	return row
+	var groups []groupStatus
+	for _, d := range s.Duties {
+		for _, g := range d.Leading {
+			g.Leader = i.Name
+			groups = append(groups, g)
+		}
+	}
+	return row, groups
 }
 
-func printStatus(w io.Writer, rows []instanceStatus) {
+func printStatus(w io.Writer, s fleetStatus) {
 	t := tabwriter.NewWriter(w, 0, 4, 2, ' ', 0)
 	fmt.Fprintln(t, "INSTANCE\tROLE\tFAILURE DOMAIN\tREVISION\tBUSY\tWAITING\tNOTES")
-	for _, r := range rows {
+	for _, r := range s.Instances {
 		notes := ""
 		switch {
 		case !r.Answers:
@@ -150,6 +185,18 @@
 		}
 		fmt.Fprintf(t, "%s\t%s\t%s\t%d\t%d\t%d\t%s\n", r.Name, r.Role, r.FailureDomain, r.Revision, r.Busy, r.Waiting, notes)
 	}
+	if len(s.Groups) > 0 {
+		fmt.Fprintln(t, "\nGROUP\tLEADER\tPHASE\tSTEP\tMAP\tSKEW")
+	}
+	for _, g := range s.Groups {
+		fmt.Fprintf(t, "%s\t%s\t%s\t%d\t%d\t%.3f\n", g.Group, g.Leader, g.Phase, g.Step, g.Grant.Map, g.Skew)
+	}
+	if len(s.Leases) > 0 {
+		fmt.Fprintln(t, "\nLEASE\tHOLDER\tTERM")
+	}
+	for _, l := range s.Leases {
+		fmt.Fprintf(t, "%s\t%s\t%d\n", l.Name, l.Holder, l.Term)
+	}
 	// Standard output has nowhere to report its own failure.
 	_ = t.Flush()
 }
--- a/internal/operator/platform/levels.go
+++ b/internal/operator/platform/levels.go
@@ -10,6 +10,7 @@
 	"errors"
 	"fmt"
 	"os/user"
+	"slices"
 	"strings"
 	"time"
 
@@ -31,6 +32,7 @@
 
 const (
 	historyPrefix = "history/"
+	leasePrefix   = "lease/"
 	// maxHistory bounds the changes kept of one level.
 	maxHistory = 100
 	// historyTries is how often the history is written when others write it too.
@@ -237,6 +239,31 @@
 	return snapshot.Build(r, nil), nil
 }
 
+// LeaseState is one lease as the platform has it.
+type LeaseState struct {
+	Name   string `json:"name"`
+	Holder string `json:"holder"`
+	Term   uint64 `json:"term"`
+}
+
+// Leases returns the leases of control duties, by name.
+func (o *Operator) Leases(ctx context.Context) ([]LeaseState, error) {
+	u, err := o.client.List(ctx, leasePrefix)
+	if err != nil {
+		return nil, err
+	}
+	out := []LeaseState{}
+	for _, x := range u.Objects {
+		var l core.Lease
+		if err := json.Unmarshal(x.Value, &l); err != nil {
+			return nil, oops.Wrapf(err, "read %s", x.Name)
+		}
+		out = append(out, LeaseState{Name: strings.TrimPrefix(x.Name, leasePrefix), Holder: l.Holder, Term: l.Term})
+	}
+	slices.SortFunc(out, func(a, b LeaseState) int { return strings.Compare(a.Name, b.Name) })
+	return out, nil
+}
+
 // Apply writes all levels and instances of a deployment file. Levels that the
 // file does not name stay as they are.
 func (o *Operator) Apply(ctx context.Context, f tree.File) (changed []string, err error) {
--- a/test/proof/group_test.go
+++ b/test/proof/group_test.go
@@ -101,6 +101,9 @@
 	d := deployGroup(t, honour)
 	d.waitSteps(200, 10*time.Second)
 	eventually(t, 10*time.Second, "the map changes", func() bool { return len(d.record().Maps) > 3 })
+	status, code := d.command("status")
+	is.Equal(code, 0)
+	is.True(strings.Contains(status, "GROUP") && strings.Contains(status, "group-steps")) // its leader and its lease
 	quiet := d.record()
 	t.Logf("undisturbed: %d steps on %d maps, longest wait %d ms", quiet.Steps, len(quiet.Maps), quiet.LongestWaitMilliseconds)
 	is.Equal(quiet.Mixed, 0)
