Name the packages of the object store for what they hold

Five packages were called platform. The word now means the operators' prepared platform only; the replica, leases, claims, the operator's levels and the stand-in are named store, the client object.

--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -16,10 +16,10 @@
 
 	"bramleydeal/internal/standin/engine"
 	"bramleydeal/internal/standin/load"
-	"bramleydeal/internal/standin/platform"
 	"bramleydeal/internal/standin/ranks"
 	"bramleydeal/internal/standin/serve"
 	"bramleydeal/internal/standin/service"
+	"bramleydeal/internal/standin/store"
 	"github.com/google/subcommands"
 )
 
@@ -64,7 +64,7 @@
 	return &standin{
 		name: "platform", synopsis: "the platform's object API in memory; PUT /standin/knobs turns faults on",
 		flags: func(f *flag.FlagSet) { listenFlag(f, &a, "127.0.0.1:7000") },
-		run:   func(ctx context.Context) error { return serve.HTTP(ctx, a, platform.New().Handler()) },
+		run:   func(ctx context.Context) error { return serve.HTTP(ctx, a, store.New().Handler()) },
 	}
 }
 
--- a/internal/core/platform/replica.go
+++ b/internal/core/store/replica.go
@@ -1,7 +1,7 @@
-// Package platform owns the decisions about what the platform's object API
+// Package store owns the decisions about what the platform's object API
 // says: the replica of the objects that every process keeps, leases, and
 // claims of keys. It performs no calls itself.
-package platform
+package store
 
 import (
 	"sort"
--- a/internal/core/platform/platform_test.go
+++ b/internal/core/store/store_test.go
@@ -1,4 +1,4 @@
-package platform
+package store
 
 import (
 	"flag"
--- a/internal/entry/caller/handler.go
+++ b/internal/entry/caller/handler.go
@@ -15,7 +15,7 @@
 	"time"
 
 	"bramleydeal/internal/entry/agent"
-	"bramleydeal/internal/entry/platform"
+	"bramleydeal/internal/entry/store"
 	"bramleydeal/internal/settings/reference"
 	"bramleydeal/internal/settings/snapshot"
 	"bramleydeal/internal/settings/tree"
@@ -43,7 +43,7 @@
 	domain   fleet.FailureDomain
 	current  func() *snapshot.Snapshot
 	balancer *agent.Balancer
-	claims   *platform.Claims
+	claims   *store.Claims
 	log      logr.Logger
 
 	draining atomic.Bool
@@ -62,7 +62,7 @@
 	FailureDomain fleet.FailureDomain
 	Current       func() *snapshot.Snapshot
 	Balancer      *agent.Balancer
-	Claims        *platform.Claims
+	Claims        *store.Claims
 	Log           logr.Logger
 }
 
--- a/internal/entry/caller/once.go
+++ b/internal/entry/caller/once.go
@@ -9,7 +9,7 @@
 	"bramleydeal/internal/core/instance"
 	core "bramleydeal/internal/core/upstream"
 	"bramleydeal/internal/entry/agent"
-	"bramleydeal/internal/entry/platform"
+	"bramleydeal/internal/entry/store"
 	"bramleydeal/internal/process/clock"
 	"bramleydeal/internal/settings/reference"
 	"bramleydeal/internal/settings/tree"
@@ -109,8 +109,8 @@
 		h.fail(rq, out, answer.Refuse(answer.Undecided, "no upstream can be reached"))
 		return
 	}
-	name := platform.ClaimName(rq.account, rq.scope.Service, x.Key)
-	binding, err := h.claims.Bind(ctx, name, platform.Binding{Agent: proposed.agent, Term: proposed.term, At: rq.arrived.UTC()})
+	name := store.ClaimName(rq.account, rq.scope.Service, x.Key)
+	binding, err := h.claims.Bind(ctx, name, store.Binding{Agent: proposed.agent, Term: proposed.term, At: rq.arrived.UTC()})
 	if err != nil {
 		var refusal *answer.Refusal
 		if !errors.As(err, &refusal) {
--- a/internal/entry/rank/duty.go
+++ b/internal/entry/rank/duty.go
@@ -15,11 +15,11 @@
 
 	"bramleydeal/internal/core/group"
 	"bramleydeal/internal/core/instance"
-	"bramleydeal/internal/entry/platform"
-	"bramleydeal/internal/platform/object"
+	"bramleydeal/internal/entry/store"
 	"bramleydeal/internal/settings/reference"
 	"bramleydeal/internal/settings/snapshot"
 	"bramleydeal/internal/settings/tree"
+	"bramleydeal/internal/store/object"
 	"bramleydeal/internal/wire/dial"
 	"bramleydeal/internal/wire/orders"
 	"bramleydeal/internal/wire/peer"
@@ -104,7 +104,7 @@
 		own, stop := context.WithCancel(ctx)
 		d.running[name] = stop
 		duration := tree.Get(d.current().Tree, tree.Scope{FailureDomain: string(d.domain)}, reference.LeaseDuration)
-		lease := platform.NewLease(d.objects, "group-"+name, d.holder, duration)
+		lease := store.NewLease(d.objects, "group-"+name, d.holder, duration)
 		running.Go(func() {
 			lease.Hold(own, func(ctx context.Context, term uint64) { d.lead(ctx, name, term) })
 		})
--- a/internal/entry/server/server.go
+++ b/internal/entry/server/server.go
@@ -19,9 +19,8 @@
 	core "bramleydeal/internal/core/upstream"
 	"bramleydeal/internal/entry/agent"
 	"bramleydeal/internal/entry/caller"
-	"bramleydeal/internal/entry/platform"
 	"bramleydeal/internal/entry/rank"
-	"bramleydeal/internal/platform/object"
+	"bramleydeal/internal/entry/store"
 	"bramleydeal/internal/process/config"
 	"bramleydeal/internal/process/debug"
 	"bramleydeal/internal/process/log"
@@ -30,6 +29,7 @@
 	"bramleydeal/internal/settings/reference"
 	"bramleydeal/internal/settings/snapshot"
 	"bramleydeal/internal/settings/tree"
+	"bramleydeal/internal/store/object"
 	"bramleydeal/internal/wire/dial"
 	"bramleydeal/internal/wire/peer"
 	"bramleydeal/internal/world/fleet"
@@ -85,13 +85,13 @@
 	e.balancer = agent.New(ctx, c.Name, c.FailureDomain, e.pool, seed, logger.Part("balancer"))
 	e.handler = caller.New(caller.Config{
 		Self: c.Name, FailureDomain: c.FailureDomain, Current: e.spread.Current,
-		Balancer: e.balancer, Claims: platform.NewClaims(objects), Log: logger.Part("caller"),
+		Balancer: e.balancer, Claims: store.NewClaims(objects), Log: logger.Part("caller"),
 	})
 	if objects != nil {
 		holder := c.Name + "#" + strconv.FormatUint(rand.Uint64(), 36)
 		e.duties = append(e.duties,
 			rank.New(c.Name, holder, c.FailureDomain, objects, e.pool, e.spread.Current, logger.Part("groups")),
-			platform.NewSweep(objects, holder, c.FailureDomain, e.contends, e.spread.Current, logger.Part("claims")))
+			store.NewSweep(objects, holder, c.FailureDomain, e.contends, e.spread.Current, logger.Part("claims")))
 	}
 	e.publishMetrics()
 	return e, nil
--- a/internal/entry/platform/claims.go
+++ b/internal/entry/store/claims.go
@@ -1,6 +1,6 @@
-// Package platform speaks to the platform's object API on behalf of an entry:
+// Package store speaks to the platform's object API on behalf of an entry:
 // the claims of keys that are used without a session.
-package platform
+package store
 
 import (
 	"context"
@@ -10,7 +10,7 @@
 	"errors"
 	"time"
 
-	"bramleydeal/internal/platform/object"
+	"bramleydeal/internal/store/object"
 	"bramleydeal/internal/world/answer"
 	"github.com/samber/oops"
 )
--- a/internal/entry/platform/lease.go
+++ b/internal/entry/store/lease.go
@@ -1,4 +1,4 @@
-package platform
+package store
 
 import (
 	"context"
@@ -6,8 +6,8 @@
 	"errors"
 	"time"
 
-	core "bramleydeal/internal/core/platform"
-	"bramleydeal/internal/platform/object"
+	core "bramleydeal/internal/core/store"
+	"bramleydeal/internal/store/object"
 )
 
 // LeasePrefix is the prefix of the leases' object names.
--- a/internal/entry/platform/sweep.go
+++ b/internal/entry/store/sweep.go
@@ -1,4 +1,4 @@
-package platform
+package store
 
 import (
 	"context"
@@ -8,11 +8,11 @@
 	"sync/atomic"
 	"time"
 
-	"bramleydeal/internal/platform/object"
 	"bramleydeal/internal/process/clock"
 	"bramleydeal/internal/settings/reference"
 	"bramleydeal/internal/settings/snapshot"
 	"bramleydeal/internal/settings/tree"
+	"bramleydeal/internal/store/object"
 	"bramleydeal/internal/world/fleet"
 	"github.com/go-logr/logr"
 )
--- a/internal/operator/command/command.go
+++ b/internal/operator/command/command.go
@@ -13,8 +13,8 @@
 	"os"
 	"time"
 
-	"bramleydeal/internal/operator/platform"
-	"bramleydeal/internal/platform/object"
+	"bramleydeal/internal/operator/store"
+	"bramleydeal/internal/store/object"
 	"github.com/google/subcommands"
 	"github.com/samber/oops"
 )
@@ -48,13 +48,13 @@
 	switch o.Code() {
 	case codeUsage:
 		return ExitUsage
-	case platform.CodeConflict:
+	case store.CodeConflict:
 		return ExitConflict
-	case platform.CodeNotFound:
+	case store.CodeNotFound:
 		return ExitNotFound
-	case platform.CodePlatform, "platform-call", "unreachable":
+	case store.CodePlatform, "platform-call", "unreachable":
 		return ExitUnreachable
-	case platform.CodeInvalid:
+	case store.CodeInvalid:
 		return ExitInvalid
 	}
 	return ExitFailure
@@ -135,12 +135,12 @@
 	return object.NewClient(a), nil
 }
 
-func (c *console) operator() (*platform.Operator, error) {
+func (c *console) operator() (*store.Operator, error) {
 	client, err := c.client()
 	if err != nil {
 		return nil, err
 	}
-	return platform.New(client, time.Now), nil
+	return store.New(client, time.Now), nil
 }
 
 // print answers with v as JSON, or by text.
--- a/internal/operator/command/fleet.go
+++ b/internal/operator/command/fleet.go
@@ -13,7 +13,7 @@
 	"text/tabwriter"
 	"time"
 
-	"bramleydeal/internal/operator/platform"
+	"bramleydeal/internal/operator/store"
 	"bramleydeal/internal/settings/snapshot"
 	"bramleydeal/internal/world/fleet"
 	"github.com/google/subcommands"
@@ -75,15 +75,15 @@
 
 // fleetStatus is the answer of status.
 type fleetStatus struct {
-	Instances []instanceStatus      `json:"instances"`
-	Groups    []groupStatus         `json:"groups"`
-	Leases    []platform.LeaseState `json:"leases"`
+	Instances []instanceStatus   `json:"instances"`
+	Groups    []groupStatus      `json:"groups"`
+	Leases    []store.LeaseState `json:"leases"`
 }
 
 func statusCommand() *command {
 	return withOperator("status", "show instances with their load and settings in force, groups and leases",
 		"status\n\nExample:\n  bramleydeal status -output json",
-		func(ctx context.Context, c *console, o *platform.Operator, _ []string) error {
+		func(ctx context.Context, c *console, o *store.Operator, _ []string) error {
 			now, err := o.Snapshot(ctx)
 			if err != nil {
 				return err
--- a/internal/operator/command/objects.go
+++ b/internal/operator/command/objects.go
@@ -12,7 +12,7 @@
 	"os"
 	"strings"
 
-	"bramleydeal/internal/operator/platform"
+	"bramleydeal/internal/operator/store"
 	"bramleydeal/internal/settings/reference"
 	"bramleydeal/internal/settings/tree"
 	"github.com/google/subcommands"
@@ -39,7 +39,7 @@
 	var upstreams, model string
 	c := withOperator("create", "create a service, model group or client account",
 		"create service|group|client-account NAME [flags before the kind]\n\nThe key of a new client account is printed once and kept nowhere.\n\nExamples:\n  bramleydeal create -upstreams coimbra-s1,leiria-s1 service stock\n  bramleydeal create -model quotes-1 -upstreams coimbra-w1 group quotes\n  bramleydeal create client-account planners",
-		func(ctx context.Context, c *console, o *platform.Operator, args []string) error {
+		func(ctx context.Context, c *console, o *store.Operator, args []string) error {
 			if err := want(args, 2, "create service|group|client-account NAME"); err != nil {
 				return err
 			}
@@ -121,7 +121,7 @@
 func listCommand() *command {
 	return withOperator("list", "list services, model groups or client accounts",
 		"list services|groups|client-accounts\n\nExample:\n  bramleydeal list services",
-		func(ctx context.Context, c *console, o *platform.Operator, args []string) error {
+		func(ctx context.Context, c *console, o *store.Operator, args []string) error {
 			if err := want(args, 1, "list services|groups|client-accounts"); err != nil {
 				return err
 			}
@@ -145,7 +145,7 @@
 func deleteCommand() *command {
 	return withOperator("delete", "delete a service, model group or client account",
 		"delete service|group|client-account NAME\n\nExample:\n  bramleydeal delete service stock",
-		func(ctx context.Context, _ *console, o *platform.Operator, args []string) error {
+		func(ctx context.Context, _ *console, o *store.Operator, args []string) error {
 			if err := want(args, 2, "delete service|group|client-account NAME"); err != nil {
 				return err
 			}
--- a/internal/operator/command/settings.go
+++ b/internal/operator/command/settings.go
@@ -12,7 +12,7 @@
 	"text/tabwriter"
 	"time"
 
-	"bramleydeal/internal/operator/platform"
+	"bramleydeal/internal/operator/store"
 	"bramleydeal/internal/settings/tree"
 	"github.com/google/subcommands"
 	"github.com/samber/oops"
@@ -51,11 +51,11 @@
 func readFile(path string) (tree.File, error) {
 	text, err := os.ReadFile(path)
 	if err != nil {
-		return tree.File{}, oops.Code(platform.CodeInvalid).Wrap(err)
+		return tree.File{}, oops.Code(store.CodeInvalid).Wrap(err)
 	}
 	f, err := tree.ParseFile(text)
 	if err != nil {
-		return tree.File{}, oops.Code(platform.CodeInvalid).Wrapf(err, "%s", path)
+		return tree.File{}, oops.Code(store.CodeInvalid).Wrapf(err, "%s", path)
 	}
 	return f, nil
 }
@@ -78,7 +78,7 @@
 }
 
 // withOperator wraps a command that reads or changes the tree.
-func withOperator(name, synopsis, usage string, run func(ctx context.Context, c *console, o *platform.Operator, args []string) error) *command {
+func withOperator(name, synopsis, usage string, run func(ctx context.Context, c *console, o *store.Operator, args []string) error) *command {
 	c := &console{out: os.Stdout}
 	return &command{
 		name: name, synopsis: synopsis, usage: usage, flags: c.setFlags,
@@ -97,7 +97,7 @@
 func applyCommand() *command {
 	return withOperator("apply", "write all levels and instances of a deployment file",
 		"apply [-platform ADDRESS] FILE\n\nLevels that the file does not name stay as they are.\n\nExample:\n  bramleydeal settings apply examples/tendas-ribeira.json",
-		func(ctx context.Context, c *console, o *platform.Operator, args []string) error {
+		func(ctx context.Context, c *console, o *store.Operator, args []string) error {
 			if err := want(args, 1, "settings apply FILE"); err != nil {
 				return err
 			}
@@ -118,7 +118,7 @@
 func getCommand() *command {
 	return withOperator("get", "print a level, or one setting of it",
 		"get PATH [SETTING]\n\nExample:\n  bramleydeal settings get service/stock",
-		func(ctx context.Context, c *console, o *platform.Operator, args []string) error {
+		func(ctx context.Context, c *console, o *store.Operator, args []string) error {
 			if len(args) != 1 && len(args) != 2 {
 				return want(args, 1, "settings get PATH [SETTING]")
 			}
@@ -127,7 +127,7 @@
 				return err
 			}
 			if v.Version == 0 {
-				return oops.Code(platform.CodeNotFound).Errorf("%s does not exist", args[0])
+				return oops.Code(store.CodeNotFound).Errorf("%s does not exist", args[0])
 			}
 			if len(args) == 2 {
 				return printSetting(c, v, args[1])
@@ -146,10 +146,10 @@
 		})
 }
 
-func printSetting(c *console, v platform.Versioned, name string) error {
+func printSetting(c *console, v store.Versioned, name string) error {
 	value, ok := v.Level.Settings[name]
 	if !ok {
-		return oops.Code(platform.CodeNotFound).Errorf("%s does not name %s; settings explain shows what it inherits", v.Level.Path(), name)
+		return oops.Code(store.CodeNotFound).Errorf("%s does not name %s; settings explain shows what it inherits", v.Level.Path(), name)
 	}
 	return c.print(value, func(w io.Writer) { fmt.Fprintln(w, string(value)) })
 }
@@ -170,7 +170,7 @@
 func changeCommand(name, synopsis, usage, form string, arguments int, change func(l tree.Level, args []string) error) *command {
 	var ifVersion uint64
 	c := withOperator(name, synopsis, usage,
-		func(ctx context.Context, c *console, o *platform.Operator, args []string) error {
+		func(ctx context.Context, c *console, o *store.Operator, args []string) error {
 			if err := want(args, arguments, form); err != nil {
 				return err
 			}
@@ -208,7 +208,7 @@
 		"settings unset PATH SETTING", 2,
 		func(l tree.Level, args []string) error {
 			if _, ok := l.Settings[args[1]]; !ok {
-				return oops.Code(platform.CodeNotFound).Errorf("%s does not name %s", args[0], args[1])
+				return oops.Code(store.CodeNotFound).Errorf("%s does not name %s", args[0], args[1])
 			}
 			delete(l.Settings, args[1])
 			return nil
@@ -218,7 +218,7 @@
 func explainCommand() *command {
 	return withOperator("explain", "print each effective value and the level it comes from",
 		"explain PATH...\n\nSeveral paths are levels that apply together.\n\nExample:\n  bramleydeal settings explain failure-domain/viseu service/stock client-account/planners",
-		func(ctx context.Context, c *console, o *platform.Operator, args []string) error {
+		func(ctx context.Context, c *console, o *store.Operator, args []string) error {
 			scope, err := scopeOf(args)
 			if err != nil {
 				return err
@@ -229,7 +229,7 @@
 			}
 			for _, path := range args {
 				if _, ok := now.Tree.Level(path); !ok {
-					return oops.Code(platform.CodeNotFound).Errorf("%s does not exist; bramleydeal list shows what does", path)
+					return oops.Code(store.CodeNotFound).Errorf("%s does not exist; bramleydeal list shows what does", path)
 				}
 			}
 			explained := now.Tree.Explain(scope)
@@ -266,7 +266,7 @@
 func historyCommand() *command {
 	return withOperator("history", "print the changes of a level",
 		"history PATH\n\nExample:\n  bramleydeal settings history service/stock",
-		func(ctx context.Context, c *console, o *platform.Operator, args []string) error {
+		func(ctx context.Context, c *console, o *store.Operator, args []string) error {
 			if err := want(args, 1, "settings history PATH"); err != nil {
 				return err
 			}
--- a/internal/operator/local/local.go
+++ b/internal/operator/local/local.go
@@ -23,8 +23,8 @@
 	"bramleydeal/internal/process/config"
 	"bramleydeal/internal/process/log"
 	"bramleydeal/internal/standin/engine"
-	"bramleydeal/internal/standin/platform"
 	"bramleydeal/internal/standin/service"
+	"bramleydeal/internal/standin/store"
 	"bramleydeal/internal/world/fleet"
 	"github.com/samber/oops"
 )
@@ -47,7 +47,7 @@
 type Local struct {
 	listen    netip.AddrPort
 	log       *log.Logger
-	platform  *platform.Platform
+	platform  *store.Platform
 	address   netip.AddrPort
 	processes []running
 	group     sync.WaitGroup
@@ -61,7 +61,7 @@
 
 // New builds the deployment with its first entry at listen. Logs go to w.
 func New(ctx context.Context, listen netip.AddrPort, w io.Writer) (*Local, error) {
-	l := &Local{listen: listen, log: log.New(w, log.Text, "local"), platform: platform.New()}
+	l := &Local{listen: listen, log: log.New(w, log.Text, "local"), platform: store.New()}
 	var err error
 	if l.address, err = l.serve(ctx, l.platform.Handler()); err != nil {
 		return nil, err
--- a/internal/operator/platform/levels.go
+++ b/internal/operator/store/levels.go
@@ -1,7 +1,7 @@
-// Package platform speaks to the platform's object API on behalf of operators:
+// Package store speaks to the platform's object API on behalf of operators:
 // it reads and changes levels of the settings tree by conditional updates, and
 // keeps their history.
-package platform
+package store
 
 import (
 	"bytes"
@@ -14,10 +14,10 @@
 	"strings"
 	"time"
 
-	core "bramleydeal/internal/core/platform"
-	"bramleydeal/internal/platform/object"
+	core "bramleydeal/internal/core/store"
 	"bramleydeal/internal/settings/snapshot"
 	"bramleydeal/internal/settings/tree"
+	"bramleydeal/internal/store/object"
 	"bramleydeal/internal/world/fleet"
 	"github.com/samber/oops"
 )
--- a/internal/process/spread/spread.go
+++ b/internal/process/spread/spread.go
@@ -1,6 +1,6 @@
 // Package spread keeps a process's replica of the replicated objects up to
 // date: from the platform where the process holds a watch, and from its peers
-// always. The rules of what is newer are in core/platform, the choice of peers
+// always. The rules of what is newer are in core/store, the choice of peers
 // in core/instance.
 package spread
 
@@ -15,13 +15,13 @@
 	"time"
 
 	"bramleydeal/internal/core/instance"
-	"bramleydeal/internal/core/platform"
-	"bramleydeal/internal/platform/object"
+	"bramleydeal/internal/core/store"
 	"bramleydeal/internal/process/clock"
 	"bramleydeal/internal/process/ring"
 	"bramleydeal/internal/settings/reference"
 	"bramleydeal/internal/settings/snapshot"
 	"bramleydeal/internal/settings/tree"
+	"bramleydeal/internal/store/object"
 	"bramleydeal/internal/wire/dial"
 	"bramleydeal/internal/wire/peer"
 	"bramleydeal/internal/world/fleet"
@@ -57,7 +57,7 @@
 	log      logr.Logger
 	random   *rand.Rand
 
-	replica *ring.Loop[*platform.Replica]
+	replica *ring.Loop[*store.Replica]
 	current atomic.Pointer[snapshot.Snapshot]
 	updated chan struct{}
 
@@ -96,13 +96,13 @@
 	s := &Spread{
 		self: self, domain: domain, role: role, pool: pool, log: logr.Discard(),
 		random:  rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
-		replica: ring.NewLoop(platform.NewReplica(), ringSize),
+		replica: ring.NewLoop(store.NewReplica(), ringSize),
 		updated: make(chan struct{}, 1),
 	}
 	for _, o := range options {
 		o(s)
 	}
-	s.current.Store(snapshot.Build(platform.NewReplica(), nil))
+	s.current.Store(snapshot.Build(store.NewReplica(), nil))
 	return s
 }
 
@@ -128,13 +128,13 @@
 }
 
 // apply moves the replica forward and publishes the new snapshot.
-func (s *Spread) apply(ctx context.Context, u platform.Update, source string) platform.Outcome {
-	outcome := platform.Current
+func (s *Spread) apply(ctx context.Context, u store.Update, source string) store.Outcome {
+	outcome := store.Current
 	// An error means that the process is stopping.
-	_ = s.replica.Do(ctx, func(r *platform.Replica) {
+	_ = s.replica.Do(ctx, func(r *store.Replica) {
 		before := r.Revision()
 		outcome = r.Apply(u)
-		if outcome == platform.Applied {
+		if outcome == store.Applied {
 			s.publish(r, before, source)
 		}
 	})
@@ -142,7 +142,7 @@
 }
 
 // publish runs on the replica's goroutine, so snapshots follow each other.
-func (s *Spread) publish(r *platform.Replica, before uint64, source string) {
+func (s *Spread) publish(r *store.Replica, before uint64, source string) {
 	next := snapshot.Build(r, s.Current())
 	s.mu.Lock()
 	s.current.Store(next)
@@ -176,7 +176,7 @@
 	now := s.Current()
 	watch := s.isWatcher(now)
 	s.watching.Store(watch)
-	var u platform.Update
+	var u store.Update
 	var err error
 	s.stats.PlatformCalls.Add(1)
 	switch {
@@ -209,13 +209,13 @@
 	}
 }
 
-func (s *Spread) list(ctx context.Context) (platform.Update, error) {
+func (s *Spread) list(ctx context.Context) (store.Update, error) {
 	ctx, cancel := context.WithTimeout(ctx, platformTimeout)
 	defer cancel()
 	return s.platform.List(ctx, fleet.ReplicatedPrefix)
 }
 
-func (s *Spread) watch(ctx context.Context, after uint64, wait time.Duration) (platform.Update, error) {
+func (s *Spread) watch(ctx context.Context, after uint64, wait time.Duration) (store.Update, error) {
 	ctx, cancel := context.WithTimeout(ctx, wait+platformTimeout)
 	defer cancel()
 	return s.platform.Watch(ctx, fleet.ReplicatedPrefix, after, wait)
@@ -298,8 +298,8 @@
 
 // offer sends a peer what it lacks since revision from.
 func (s *Spread) offer(ctx context.Context, client peer.SpreadClient, from uint64) {
-	var u platform.Update
-	if s.replica.Do(ctx, func(r *platform.Replica) { u = r.Since(from) }) != nil {
+	var u store.Update
+	if s.replica.Do(ctx, func(r *store.Replica) { u = r.Since(from) }) != nil {
 		return
 	}
 	request := &peer.CompareRequest{Instance: s.self, Revision: u.Revision, From: u.From, Objects: messages(u.Objects)}
@@ -318,7 +318,7 @@
 	if reply.Revision <= request.Revision {
 		return reply, nil
 	}
-	err := s.replica.Do(ctx, func(r *platform.Replica) {
+	err := s.replica.Do(ctx, func(r *store.Replica) {
 		u := r.Since(request.Revision)
 		reply.From, reply.Revision, reply.Objects = u.From, u.Revision, messages(u.Objects)
 	})
@@ -328,15 +328,15 @@
 	return reply, nil
 }
 
-func updateOf(from, revision uint64, objects []*peer.Object) platform.Update {
-	u := platform.Update{From: from, Revision: revision}
+func updateOf(from, revision uint64, objects []*peer.Object) store.Update {
+	u := store.Update{From: from, Revision: revision}
 	for _, o := range objects {
-		u.Objects = append(u.Objects, platform.Object{Name: o.Name, Version: o.Version, Value: o.Value, Deleted: o.Deleted})
+		u.Objects = append(u.Objects, store.Object{Name: o.Name, Version: o.Version, Value: o.Value, Deleted: o.Deleted})
 	}
 	return u
 }
 
-func messages(objects []platform.Object) []*peer.Object {
+func messages(objects []store.Object) []*peer.Object {
 	out := make([]*peer.Object, 0, len(objects))
 	for _, o := range objects {
 		out = append(out, &peer.Object{Name: o.Name, Version: o.Version, Value: o.Value, Deleted: o.Deleted})
--- a/internal/settings/snapshot/snapshot.go
+++ b/internal/settings/snapshot/snapshot.go
@@ -9,7 +9,7 @@
 	"encoding/hex"
 	"strings"
 
-	"bramleydeal/internal/core/platform"
+	"bramleydeal/internal/core/store"
 	"bramleydeal/internal/settings/reference"
 	"bramleydeal/internal/settings/tree"
 	"bramleydeal/internal/world/fleet"
@@ -35,7 +35,7 @@
 
 // Build returns the snapshot of a replica's objects. A level that cannot be
 // read keeps its value from the previous snapshot.
-func Build(r *platform.Replica, previous *Snapshot) *Snapshot {
+func Build(r *store.Replica, previous *Snapshot) *Snapshot {
 	s := &Snapshot{Revision: r.Revision(), Instances: map[string]fleet.Instance{}, groupOfModel: map[string]string{}}
 	for _, o := range r.List(fleet.InstancePrefix) {
 		i, err := fleet.ParseInstance(o.Value)
@@ -50,7 +50,7 @@
 	return s
 }
 
-func (s *Snapshot) readLevels(r *platform.Replica, previous *Snapshot) []tree.Level {
+func (s *Snapshot) readLevels(r *store.Replica, previous *Snapshot) []tree.Level {
 	var levels []tree.Level
 	for _, o := range r.List(fleet.SettingsPrefix) {
 		path := strings.TrimPrefix(o.Name, fleet.SettingsPrefix)
--- a/internal/settings/snapshot/snapshot_test.go
+++ b/internal/settings/snapshot/snapshot_test.go
@@ -9,7 +9,7 @@
 	"runtime"
 	"testing"
 
-	"bramleydeal/internal/core/platform"
+	"bramleydeal/internal/core/store"
 	"bramleydeal/internal/settings/snapshot"
 	"bramleydeal/internal/settings/tree"
 	"bramleydeal/internal/world/fleet"
@@ -18,8 +18,8 @@
 
 // replica returns the objects of a deployment of a size, relative to the target:
 // 980 instances, 310 client accounts and 14 groups.
-func replica(share float64) (*platform.Replica, int) {
-	u := platform.Update{Revision: 1}
+func replica(share float64) (*store.Replica, int) {
+	u := store.Update{Revision: 1}
 	bytes := 0
 	add := func(name string, value any) {
 		text, err := json.Marshal(value)
@@ -27,7 +27,7 @@
 			panic(err) // the values here always marshal
 		}
 		bytes += len(name) + len(text)
-		u.Objects = append(u.Objects, platform.Object{Name: name, Version: 1, Value: text})
+		u.Objects = append(u.Objects, store.Object{Name: name, Version: 1, Value: text})
 	}
 	var agents []string
 	for n := range int(980 * share) {
@@ -46,7 +46,7 @@
 	for n := range 14 {
 		add(fleet.SettingsPrefix+fmt.Sprintf("group/group-%d", n), map[string]any{"model": fmt.Sprint("model-", n), "upstreams": agents[n*len(agents)/14 : (n+1)*len(agents)/14]})
 	}
-	r := platform.NewReplica()
+	r := store.NewReplica()
 	r.Apply(u)
 	return r, bytes
 }
@@ -70,7 +70,7 @@
 	is := is.New(t)
 	r, _ := replica(0.1)
 	before := snapshot.Build(r, nil)
-	r.Apply(platform.Update{From: 1, Revision: 2, Objects: []platform.Object{{
+	r.Apply(store.Update{From: 1, Revision: 2, Objects: []store.Object{{
 		Name: fleet.SettingsPrefix + "client-account/account-3", Version: 2, Value: []byte(`{"nonsense": 1}`)}}})
 	after := snapshot.Build(r, before)
 	is.Equal(len(after.Rejected), 1)
--- a/internal/standin/platform/platform.go
+++ b/internal/standin/store/store.go
@@ -1,6 +1,6 @@
-// Package platform is the stand-in for the platform's object API in tests and
+// Package store is the stand-in for the platform's object API in tests and
 // in the local command: objects in memory, with faults that tests turn on.
-package platform
+package store
 
 import (
 	"encoding/json"
@@ -12,7 +12,7 @@
 	"sync"
 	"time"
 
-	"bramleydeal/internal/platform/object"
+	"bramleydeal/internal/store/object"
 	"github.com/go-chi/chi/v5"
 )
 
--- a/internal/platform/object/client.go
+++ b/internal/store/object/client.go
@@ -16,7 +16,7 @@
 	"strconv"
 	"time"
 
-	"bramleydeal/internal/core/platform"
+	"bramleydeal/internal/core/store"
 	"github.com/samber/oops"
 )
 
@@ -60,13 +60,13 @@
 }
 
 // Get returns the object of that name.
-func (c *Client) Get(ctx context.Context, name string) (platform.Object, error) {
+func (c *Client) Get(ctx context.Context, name string) (store.Object, error) {
 	return c.call(ctx, http.MethodGet, name, nil, "")
 }
 
 // Put writes an object whose version must be ifVersion, 0 to create it. On
 // ErrConflict the returned object is the one that stands.
-func (c *Client) Put(ctx context.Context, name string, value []byte, ifVersion uint64) (platform.Object, error) {
+func (c *Client) Put(ctx context.Context, name string, value []byte, ifVersion uint64) (store.Object, error) {
 	return c.call(ctx, http.MethodPut, name, value, strconv.FormatUint(ifVersion, 10))
 }
 
@@ -76,10 +76,10 @@
 	return err
 }
 
-func (c *Client) call(ctx context.Context, method, name string, value []byte, ifMatch string) (platform.Object, error) {
+func (c *Client) call(ctx context.Context, method, name string, value []byte, ifMatch string) (store.Object, error) {
 	request, err := http.NewRequestWithContext(ctx, method, c.base+"/objects/"+name, bytes.NewReader(value))
 	if err != nil {
-		return platform.Object{}, oops.Code("platform-call").Wrapf(err, "%s %s", method, name)
+		return store.Object{}, oops.Code("platform-call").Wrapf(err, "%s %s", method, name)
 	}
 	if ifMatch != "" {
 		request.Header.Set("If-Match", ifMatch)
@@ -87,29 +87,29 @@
 	var m Message
 	status, err := c.do(request, &m)
 	if err != nil {
-		return platform.Object{}, err
+		return store.Object{}, err
 	}
 	switch status {
 	case http.StatusOK:
 		return m.Object(), nil
 	case http.StatusNotFound:
-		return platform.Object{}, oops.Code("not-found").Wrapf(ErrNotFound, "%s %s", method, name)
+		return store.Object{}, oops.Code("not-found").Wrapf(ErrNotFound, "%s %s", method, name)
 	case http.StatusConflict:
 		return m.Object(), oops.Code("conflict").Wrapf(ErrConflict, "%s %s", method, name)
 	default:
-		return platform.Object{}, oops.Code("platform-call").Errorf("%s %s: status %d", method, name, status)
+		return store.Object{}, oops.Code("platform-call").Errorf("%s %s: status %d", method, name, status)
 	}
 }
 
 // List returns all objects whose names begin with prefix.
-func (c *Client) List(ctx context.Context, prefix string) (platform.Update, error) {
+func (c *Client) List(ctx context.Context, prefix string) (store.Update, error) {
 	return c.list(ctx, url.Values{"prefix": {prefix}})
 }
 
 // Watch waits up to wait for a change after a revision and returns the
 // changes. The update's Revision is that of its last change, and after itself
 // without one: writes outside the prefix do not move it.
-func (c *Client) Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) (platform.Update, error) {
+func (c *Client) Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) (store.Update, error) {
 	u, err := c.list(ctx, url.Values{
 		"prefix": {prefix},
 		"after":  {strconv.FormatUint(after, 10)},
@@ -125,20 +125,20 @@
 	return u, nil
 }
 
-func (c *Client) list(ctx context.Context, query url.Values) (platform.Update, error) {
+func (c *Client) list(ctx context.Context, query url.Values) (store.Update, error) {
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, c.base+"/objects?"+query.Encode(), nil)
 	if err != nil {
-		return platform.Update{}, oops.Code("platform-call").Wrapf(err, "list")
+		return store.Update{}, oops.Code("platform-call").Wrapf(err, "list")
 	}
 	var m ListMessage
 	status, err := c.do(request, &m)
 	if err != nil {
-		return platform.Update{}, err
+		return store.Update{}, err
 	}
 	if status != http.StatusOK {
-		return platform.Update{}, oops.Code("platform-call").Errorf("list: status %d", status)
+		return store.Update{}, oops.Code("platform-call").Errorf("list: status %d", status)
 	}
-	u := platform.Update{From: m.From, Revision: m.Revision, Objects: make([]platform.Object, len(m.Objects))}
+	u := store.Update{From: m.From, Revision: m.Revision, Objects: make([]store.Object, len(m.Objects))}
 	for i := range m.Objects {
 		u.Objects[i] = m.Objects[i].Object()
 	}
@@ -164,8 +164,8 @@
 }
 
 // Object returns the message as the object that the replica keeps.
-func (m Message) Object() platform.Object {
-	return platform.Object{Name: m.Name, Version: m.Version, Value: m.Value, Deleted: m.Deleted}
+func (m Message) Object() store.Object {
+	return store.Object{Name: m.Name, Version: m.Version, Value: m.Value, Deleted: m.Deleted}
 }
 
 // String describes the message for logs.
--- a/test/proof/bench_test.go
+++ b/test/proof/bench_test.go
@@ -10,7 +10,7 @@
 	"time"
 
 	"bramleydeal/internal/standin/load"
-	"bramleydeal/internal/standin/platform"
+	"bramleydeal/internal/standin/store"
 	"github.com/HdrHistogram/hdrhistogram-go"
 )
 
@@ -196,9 +196,9 @@
 	}
 }
 
-func (d *deployment) platformCounts() platform.Counts {
+func (d *deployment) platformCounts() store.Counts {
 	d.t.Helper()
-	var c platform.Counts
+	var c store.Counts
 	d.getJSON("http://"+d.platform.String()+"/standin/counts", &c)
 	return c
 }
