--- /dev/null
+++ b/internal/core/client/attempt.go
@@ -0,0 +1,148 @@
+package client
+
+import (
+	"time"
+
+	"bramleydeal/internal/world/answer"
+)
+
+// Attempt follows one caller's request over the upstreams that it is sent to. It
+// decides after each outcome whether the request may be sent once more, and what
+// the caller is told otherwise: a refusal that promises "not run" only while
+// every upstream that was sent the request has said so.
+type Attempt struct {
+	rules AttemptRules
+	// sent counts upstreams that may have read the request, unsent the
+	// connections that failed before.
+	sent, unsent int
+	mayHaveRun   bool
+}
+
+// AttemptRules say what a request may do.
+type AttemptRules struct {
+	// Repeatable requests may be sent again after they may have run.
+	Repeatable bool
+	// Limit is the most upstreams that the request may be sent to.
+	Limit int
+	// Until is when the caller must have its answer.
+	Until time.Time
+}
+
+// Bounds of one request's tries.
+const (
+	// maxUnsent is how many connections may fail before the request is refused.
+	maxUnsent = 4
+	// minLeft is the time below which nothing more is tried: a connection, a
+	// request and an answer take some milliseconds.
+	minLeft = 15 * time.Millisecond
+)
+
+// NewAttempt returns the attempt of a request that was not sent yet.
+func NewAttempt(r AttemptRules) *Attempt { return &Attempt{rules: r} }
+
+// Outcome is how one try at an upstream ended without an answer for the caller.
+type Outcome interface{ outcome() }
+
+// Unsent means that no byte of the request left this process.
+type Unsent struct{}
+
+// Declined means that the upstream said that it did not and will not run it.
+type Declined struct{}
+
+// Lost means that the request was sent and its outcome is not known: a reset, a
+// silence, or bytes that are no whole answer.
+type Lost struct{}
+
+// Failed means that the upstream answered whole with a failure of its own.
+type Failed struct{}
+
+func (Unsent) outcome()   {}
+func (Declined) outcome() {}
+func (Lost) outcome()     {}
+func (Failed) outcome()   {}
+
+// Next is what is done after an outcome.
+type Next interface{ next() }
+
+// Again sends the request to another upstream.
+type Again struct{}
+
+// RefuseWith ends the request with a refusal of this process.
+type RefuseWith struct{ Kind answer.Kind }
+
+// PassOn gives the caller the upstream's own failure.
+type PassOn struct{}
+
+func (Again) next()      {}
+func (RefuseWith) next() {}
+func (PassOn) next()     {}
+
+// Ended takes in an outcome. mayRepeat asks the retry budget, and is called only
+// where everything else allows one more try.
+func (a *Attempt) Ended(o Outcome, mayRepeat func() bool, now time.Time) Next {
+	switch o.(type) {
+	case Unsent:
+		a.unsent++
+		if a.unsent < maxUnsent && a.inTime(now) {
+			return Again{}
+		}
+	case Declined:
+		a.sent++
+		if a.mayBeSentAgain(now) && mayRepeat() {
+			return Again{}
+		}
+	case Lost:
+		a.sent++
+		a.mayHaveRun = true
+		if a.rules.Repeatable && a.mayBeSentAgain(now) && mayRepeat() {
+			return Again{}
+		}
+	case Failed:
+		a.sent++
+		a.mayHaveRun = true
+		if a.rules.Repeatable && a.mayBeSentAgain(now) && mayRepeat() {
+			return Again{}
+		}
+		return PassOn{}
+	}
+	return a.giveUp(now)
+}
+
+// Unserved tells what the caller is told when no upstream can take the request.
+func (a *Attempt) Unserved(now time.Time) RefuseWith {
+	if a.mayHaveRun {
+		return a.giveUp(now)
+	}
+	return RefuseWith{answer.NoUpstream}
+}
+
+// TimedOut tells what the caller is told when its time is up. underWay is true
+// while an upstream that was sent the request has not answered.
+func (a *Attempt) TimedOut(underWay bool) RefuseWith {
+	if underWay || a.mayHaveRun {
+		return RefuseWith{answer.DeadlineExceeded}
+	}
+	return RefuseWith{answer.Overloaded}
+}
+
+func (a *Attempt) giveUp(now time.Time) RefuseWith {
+	switch {
+	case a.mayHaveRun && !a.inTime(now):
+		return RefuseWith{answer.DeadlineExceeded}
+	case a.mayHaveRun:
+		return RefuseWith{answer.UpstreamFailed}
+	case a.sent == 0:
+		return RefuseWith{answer.NoUpstream}
+	default:
+		return RefuseWith{answer.Overloaded}
+	}
+}
+
+func (a *Attempt) mayBeSentAgain(now time.Time) bool {
+	return a.sent < a.rules.Limit && a.inTime(now)
+}
+
+func (a *Attempt) inTime(now time.Time) bool { return a.rules.Until.Sub(now) >= minLeft }
+
+// Sent returns how many upstreams may have read the request.
+func (a *Attempt) Sent() int { return a.sent }
--- a/internal/core/upstream/choice.go
+++ b/internal/core/upstream/choice.go
@@ -43,15 +43,6 @@
 	Anew     bool
 }
 
-type health struct {
-	failures     int
-	ejections    int
-	ejectedUntil time.Time
-	// probing is true while one request tries an upstream back from ejection.
-	probing bool
-	typical time.Duration
-}
-
 // Rules are the settings of the choice among upstreams.
 type Rules struct {
 	EjectionFailures int
@@ -69,17 +60,8 @@
 	silentReports = 4
 	// minSilence is the least time without a word before that.
 	minSilence = 1500 * time.Millisecond
-	// maxEjectionFactor bounds the doubling of the ejection time.
-	maxEjectionFactor = 10
 	// othersTime is the time over which the others' load is averaged.
 	othersTime = 10 * time.Second
-	// typicalGain is the weight of a new time in the moving average.
-	typicalGain = 0.1
-	// minSamplesSlow is how many upstreams must have a typical time before one
-	// is called slow.
-	minSamplesSlow = 3
-	// minSlowTime is a typical time below which no upstream is called slow.
-	minSlowTime = 20 * time.Millisecond
 	// prefixBonus is the share of a full load that a preferred upstream's cache
 	// outweighs, holderBonus that of one that reported the prefix some time ago.
 	prefixBonus = 0.5
@@ -247,7 +229,7 @@
 		c := s.candidates[name]
 		switch {
 		case c.leaving() || slices.Contains(q.Exclude, name):
-		case s.ejected(c, now):
+		case c.health.out(now):
 			rest = append(rest, c)
 		case s.silent(c, now):
 			unheard = append(unheard, c)
@@ -278,15 +260,6 @@
 	return c == nil || s.silent(c, now)
 }
 
-// ejected tells whether a candidate is ejected; one whose time has passed is
-// let back with a single probe.
-func (s *Set) ejected(c *Candidate, now time.Time) bool {
-	if c.health.ejectedUntil.IsZero() {
-		return false
-	}
-	return now.Before(c.health.ejectedUntil) || c.health.probing
-}
-
 // cost is the candidate's load in shares of its slots, with what its distance
 // adds. Of the reported load, what this entry knows better itself is its own.
 func (c *Candidate) cost() float64 {
@@ -301,9 +274,7 @@
 		return
 	}
 	c.outstanding++
-	if !c.health.ejectedUntil.IsZero() && !now.Before(c.health.ejectedUntil) {
-		c.health.probing = true
-	}
+	c.health.begin(now)
 }
 
 // Result is how a request ended at an upstream.
@@ -339,20 +310,11 @@
 }
 
 func (s *Set) succeeded(c *Candidate, took time.Duration, now time.Time) {
-	c.health.failures = 0
-	if c.health.typical == 0 {
-		c.health.typical = took
-	}
-	c.health.typical += time.Duration(typicalGain * float64(took-c.health.typical))
-	if c.health.probing {
-		c.health.probing = false
-		c.health.ejectedUntil = time.Time{}
-		c.health.typical = took
-	}
-	if s.slow(c) {
+	c.health.succeeded(took)
+	if c.health.slow(s.healths(), s.rules.SlowFactor) {
 		s.eject(c, now)
-	} else if c.health.ejections > 0 && c.health.ejectedUntil.IsZero() {
-		c.health.ejections--
+	} else {
+		c.health.forgive()
 	}
 }
 
@@ -363,39 +325,20 @@
 	}
 }
 
-// slow tells whether a candidate's typical time stands out among the others'.
-func (s *Set) slow(c *Candidate) bool {
-	var typical []time.Duration
-	for _, o := range s.candidates {
-		if o.health.typical > 0 {
-			typical = append(typical, o.health.typical)
-		}
-	}
-	if len(typical) < minSamplesSlow || c.health.typical < minSlowTime {
-		return false
+func (s *Set) healths() []*health {
+	out := make([]*health, 0, len(s.order))
+	for _, name := range s.order {
+		out = append(out, &s.candidates[name].health)
 	}
-	slices.Sort(typical)
-	median := typical[(len(typical)-1)/2]
-	return float64(c.health.typical) > s.rules.SlowFactor*float64(median)
+	return out
 }
 
 // eject takes a candidate out of the choice, unless half of the set is out
 // already.
 func (s *Set) eject(c *Candidate, now time.Time) {
-	out := 0
-	for _, o := range s.candidates {
-		if o != c && !o.health.ejectedUntil.IsZero() {
-			out++
-		}
-	}
-	if 2*(out+1) > len(s.candidates) {
-		return
+	if mayEject(&c.health, s.healths()) {
+		c.health.eject(s.rules.EjectionTime, now)
 	}
-	factor := min(1<<min(c.health.ejections, 10), maxEjectionFactor)
-	c.health.ejections++
-	c.health.probing = false
-	c.health.failures = 0
-	c.health.ejectedUntil = now.Add(time.Duration(factor) * s.rules.EjectionTime)
 }
 
 // CandidateState is one upstream's part of the dump.
@@ -420,7 +363,7 @@
 		c := s.candidates[name]
 		out = append(out, CandidateState{
 			Name: name, Running: c.report.Running, Queued: c.report.Queued, Slots: c.report.Slots,
-			Outstanding: c.outstanding, Leaving: c.leaving(), Silent: s.silent(c, now), Ejected: s.ejected(c, now),
+			Outstanding: c.outstanding, Leaving: c.leaving(), Silent: s.silent(c, now), Ejected: c.health.out(now),
 			Failures: c.health.failures, TypicalMS: float64(c.health.typical) / float64(time.Millisecond), Cost: c.cost(),
 		})
 	}
--- /dev/null
+++ b/internal/core/upstream/quota.go
@@ -0,0 +1,85 @@
+package upstream
+
+import "time"
+
+// Quota bounds how often one process sends requests once more, so that all
+// processes together stay within a bound over any window: a share of the
+// requests and a fixed number. Each process keeps to its part of the number
+// without asking the others.
+type Quota struct {
+	rules   QuotaRules
+	start   time.Time
+	buckets [quotaBuckets]quotaBucket
+}
+
+// QuotaRules are the settings of a quota.
+type QuotaRules struct {
+	// Ratio is the number of repeats allowed for each request, Slack the fixed
+	// number allowed to all processes together in a window.
+	Ratio, Slack float64
+	Window       time.Duration
+	// Processes is how many share the slack.
+	Processes int
+}
+
+// quotaBuckets divide the window.
+const quotaBuckets = 20
+
+// quotaMargin is the part of the bound that is used: requests reach the
+// upstreams later than they are counted here.
+const quotaMargin = 0.85
+
+type quotaBucket struct {
+	index             int64
+	requests, repeats float64
+}
+
+// NewQuota returns a quota that has seen nothing.
+func NewQuota(r QuotaRules) *Quota { return &Quota{rules: r} }
+
+// Configure changes the rules.
+func (q *Quota) Configure(r QuotaRules) { q.rules = r }
+
+// Request counts a caller's request.
+func (q *Quota) Request(now time.Time) {
+	if b := q.bucket(now); b != nil {
+		b.requests++
+	}
+}
+
+// Repeat tells whether a request may be sent once more, and counts it.
+func (q *Quota) Repeat(now time.Time) bool {
+	b := q.bucket(now)
+	if b == nil {
+		return false
+	}
+	requests, repeats := 0.0, 0.0
+	for i := range q.buckets {
+		if o := &q.buckets[i]; o.index > b.index-quotaBuckets {
+			requests, repeats = requests+o.requests, repeats+o.repeats
+		}
+	}
+	bound := q.rules.Ratio*requests + q.rules.Slack/float64(max(q.rules.Processes, 1))
+	if repeats+1 > quotaMargin*bound {
+		return false
+	}
+	b.repeats++
+	return true
+}
+
+// bucket returns the bucket of a time, nil without a window.
+func (q *Quota) bucket(now time.Time) *quotaBucket {
+	width := q.rules.Window / quotaBuckets
+	if width <= 0 {
+		return nil
+	}
+	if q.start.IsZero() {
+		q.start = now
+	}
+	index := int64(now.Sub(q.start)/width) + 1
+	b := &q.buckets[index%quotaBuckets]
+	if b.index != index {
+		*b = quotaBucket{index: index}
+	}
+	return b
+}
--- /dev/null
+++ b/internal/entry/client/handler.go
@@ -0,0 +1,210 @@
+// Package client speaks HTTP to the callers of an entry that forwards their
+// requests unchanged, straight to the upstreams. It owns a request from its first
+// byte to the last byte of its answer; which upstream serves it and what may be
+// repeated is decided in the core.
+package client
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"bramleydeal/internal/entry/upstream"
+	"bramleydeal/internal/world/answer"
+	"bramleydeal/internal/world/service"
+	"github.com/go-logr/logr"
+)
+
+// Times and sizes of the caller side.
+const (
+	// defaultTimeout bounds a request whose route and caller name no time.
+	defaultTimeout = time.Minute
+	// answerMargin is the time before a caller's own timeout at which it is
+	// answered, so that the answer reaches it.
+	answerMargin = 30 * time.Millisecond
+	// defaultBodyBytes bounds a body where the desired state names no limit.
+	defaultBodyBytes = 4 << 20
+	// comeBack is when a caller may try again that found no upstream: an ejected
+	// one is tried again after about that time.
+	comeBack = 500 * time.Millisecond
+	// comeBackFull is the same after an upstream had no room; a queue moves on
+	// with each request that ends.
+	comeBackFull = 250 * time.Millisecond
+	// comeBackStarting is the same for a process that knows no desired state yet.
+	comeBackStarting = 300 * time.Millisecond
+)
+
+// Handler serves the callers of one entry.
+type Handler struct {
+	view    func() *service.View
+	pools   *upstream.Pools
+	dialect Dialect
+	log     logr.Logger
+
+	leaving  atomic.Bool
+	inFlight atomic.Int64
+}
+
+// New returns a handler that goes by the current view.
+func New(view func() *service.View, pools *upstream.Pools, d Dialect, log logr.Logger) *Handler {
+	return &Handler{view: view, pools: pools, dialect: d, log: log}
+}
+
+// Leave makes the handler unready and asks callers to leave their connections.
+func (h *Handler) Leave() { h.leaving.Store(true) }
+
+// InFlight returns the number of requests that have no whole answer yet.
+func (h *Handler) InFlight() int64 { return h.inFlight.Load() }
+
+// Ready tells whether the entry can serve: it knows a desired state and the
+// upstreams, and does not leave.
+func (h *Handler) Ready() bool {
+	v := h.view()
+	return !h.leaving.Load() && v.Desired != nil && v.Listed
+}
+
+// ServeReady answers the question whether the entry takes callers.
+func (h *Handler) ServeReady(w http.ResponseWriter, _ *http.Request) {
+	if !h.Ready() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+// call is one caller's request.
+type call struct {
+	info    RequestInfo
+	arrived time.Time
+	// until is when the caller must have its answer, leaves when it stops waiting.
+	until, leaves time.Time
+	view          *service.View
+	route         *service.Route
+	service       string
+	account       *service.Account
+	body          []byte
+}
+
+// ServeHTTP implements http.Handler.
+func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	h.inFlight.Add(1)
+	defer h.inFlight.Add(-1)
+	c := &call{info: h.dialect.Request(r.Header), arrived: time.Now(), view: h.view()}
+	if refusal := h.understand(w, r, c); refusal != nil {
+		h.refuse(w, c, refusal)
+		return
+	}
+	h.pools.Request(c.service, c.arrived)
+	h.forward(w, r, c)
+}
+
+// understand finds the route, the client account and the body of a request.
+func (h *Handler) understand(w http.ResponseWriter, r *http.Request, c *call) *answer.Refusal {
+	if c.view.Desired == nil {
+		return answer.Refuse(answer.NoUpstream, "no desired state is known yet").After(comeBackStarting)
+	}
+	route, ok := c.view.Route(r.Host, r.URL.Path)
+	if !ok {
+		return answer.Refuse(answer.NotFound, "no route leads to %s%s", r.Host, r.URL.Path)
+	}
+	c.route = route
+	if c.view.AsksForKeys() && !route.Public {
+		if c.account, ok = c.view.Account(c.info.Key); !ok {
+			return answer.Refuse(answer.Unauthorized, "the key belongs to no client account")
+		}
+	}
+	c.service = route.Pick(rand.Float64())
+	c.setTimes()
+	return h.readBody(w, r, c)
+}
+
+// setTimes derives when the request must be answered.
+func (c *call) setTimes() {
+	c.until = c.arrived.Add(defaultTimeout)
+	if c.route.Timeout > 0 {
+		c.until = c.arrived.Add(c.route.Timeout)
+	}
+	if c.info.TimeLeft > 0 {
+		c.leaves = c.arrived.Add(c.info.TimeLeft)
+		if early := c.leaves.Add(-answerMargin); early.Before(c.until) {
+			c.until = early
+		}
+	}
+}
+
+// readBody reads the whole body, so that it can be sent more than once.
+func (h *Handler) readBody(w http.ResponseWriter, r *http.Request, c *call) *answer.Refusal {
+	limit := c.view.Desired.Limits.BodyBytes
+	if limit <= 0 {
+		limit = defaultBodyBytes
+	}
+	if r.ContentLength == 0 {
+		return nil
+	}
+	if r.ContentLength > limit {
+		return answer.Refuse(answer.TooLarge, "the body has %d bytes, the most is %d", r.ContentLength, limit)
+	}
+	control := http.NewResponseController(w)
+	// A connection that takes no deadline is read without one.
+	_ = control.SetReadDeadline(c.until)
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+	_ = control.SetReadDeadline(time.Time{})
+	if tooLarge := new(http.MaxBytesError); errors.As(err, &tooLarge) {
+		return answer.Refuse(answer.TooLarge, "the body has more than %d bytes", limit)
+	}
+	if err != nil {
+		return answer.Refuse(answer.InvalidRequest, "the body ended early: %v", err)
+	}
+	c.body = body
+	return nil
+}
+
+// refuse answers with a refusal of the entry's own.
+func (h *Handler) refuse(w http.ResponseWriter, c *call, refusal *answer.Refusal) {
+	row := answer.Lookup(refusal.Kind)
+	h.close(w.Header())
+	h.dialect.Echo(w.Header(), c.info.ID)
+	w.Header().Set("Content-Type", "application/json")
+	if row.Retry {
+		after := refusal.RetryAfter
+		if after <= 0 {
+			after = row.RetryAfter
+		}
+		w.Header().Set("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', 3, 64))
+	}
+	w.WriteHeader(row.Status)
+	// A write error means that the caller has gone.
+	_ = json.NewEncoder(w).Encode(map[string]string{"error": string(refusal.Kind), "detail": refusal.Detail})
+	h.log.Info("refused", "request", c.info.ID, "route", c.routeName(), "kind", refusal.Kind, "status", row.Status,
+		"detail", refusal.Detail, "desired-version", c.version(), "after-ms", time.Since(c.arrived).Milliseconds())
+}
+
+func (c *call) routeName() string {
+	if c.route == nil {
+		return ""
+	}
+	return c.route.Name
+}
+
+func (c *call) version() uint64 {
+	if c.view.Desired == nil {
+		return 0
+	}
+	return c.view.Desired.Version
+}
+
+// close asks the caller to leave the connection while the entry leaves.
+func (h *Handler) close(header http.Header) {
+	if h.leaving.Load() {
+		header.Set("Connection", "close")
+	}
+}
+
+// gone tells whether the caller has closed its connection.
+func gone(ctx context.Context) bool { return errors.Is(ctx.Err(), context.Canceled) }
--- /dev/null
+++ b/internal/entry/direct/entry.go
@@ -0,0 +1,273 @@
+// Package direct puts an entry together that forwards callers' requests
+// unchanged to upstreams which it reaches without an agent: its listeners, its
+// parts and the order in which they stop.
+package direct
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"expvar"
+	"net"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"bramleydeal/internal/core/store"
+	choice "bramleydeal/internal/core/upstream"
+	"bramleydeal/internal/entry/client"
+	"bramleydeal/internal/entry/upstream"
+	"bramleydeal/internal/process/clock"
+	"bramleydeal/internal/process/config"
+	"bramleydeal/internal/process/debug"
+	"bramleydeal/internal/process/directory"
+	"bramleydeal/internal/process/log"
+	"bramleydeal/internal/process/tlsfiles"
+	"bramleydeal/internal/wire/dial"
+	"bramleydeal/internal/wire/peer"
+	"bramleydeal/internal/world/fleet"
+	"bramleydeal/internal/world/service"
+	"github.com/samber/oops"
+	"google.golang.org/grpc"
+)
+
+// Times and sizes of the caller side.
+const (
+	readHeaderTimeout = 10 * time.Second
+	// idleTimeout is longer than callers keep a connection that they do not use,
+	// so that the entry never closes one on which a request is under way.
+	idleTimeout    = 2 * time.Minute
+	maxHeaderBytes = 64 << 10
+	// rotationTime is how long callers may still be led here after the entry
+	// stopped being ready: two questions, a second apart, and the last callers.
+	rotationTime = 3200 * time.Millisecond
+	// exitMargin is kept of the grace for the exit itself.
+	exitMargin = 500 * time.Millisecond
+	// drainPoll is how often a leaving entry looks whether it is done.
+	drainPoll = 20 * time.Millisecond
+)
+
+// Settings of the choice among upstreams and of their presence.
+const (
+	// ejectionTime is the first ejection; a worker that crashed needs seconds.
+	ejectionTime     = time.Second
+	ejectionFailures = 3
+	// ejectionRate is well above the share of failures of a sound service.
+	ejectionRate = 0.4
+	slowFactor   = 3
+	// lingerShare is the part of the drain time for which a removed upstream may
+	// be used where nothing better is left.
+	lingerShare = 0.4
+	// returnTime is how long lapsed entries may take to come back.
+	returnTime = 2200 * time.Millisecond
+	// usualEntries is the number of entries assumed until any are known.
+	usualEntries = 12
+)
+
+// Deployment is what an entry meets on the operators' platform.
+type Deployment struct {
+	Store   directory.Store
+	Reader  directory.Reader
+	Dialect client.Dialect
+}
+
+// Entry is one entry process.
+type Entry struct {
+	config    config.Process
+	log       *log.Logger
+	files     *tlsfiles.Files
+	pool      *dial.Pool
+	traffic   dial.Traffic
+	store     directory.Store
+	directory *directory.Directory
+	pools     *upstream.Pools
+	handler   *client.Handler
+	metrics   *expvar.Map
+}
+
+// New puts an entry together. seed decides its random choices.
+func New(c config.Process, d Deployment, seed uint64, logger *log.Logger) (*Entry, error) {
+	files, err := tlsfiles.Load(c.TLS)
+	if err != nil {
+		return nil, err
+	}
+	e := &Entry{config: c, log: logger, files: files, store: d.Store, metrics: new(expvar.Map).Init()}
+	e.pool = dial.NewPool(files.Peers(), &e.traffic)
+	drainTime := time.Duration(c.Direct.DrainTime)
+	e.directory = directory.New(c.Name, d.Store, d.Reader, e.pool,
+		choice.PresenceRules{Linger: time.Duration(lingerShare * float64(drainTime)), Return: returnTime},
+		directory.WithSeeds(others(c)), directory.WithLog(logger.Part("directory")))
+	e.pools = upstream.NewPools(seed, c.FailureDomain, upstream.Rules{
+		Pool: choice.PoolRules{
+			EjectionTime: ejectionTime, EjectionFailures: ejectionFailures, EjectionRate: ejectionRate, SlowFactor: slowFactor,
+		},
+		Quota: choice.QuotaRules{
+			Ratio: c.Direct.RetryRatio, Slack: c.Direct.RetrySlack, Window: time.Duration(c.Direct.RetryWindow), Processes: usualEntries,
+		},
+	}, logger.Part("pools"))
+	e.handler = client.New(e.directory.View, e.pools, d.Dialect, logger.Part("client"))
+	e.metrics.Set("upstreams", expvar.Func(func() any { return e.pools.State(time.Now()) }))
+	e.metrics.Set("peers", expvar.Func(func() any { return e.traffic.State() }))
+	e.metrics.Set("memstats", expvar.Get("memstats"))
+	return e, nil
+}
+
+// others returns the peers of the settings without the process itself.
+func others(c config.Process) (out []netip.AddrPort) {
+	for _, a := range c.Peers {
+		if a != c.PeerListen {
+			out = append(out, a)
+		}
+	}
+	return out
+}
+
+// Run serves until stop ends, then drains; it returns when all is closed. ctx
+// ends everything at once.
+func (e *Entry) Run(ctx, stop context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	defer e.pool.Close()
+	e.directory.Subscribe(e.changed)
+	callers, err := e.listen(ctx)
+	if err != nil {
+		return err
+	}
+	go e.directory.Run(ctx)
+	go e.register(ctx)
+	e.log.Part("entry").Info("started", "listen", e.config.Listen, "failure-domain", e.config.FailureDomain)
+	select {
+	case <-stop.Done():
+	case <-ctx.Done():
+		return callers.Close()
+	}
+	return e.shutDown(ctx, callers)
+}
+
+func (e *Entry) changed(v *service.View, instances map[string]fleet.Instance) {
+	entries := 0
+	for _, i := range instances {
+		if i.Role == fleet.EntryRole {
+			entries++
+		}
+	}
+	if entries == 0 {
+		entries = usualEntries
+	}
+	e.pools.Update(v, entries)
+}
+
+// listen opens the entry's listeners and serves them.
+func (e *Entry) listen(ctx context.Context) (*http.Server, error) {
+	callerListener, err := net.Listen("tcp", e.config.Listen.String())
+	if err != nil {
+		return nil, oops.Code("listen").Wrapf(err, "listen: give another address, or end the process that holds it")
+	}
+	peerListener, err := e.traffic.Listen(e.config.PeerListen.String())
+	if err != nil {
+		return nil, errors.Join(err, callerListener.Close())
+	}
+	peers := grpc.NewServer(dial.ServerOptions(e.files.Peers())...)
+	peer.RegisterSpreadServer(peers, e.directory)
+	callers := &http.Server{
+		Handler: e.handler, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		ErrorLog: e.log.Standard("client"),
+	}
+	go e.report("peers", func() error { return peers.Serve(peerListener) })
+	go e.report("callers", func() error { return callers.Serve(callerListener) })
+	if e.config.ReadyListen.IsValid() {
+		go e.report("ready", func() error { return e.serveReady(ctx) })
+	}
+	if e.config.DebugListen.IsValid() {
+		go e.report("debug", func() error {
+			return debug.Serve(ctx, e.config.DebugListen, debug.Handler(e.metrics, func() any { return e.State() }, nil))
+		})
+	}
+	return callers, nil
+}
+
+func (e *Entry) serveReady(ctx context.Context) error {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /ready", e.handler.ServeReady)
+	return debug.Serve(ctx, e.config.ReadyListen, mux)
+}
+
+func (e *Entry) report(part string, serve func() error) {
+	if err := serve(); err != nil && !errors.Is(err, http.ErrServerClosed) {
+		e.log.Part("entry").Error(err, "a listener ended", "listener", part)
+	}
+}
+
+// register makes the process known to the others through the store.
+func (e *Entry) register(ctx context.Context) {
+	value, err := json.Marshal(fleet.Instance{
+		Name: e.config.Name, Role: fleet.EntryRole, FailureDomain: e.config.FailureDomain,
+		Address: e.config.PeerListen, DebugAddress: e.config.DebugListen,
+	})
+	if err != nil {
+		e.log.Part("entry").Error(err, "the process cannot be described")
+		return
+	}
+	for ctx.Err() == nil {
+		limited, cancel := context.WithTimeout(ctx, registerTimeout)
+		held, err := e.store.Create(limited, directory.Instances, e.config.Name, value)
+		if errors.Is(err, store.ErrConflict) && string(held.Value) != string(value) {
+			_, err = e.store.Replace(limited, directory.Instances, e.config.Name, value, held.Version)
+		}
+		cancel()
+		if err == nil || errors.Is(err, store.ErrConflict) {
+			e.log.Part("entry").Info("registered", "address", e.config.PeerListen)
+			return
+		}
+		e.log.Part("entry").V(1).Info("not registered yet", "reason", err.Error())
+		clock.Sleep(ctx, registerPause)
+	}
+}
+
+// Times of the registration.
+const (
+	registerTimeout = 2 * time.Second
+	registerPause   = 2 * time.Second
+)
+
+// shutDown goes on serving until no caller is led here any more and every
+// request has its answer, or the grace is nearly over.
+func (e *Entry) shutDown(ctx context.Context, callers *http.Server) error {
+	l := e.log.Part("entry")
+	began := time.Now()
+	end := began.Add(time.Duration(e.config.Direct.Grace) - exitMargin)
+	l.Info("leaving", "grace", time.Duration(e.config.Direct.Grace).String(), "in-flight", e.handler.InFlight())
+	e.handler.Leave()
+	callers.SetKeepAlivesEnabled(false)
+	clock.Sleep(ctx, min(rotationTime, time.Until(end)))
+	for e.handler.InFlight() > 0 && time.Now().Before(end) && ctx.Err() == nil {
+		clock.Sleep(ctx, drainPoll)
+	}
+	l.Info("stopped", "in-flight", e.handler.InFlight(), "took-ms", time.Since(began).Milliseconds())
+	limited, cancel := context.WithDeadline(ctx, end)
+	defer cancel()
+	if err := callers.Shutdown(limited); err != nil {
+		return oops.Wrap(callers.Close())
+	}
+	return nil
+}
+
+// State is the entry's dump.
+type State struct {
+	Instance      string                          `json:"instance"`
+	Role          fleet.Role                      `json:"role"`
+	FailureDomain fleet.FailureDomain             `json:"failure-domain"`
+	Ready         bool                            `json:"ready"`
+	InFlight      int64                           `json:"in-flight"`
+	Directory     directory.State                 `json:"directory"`
+	Upstreams     map[string][]choice.MemberState `json:"upstreams"`
+	Peers         dial.TrafficState               `json:"peers"`
+}
+
+// State returns the entry's dump.
+func (e *Entry) State() State {
+	return State{
+		Instance: e.config.Name, Role: fleet.EntryRole, FailureDomain: e.config.FailureDomain, Ready: e.handler.Ready(),
+		InFlight: e.handler.InFlight(), Directory: e.directory.State(), Upstreams: e.pools.State(time.Now()), Peers: e.traffic.State(),
+	}
+}
--- a/internal/entry/store/claims.go
+++ b/internal/entry/store/claims.go
@@ -10,6 +10,7 @@
 	"errors"
 	"time"
 
+	core "bramleydeal/internal/core/store"
 	"bramleydeal/internal/store/object"
 	"bramleydeal/internal/world/answer"
 	"github.com/samber/oops"
@@ -62,7 +63,7 @@
 		switch {
 		case err == nil:
 			return proposed, nil
-		case errors.Is(err, object.ErrConflict):
+		case errors.Is(err, core.ErrConflict):
 			return parseBinding(held.Value)
 		}
 		select {
--- a/internal/entry/store/lease.go
+++ b/internal/entry/store/lease.go
@@ -101,12 +101,12 @@
 			held, err = l.client.Put(ctx, l.name, value, v.IfVersion)
 		}
 	}
-	if errors.Is(err, object.ErrNotFound) {
+	if errors.Is(err, core.ErrNotFound) {
 		l.candidate.Observed(core.Lease{}, 0, time.Now())
 		return
 	}
 	var lease core.Lease
-	if err != nil && !errors.Is(err, object.ErrConflict) || json.Unmarshal(held.Value, &lease) != nil {
+	if err != nil && !errors.Is(err, core.ErrConflict) || json.Unmarshal(held.Value, &lease) != nil {
 		l.candidate.Failed()
 		return
 	}
--- a/internal/entry/store/sweep.go
+++ b/internal/entry/store/sweep.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	core "bramleydeal/internal/core/store"
 	"bramleydeal/internal/process/clock"
 	"bramleydeal/internal/settings/reference"
 	"bramleydeal/internal/settings/snapshot"
@@ -98,7 +99,7 @@
 		if json.Unmarshal(c.Value, &b) != nil || time.Since(b.At) < retention {
 			continue
 		}
-		if err := s.client.Delete(ctx, c.Name, c.Version); err != nil && !errors.Is(err, object.ErrConflict) {
+		if err := s.client.Delete(ctx, c.Name, c.Version); err != nil && !errors.Is(err, core.ErrConflict) {
 			s.failed.Add(1)
 			return
 		}
--- /dev/null
+++ b/internal/entry/upstream/pools.go
@@ -0,0 +1,120 @@
+package upstream
+
+import (
+	"slices"
+	"sync"
+	"time"
+
+	core "bramleydeal/internal/core/upstream"
+	"bramleydeal/internal/world/fleet"
+	"bramleydeal/internal/world/service"
+	"github.com/go-logr/logr"
+)
+
+// Rules are the settings of an entry's choice among directly reached upstreams.
+type Rules struct {
+	Pool  core.PoolRules
+	Quota core.QuotaRules
+}
+
+// Pools holds the pool and the retry quota of each service.
+type Pools struct {
+	domain fleet.FailureDomain
+	seed   uint64
+	log    logr.Logger
+
+	// mu guards all below. The core's decisions take microseconds, so that a lock
+	// is cheaper than a goroutine of its own.
+	mu       sync.Mutex
+	rules    Rules
+	services map[string]*pooled
+}
+
+type pooled struct {
+	pool  *core.Pool
+	quota *core.Quota
+}
+
+// NewPools returns pools that hold no service.
+func NewPools(seed uint64, domain fleet.FailureDomain, rules Rules, log logr.Logger) *Pools {
+	return &Pools{domain: domain, seed: seed, log: log, rules: rules, services: map[string]*pooled{}}
+}
+
+// Update takes in a new view. processes is the number of entries that share the
+// retry quota and the upstreams' connections.
+func (p *Pools) Update(v *service.View, processes int) {
+	members := map[string][]service.Upstream{}
+	for _, u := range v.Upstreams {
+		members[u.Service] = append(members[u.Service], u)
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.rules.Quota.Processes = max(processes, 1)
+	for name := range members {
+		p.of(name)
+	}
+	for name, s := range p.services {
+		rules := p.rules.Pool
+		if v.Desired != nil && v.Desired.Services[name].MaxConnections > 0 {
+			rules.Outstanding = max(v.Desired.Services[name].MaxConnections/p.rules.Quota.Processes, 1)
+		}
+		s.pool.Configure(members[name], rules)
+		s.quota.Configure(p.rules.Quota)
+	}
+}
+
+// of returns a service's pool and quota; p.mu is held.
+func (p *Pools) of(name string) *pooled {
+	s := p.services[name]
+	if s == nil {
+		s = &pooled{core.NewPool(p.seed, p.domain, p.rules.Pool), core.NewQuota(p.rules.Quota)}
+		p.services[name] = s
+	}
+	return s
+}
+
+// Choose returns the upstream of a service for a request and counts it as begun.
+func (p *Pools) Choose(name string, s core.Selection, now time.Time) (service.Upstream, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.of(name).pool.Choose(s, now)
+}
+
+// Ended records how a request ended at an upstream.
+func (p *Pools) Ended(u service.Upstream, o core.Outcome, took time.Duration, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.of(u.Service).pool.Ended(u.ID, o, took, now)
+}
+
+// Said records an upstream's word about its load.
+func (p *Pools) Said(u service.Upstream, running, waiting int, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.of(u.Service).pool.Said(u.ID, running, waiting, now)
+}
+
+// Request counts a caller's request for a service.
+func (p *Pools) Request(name string, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.of(name).quota.Request(now)
+}
+
+// Repeat tells whether a request to a service may be sent once more.
+func (p *Pools) Repeat(name string, now time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.of(name).quota.Repeat(now)
+}
+
+// State returns the pools' part of the dump.
+func (p *Pools) State(now time.Time) map[string][]core.MemberState {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	out := map[string][]core.MemberState{}
+	for name, s := range p.services {
+		out[name] = slices.Clip(s.pool.State(now))
+	}
+	return out
+}
--- a/internal/operator/command/process.go
+++ b/internal/operator/command/process.go
@@ -12,11 +12,13 @@
 	"syscall"
 
 	agent "bramleydeal/internal/agent/server"
+	"bramleydeal/internal/entry/direct"
 	entry "bramleydeal/internal/entry/server"
 	"bramleydeal/internal/operator/local"
 	"bramleydeal/internal/process/config"
 	"bramleydeal/internal/process/log"
 	"bramleydeal/internal/world/fleet"
+	"bramleydeal/platform"
 	"github.com/google/subcommands"
 	"github.com/samber/oops"
 )
@@ -36,6 +38,9 @@
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	defer signal.Stop(signals)
+	// A changed settings file is read at the next start; the signal must not end
+	// the process.
+	signal.Ignore(syscall.SIGHUP)
 	go func() {
 		<-signals
 		drain()
@@ -53,9 +58,13 @@
 	return []subcommands.Command{entryCommand(), agentCommand(), localCommand(), versionCommand()}
 }
 
+// environmentSettings names the settings file of a process that is started without
+// arguments.
+const environmentSettings = "BRAMLEYDEAL_SETTINGS"
+
 // settingsFile adds the -settings flag.
 func settingsFile(f *flag.FlagSet, path *string) {
-	f.StringVar(path, "settings", "", "the process's settings file, JSON with comments")
+	f.StringVar(path, "settings", os.Getenv(environmentSettings), "the process's settings file, JSON with comments; $"+environmentSettings+" sets it too")
 }
 
 func entryCommand() *command {
@@ -70,12 +79,20 @@
 				return err
 			}
 			return serve(ctx, func(ctx context.Context) (process, error) {
+				if c.Direct != nil {
+					return direct.New(c, deployment(c), rand.Uint64(), log.New(os.Stdout, c.LogFormat, c.Name))
+				}
 				return entry.New(ctx, c, rand.Uint64(), log.New(os.Stderr, c.LogFormat, c.Name))
 			})
 		},
 	}
 }
 
+// deployment returns what a process meets on the operators' platform.
+func deployment(c config.Process) direct.Deployment {
+	return direct.Deployment{Store: platform.NewStore(c.Platform), Reader: platform.Reader{}, Dialect: platform.Dialect{}}
+}
+
 func agentCommand() *command {
 	var path string
 	return &command{
--- a/internal/operator/store/levels.go
+++ b/internal/operator/store/levels.go
@@ -59,7 +59,7 @@
 // Read returns the level at path.
 func (o *Operator) Read(ctx context.Context, path string) (Versioned, error) {
 	held, err := o.client.Get(ctx, fleet.SettingsPrefix+path)
-	if errors.Is(err, object.ErrNotFound) {
+	if errors.Is(err, core.ErrNotFound) {
 		l, err := tree.ParseLevel(path, []byte("{}"))
 		return Versioned{Level: l}, err
 	}
@@ -77,10 +77,10 @@
 	name := fleet.SettingsPrefix + v.Level.Path()
 	value := v.Level.Marshal()
 	held, err := o.client.Put(ctx, name, value, v.Version)
-	if err != nil && !errors.Is(err, object.ErrConflict) {
+	if err != nil && !errors.Is(err, core.ErrConflict) {
 		held, err = o.readBack(ctx, name, value, v.Version, err)
 	}
-	if errors.Is(err, object.ErrConflict) {
+	if errors.Is(err, core.ErrConflict) {
 		return 0, o.conflict(v, held)
 	}
 	return held.Version, err
@@ -95,7 +95,7 @@
 	if bytes.Equal(compact(held.Value), compact(value)) {
 		return held, nil
 	}
-	return held, object.ErrConflict
+	return held, core.ErrConflict
 }
 
 func compact(value []byte) []byte {
@@ -197,7 +197,7 @@
 		if marshalErr != nil {
 			return oops.Wrap(marshalErr)
 		}
-		if _, err = o.client.Put(ctx, historyPrefix+path, value, version); !errors.Is(err, object.ErrConflict) {
+		if _, err = o.client.Put(ctx, historyPrefix+path, value, version); !errors.Is(err, core.ErrConflict) {
 			break
 		}
 	}
@@ -215,7 +215,7 @@
 
 func (o *Operator) history(ctx context.Context, path string) ([]Record, uint64, error) {
 	held, err := o.client.Get(ctx, historyPrefix+path)
-	if errors.Is(err, object.ErrNotFound) {
+	if errors.Is(err, core.ErrNotFound) {
 		return nil, 0, nil
 	}
 	if err != nil {
@@ -299,7 +299,7 @@
 	}
 	name := fleet.InstancePrefix + i.Name
 	held, err := o.client.Get(ctx, name)
-	if err != nil && !errors.Is(err, object.ErrNotFound) {
+	if err != nil && !errors.Is(err, core.ErrNotFound) {
 		return err
 	}
 	if bytes.Equal(compact(held.Value), value) {
--- a/internal/process/config/config.go
+++ b/internal/process/config/config.go
@@ -6,8 +6,10 @@
 import (
 	"bytes"
 	"encoding/json"
+	"errors"
 	"net/netip"
 	"os"
+	"time"
 
 	"bramleydeal/internal/process/log"
 	"bramleydeal/internal/world/fleet"
@@ -52,6 +54,9 @@
 	FailureDomain fleet.FailureDomain `json:"failure-domain"`
 	// Listen is where an entry serves callers.
 	Listen netip.AddrPort `json:"listen"`
+	// ReadyListen is where an entry tells whether it takes callers, when that has
+	// a listener of its own.
+	ReadyListen netip.AddrPort `json:"ready-listen"`
 	// PeerListen is where the process serves the other processes.
 	PeerListen  netip.AddrPort `json:"peer-listen"`
 	DebugListen netip.AddrPort `json:"debug-listen"`
@@ -63,6 +68,35 @@
 	TLS       TLS              `json:"tls"`
 	// PlainOutsideLoopback allows listening off loopback without TLS.
 	PlainOutsideLoopback bool `json:"plain-outside-loopback"`
+	// Direct is set for a process that works by the operators' prepared platform:
+	// its entries reach the upstreams without an agent in front of them.
+	Direct *Direct `json:"direct"`
+}
+
+// Direct is what a process needs to know of a deployment on the prepared platform.
+type Direct struct {
+	// DrainTime is the time within which a leaving upstream must get no more work,
+	// Grace the time between the signal to stop and the kill.
+	DrainTime Duration `json:"drain-time"`
+	Grace     Duration `json:"grace"`
+	// RetryRatio is the number of repeats for each request that all entries
+	// together may make in RetryWindow, RetrySlack a number of them beside.
+	RetryRatio  float64  `json:"retry-ratio"`
+	RetrySlack  float64  `json:"retry-slack"`
+	RetryWindow Duration `json:"retry-window"`
+}
+
+// Duration is a time written like "1500ms".
+type Duration time.Duration
+
+// UnmarshalText implements encoding.TextUnmarshaler.
+func (d *Duration) UnmarshalText(text []byte) error {
+	v, err := time.ParseDuration(string(text))
+	if err != nil {
+		return oops.Code("invalid-settings").Wrapf(err, "write a time such as \"1500ms\"")
+	}
+	*d = Duration(v)
+	return nil
 }
 
 // Read reads and checks a settings file for a role.
@@ -119,7 +153,23 @@
 	case (p.TLS.Certificate == "") != (p.TLS.Key == "") || (p.TLS.Certificate == "") != (p.TLS.Authority == ""):
 		return fail("tls", "give certificate, key and authority together")
 	}
-	return p.checkExposure()
+	return errors.Join(p.checkDirect(), p.checkExposure())
+}
+
+// checkDirect checks what only a process on the prepared platform has.
+func (p Process) checkDirect() error {
+	d := p.Direct
+	switch {
+	case d == nil:
+		return nil
+	case !p.Platform.IsValid():
+		return oops.Code("invalid-settings").Errorf("platform: give the address of the platform's store")
+	case d.DrainTime <= 0 || d.Grace <= 0 || d.RetryWindow <= 0:
+		return oops.Code("invalid-settings").Errorf("direct: drain-time, grace and retry-window: give times above 0, such as \"2s\"")
+	case d.RetryRatio < 0 || d.RetrySlack < 0:
+		return oops.Code("invalid-settings").Errorf("direct: retry-ratio and retry-slack: give numbers of 0 or more")
+	}
+	return nil
 }
 
 // checkExposure refuses to listen off loopback without TLS unless told so.
--- /dev/null
+++ b/internal/process/directory/directory.go
@@ -0,0 +1,506 @@
+// Package directory keeps what a process knows of the desired state, of the
+// upstreams and of the other instances: from the store by watches, and from its
+// peers while the store does not serve it. What may be used of a lagging list is
+// decided in core/upstream, what is newer in core/store.
+package directory
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"bramleydeal/internal/core/store"
+	"bramleydeal/internal/core/upstream"
+	"bramleydeal/internal/process/clock"
+	"bramleydeal/internal/wire/dial"
+	"bramleydeal/internal/wire/peer"
+	"bramleydeal/internal/world/fleet"
+	"bramleydeal/internal/world/service"
+	"github.com/go-logr/logr"
+)
+
+// Kind is a kind of objects with a revision of its own.
+type Kind string
+
+// The kinds that are kept.
+const (
+	// DesiredState has one object, the newest desired state.
+	DesiredState Kind = "desired-state"
+	// Upstreams has one object for each worker that registered itself.
+	Upstreams Kind = "upstreams"
+	// Instances has one object for each process of this system that serves others.
+	Instances Kind = "instances"
+)
+
+// Store is where the objects come from.
+type Store interface {
+	// List returns all objects of a kind.
+	List(ctx context.Context, k Kind) (store.Update, error)
+	// Watch waits for changes after a revision. store.ErrHistoryGone says that
+	// the kind has to be listed again.
+	Watch(ctx context.Context, k Kind, after uint64, wait time.Duration) (store.Update, error)
+	// Create makes an object; store.ErrConflict comes with the one that stands.
+	Create(ctx context.Context, k Kind, name string, value []byte) (store.Object, error)
+	// Replace changes an object whose version must be version.
+	Replace(ctx context.Context, k Kind, name string, value []byte, version uint64) (store.Object, error)
+}
+
+// Reader turns objects into what they say.
+type Reader interface {
+	Desired(value []byte) (*service.Desired, error)
+	Upstream(name string, value []byte) (service.Upstream, error)
+}
+
+// Times of the calls to store and peers.
+const (
+	callTimeout = 2 * time.Second
+	// watchWait is how long a watch waits at the store; each one is a call.
+	watchWait = 25 * time.Second
+	// watchMargin is the time beyond that after which a watch is taken for lost.
+	watchMargin = 2 * time.Second
+	// minPause and maxPause bound the pause after a failed call.
+	minPause = 200 * time.Millisecond
+	maxPause = time.Second
+	// askPeers is how often peers are asked while the store fails.
+	askPeers = 300 * time.Millisecond
+	// comparePeers is how often one peer is asked while it does not: a store that
+	// keeps silent to this process alone looks like one without news.
+	comparePeers = 900 * time.Millisecond
+	// peersAsked is how many peers are asked at a time while the store fails.
+	peersAsked = 3
+	// peerTimeout bounds a call to a peer.
+	peerTimeout = time.Second
+)
+
+// Directory is one process's knowledge.
+type Directory struct {
+	peer.UnimplementedSpreadServer
+
+	self   string
+	store  Store
+	reader Reader
+	seeds  []netip.AddrPort
+	pool   *dial.Pool
+	log    logr.Logger
+
+	view atomic.Pointer[service.View]
+
+	// mu guards all below.
+	mu          sync.Mutex
+	replicas    map[Kind]*store.Replica
+	presence    *upstream.Presence
+	instances   map[string]fleet.Instance
+	recheck     *time.Timer
+	subscribers []func(*service.View, map[string]fleet.Instance)
+	// health of the store as each kind's calls found it.
+	contact map[Kind]contact
+	// interrupt ends the pending watch of a kind.
+	interrupt map[Kind]context.CancelFunc
+	stats     Stats
+}
+
+// contact is when calls of one kind to the store last failed and answered.
+type contact struct {
+	failing  bool
+	failedAt time.Time
+	// returned is when the store answered again after a failure.
+	returned time.Time
+	answered time.Time
+}
+
+// Stats counts what a directory did.
+type Stats struct {
+	StoreCalls  uint64 `json:"store-calls"`
+	StoreErrors uint64 `json:"store-errors"`
+	PeerCalls   uint64 `json:"peer-calls"`
+	PeerUpdates uint64 `json:"peer-updates"`
+}
+
+// Option configures a Directory.
+type Option func(*Directory)
+
+// WithSeeds names peers that are known before any instance is.
+func WithSeeds(seeds []netip.AddrPort) Option { return func(d *Directory) { d.seeds = seeds } }
+
+// WithLog sets the logger.
+func WithLog(l logr.Logger) Option { return func(d *Directory) { d.log = l } }
+
+// New returns the directory of the named instance. It knows nothing before Run.
+func New(self string, s Store, r Reader, pool *dial.Pool, rules upstream.PresenceRules, options ...Option) *Directory {
+	d := &Directory{
+		self: self, store: s, reader: r, pool: pool, log: logr.Discard(),
+		replicas:  map[Kind]*store.Replica{},
+		presence:  upstream.NewPresence(rules),
+		instances: map[string]fleet.Instance{},
+		contact:   map[Kind]contact{},
+		interrupt: map[Kind]context.CancelFunc{},
+	}
+	for _, k := range kinds {
+		d.replicas[k] = store.NewReplica()
+	}
+	for _, o := range options {
+		o(d)
+	}
+	d.view.Store(service.NewView(nil, nil, false))
+	return d
+}
+
+var kinds = []Kind{DesiredState, Upstreams, Instances}
+
+// View returns what is known now.
+func (d *Directory) View() *service.View { return d.view.Load() }
+
+// Subscribe calls f now and after each change, one call at a time.
+func (d *Directory) Subscribe(f func(*service.View, map[string]fleet.Instance)) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.subscribers = append(d.subscribers, f)
+	f(d.View(), d.instances)
+}
+
+// Run keeps the directory up to date until ctx ends.
+func (d *Directory) Run(ctx context.Context) {
+	var duties sync.WaitGroup
+	for _, k := range kinds {
+		duties.Go(func() { d.follow(ctx, k) })
+	}
+	duties.Go(func() { d.followPeers(ctx) })
+	duties.Wait()
+}
+
+// follow keeps one kind up to date from the store.
+func (d *Directory) follow(ctx context.Context, k Kind) {
+	pause := minPause
+	anew := true
+	for ctx.Err() == nil {
+		u, err := d.ask(ctx, k, anew)
+		switch {
+		case errors.Is(err, store.ErrHistoryGone):
+			d.log.Info("the store forgot its history, listing again", "kind", k)
+			anew = true
+		case err != nil:
+			d.failed(k, err)
+			clock.Sleep(ctx, pause/2+rand.N(pause))
+			pause = min(2*pause, maxPause)
+		default:
+			pause, anew = minPause, false
+			d.answered(k)
+			d.apply(k, u, "store")
+		}
+	}
+}
+
+// ask lists a kind, or waits for its changes.
+func (d *Directory) ask(ctx context.Context, k Kind, anew bool) (store.Update, error) {
+	d.mu.Lock()
+	revision := d.replicas[k].Revision()
+	failing := d.contact[k].failing
+	d.stats.StoreCalls++
+	d.mu.Unlock()
+	if anew || revision == 0 {
+		ctx, cancel := context.WithTimeout(ctx, callTimeout)
+		defer cancel()
+		return d.store.List(ctx, k)
+	}
+	wait := watchWait
+	if failing {
+		wait = 0 // tells at once whether the store answers again
+	}
+	ctx, cancel := context.WithTimeout(ctx, wait+watchMargin)
+	defer cancel()
+	d.mu.Lock()
+	d.interrupt[k] = cancel
+	d.mu.Unlock()
+	return d.store.Watch(ctx, k, revision, wait)
+}
+
+func (d *Directory) failed(k Kind, err error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.stats.StoreErrors++
+	c := d.contact[k]
+	if !c.failing {
+		d.log.Info("the store is lost", "kind", k, "revision", d.replicas[k].Revision(), "reason", err.Error())
+	}
+	c.failing, c.failedAt = true, time.Now()
+	d.contact[k] = c
+}
+
+func (d *Directory) answered(k Kind) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	c := d.contact[k]
+	c.answered = time.Now()
+	if c.failing {
+		c.failing, c.returned = false, c.answered
+		d.log.Info("the store is back", "kind", k)
+	}
+	d.contact[k] = c
+}
+
+// apply moves one kind forward and publishes what follows. What is older than
+// what the process knows is refused, whoever sends it.
+func (d *Directory) apply(k Kind, u store.Update, source string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	before := d.replicas[k].Revision()
+	if outcome := d.replicas[k].Apply(u); outcome != store.Applied {
+		return
+	}
+	d.log.V(1).Info("objects changed", "kind", k, "revision", u.Revision, "from", before, "source", source, "objects", len(u.Objects))
+	switch k {
+	case DesiredState:
+		d.readDesired(source)
+	case Upstreams:
+		d.readUpstreams(source)
+	case Instances:
+		d.readInstances()
+	}
+}
+
+// readDesired takes the newest desired state into force; d.mu is held.
+func (d *Directory) readDesired(source string) {
+	now := d.View()
+	for _, o := range d.replicas[DesiredState].List("") {
+		next, err := d.reader.Desired(o.Value)
+		if err != nil {
+			d.log.Error(err, "a desired state cannot be read, the one before stays in force", "object", o.Name, "revision", o.Version)
+			continue
+		}
+		if now.Desired != nil && next.Version <= now.Desired.Version {
+			continue
+		}
+		now = service.NewView(next, now.Upstreams, now.Listed)
+		d.log.Info("desired state in force", "version", next.Version, "revision", o.Version, "source", source,
+			"routes", len(next.Routes), "accounts", len(next.Accounts))
+	}
+	d.publish(now)
+}
+
+// readUpstreams takes in the list of workers; d.mu is held.
+func (d *Directory) readUpstreams(source string) {
+	list := map[string]service.Upstream{}
+	for _, o := range d.replicas[Upstreams].List("") {
+		u, err := d.reader.Upstream(o.Name, o.Value)
+		if err != nil {
+			d.log.V(1).Info("an entry names no upstream", "object", o.Name, "revision", o.Version, "reason", err.Error())
+			continue
+		}
+		list[u.ID] = u
+	}
+	d.logChanges(list, source)
+	d.presence.Listed(list, d.sinceReturn(), time.Now())
+	d.publishUsable()
+}
+
+// logChanges writes a line for each upstream that came, changed or went.
+func (d *Directory) logChanges(list map[string]service.Upstream, source string) {
+	before := d.View().Upstreams
+	for id, u := range list {
+		old, known := before[id]
+		if !known || old.Leaving != u.Leaving || old.Incarnation() != u.Incarnation() || old.Lapsed {
+			d.log.Info("upstream listed", "upstream", id, "address", u.Address, "service", u.Service, "leaving", u.Leaving, "source", source)
+		}
+	}
+	for id, u := range before {
+		if _, stays := list[id]; !stays && !u.Lapsed {
+			d.log.Info("upstream no longer listed", "upstream", id, "service", u.Service, "source", source, "store-back-ms", d.sinceReturn().Milliseconds())
+		}
+	}
+}
+
+// sinceReturn is the time since the store answered again, 0 while it is away,
+// negative if it never was; d.mu is held.
+func (d *Directory) sinceReturn() time.Duration {
+	c := d.contact[Upstreams]
+	switch {
+	case c.failing:
+		return 0
+	case c.returned.IsZero():
+		return -1
+	default:
+		return time.Since(c.returned)
+	}
+}
+
+// publishUsable publishes the upstreams that may be used now, and again when
+// that changes by time alone; d.mu is held.
+func (d *Directory) publishUsable() {
+	usable, next := d.presence.Usable(time.Now())
+	if d.recheck != nil {
+		d.recheck.Stop()
+	}
+	if !next.IsZero() {
+		d.recheck = time.AfterFunc(time.Until(next), func() {
+			d.mu.Lock()
+			defer d.mu.Unlock()
+			d.publishUsable()
+		})
+	}
+	d.publish(d.View().WithUpstreams(usable))
+}
+
+// readInstances takes in the list of processes; d.mu is held.
+func (d *Directory) readInstances() {
+	instances := map[string]fleet.Instance{}
+	for _, o := range d.replicas[Instances].List("") {
+		i, err := fleet.ParseInstance(o.Value)
+		if err != nil {
+			d.log.Info("an instance cannot be read", "object", o.Name, "reason", err.Error())
+			continue
+		}
+		instances[i.Name] = i
+	}
+	d.instances = instances
+	d.publish(d.View())
+}
+
+// publish makes a view the current one; d.mu is held.
+func (d *Directory) publish(v *service.View) {
+	d.view.Store(v)
+	for _, f := range d.subscribers {
+		f(v, d.instances)
+	}
+}
+
+// peers returns at most n peers to ask, in random order.
+func (d *Directory) peers(n int) []netip.AddrPort {
+	d.mu.Lock()
+	out := slices.Clone(d.seeds)
+	for _, i := range d.instances {
+		if i.Name != d.self && !slices.Contains(out, i.Address) {
+			out = append(out, i.Address)
+		}
+	}
+	d.mu.Unlock()
+	rand.Shuffle(len(out), func(i, j int) { out[i], out[j] = out[j], out[i] })
+	return out[:min(n, len(out))]
+}
+
+// followPeers asks peers for what the store does not tell.
+func (d *Directory) followPeers(ctx context.Context) {
+	ticker := time.NewTicker(askPeers)
+	defer ticker.Stop()
+	compared := time.Now()
+	for {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+		ask, count := d.missing(), peersAsked
+		if len(ask) == 0 && time.Since(compared) >= comparePeers {
+			ask, count = []Kind{DesiredState, Upstreams}, 1
+			compared = time.Now()
+		}
+		if len(ask) == 0 {
+			continue
+		}
+		for _, a := range d.peers(count) {
+			for _, k := range ask {
+				go d.compare(ctx, k, a)
+			}
+		}
+	}
+}
+
+// missing returns the kinds that the store does not serve.
+func (d *Directory) missing() []Kind {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var out []Kind
+	for _, k := range kinds {
+		if d.contact[k].failing {
+			out = append(out, k)
+		}
+	}
+	return out
+}
+
+// compare asks a peer for the objects of a kind that this process lacks.
+func (d *Directory) compare(ctx context.Context, k Kind, a netip.AddrPort) {
+	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
+	defer cancel()
+	connection, err := d.pool.Get(a)
+	if err != nil {
+		d.log.Error(err, "a peer's address cannot be used", "peer", a)
+		return
+	}
+	d.mu.Lock()
+	revision := d.replicas[k].Revision()
+	d.stats.PeerCalls++
+	d.mu.Unlock()
+	reply, err := peer.NewSpreadClient(connection).Compare(ctx, &peer.CompareRequest{Instance: d.self, Kind: string(k), Revision: revision})
+	if err != nil {
+		d.log.V(1).Info("a peer did not answer", "peer", a, "reason", err.Error())
+		return
+	}
+	if reply.Revision <= revision {
+		return
+	}
+	d.mu.Lock()
+	d.stats.PeerUpdates++
+	// A watch that missed this may hear nothing any more.
+	if cancel := d.interrupt[k]; cancel != nil {
+		cancel()
+	}
+	d.mu.Unlock()
+	d.apply(k, peer.Update(reply.From, reply.Revision, reply.Objects), reply.Instance)
+}
+
+// Compare implements peer.SpreadServer.
+func (d *Directory) Compare(_ context.Context, request *peer.CompareRequest) (*peer.CompareReply, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	reply := &peer.CompareReply{Instance: d.self}
+	r := d.replicas[Kind(request.Kind)]
+	if r == nil {
+		return reply, nil
+	}
+	reply.Revision = r.Revision()
+	if reply.Revision > request.Revision {
+		u := r.Since(request.Revision)
+		reply.From, reply.Objects = u.From, peer.Objects(u.Objects)
+	}
+	return reply, nil
+}
+
+// State is the directory's part of the dump.
+type State struct {
+	DesiredVersion uint64               `json:"desired-version"`
+	Kinds          map[string]KindState `json:"kinds"`
+	Instances      int                  `json:"instances"`
+	Stats          Stats                `json:"stats"`
+}
+
+// KindState is what is known of one kind.
+type KindState struct {
+	Revision uint64 `json:"revision"`
+	// StoreFailing tells that the store does not serve the kind to this process.
+	StoreFailing bool `json:"store-failing"`
+	// AnsweredAgo is the time since the store's last answer.
+	AnsweredAgo time.Duration `json:"answered-ago-nanoseconds"`
+}
+
+// State returns the directory's part of the dump.
+func (d *Directory) State() State {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	out := State{Kinds: map[string]KindState{}, Instances: len(d.instances), Stats: d.stats}
+	if desired := d.View().Desired; desired != nil {
+		out.DesiredVersion = desired.Version
+	}
+	for _, k := range kinds {
+		s := KindState{Revision: d.replicas[k].Revision(), StoreFailing: d.contact[k].failing}
+		if at := d.contact[k].answered; !at.IsZero() {
+			s.AnsweredAgo = time.Since(at)
+		}
+		out.Kinds[string(k)] = s
+	}
+	return out
+}
--- a/internal/process/log/log.go
+++ b/internal/process/log/log.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"io"
+	stdlog "log"
 	"log/slog"
 
 	"github.com/go-logr/logr"
@@ -64,5 +65,10 @@
 	return logr.FromSlogHandler(prefixed{l.handler, name}).WithValues("instance", l.instance)
 }
 
+// Standard returns a logger for libraries that take the standard library's.
+func (l *Logger) Standard(part string) *stdlog.Logger {
+	return slog.NewLogLogger(prefixed{l.handler, part}, slog.LevelInfo)
+}
+
 // SetVerbosity sets how much is logged, 0 for the least.
 func (l *Logger) SetVerbosity(v int) { l.level.Set(slog.Level(-v)) }
--- a/internal/process/spread/spread.go
+++ b/internal/process/spread/spread.go
@@ -288,7 +288,7 @@
 		return
 	}
 	if reply.Revision > s.Current().Revision {
-		s.apply(ctx, updateOf(reply.From, reply.Revision, reply.Objects), reply.Instance)
+		s.apply(ctx, peer.Update(reply.From, reply.Revision, reply.Objects), reply.Instance)
 		return
 	}
 	if reply.Revision < s.Current().Revision {
@@ -302,7 +302,7 @@
 	if s.replica.Do(ctx, func(r *store.Replica) { u = r.Since(from) }) != nil {
 		return
 	}
-	request := &peer.CompareRequest{Instance: s.self, Revision: u.Revision, From: u.From, Objects: messages(u.Objects)}
+	request := &peer.CompareRequest{Instance: s.self, Revision: u.Revision, From: u.From, Objects: peer.Objects(u.Objects)}
 	if _, err := client.Compare(ctx, request, grpc.WaitForReady(false)); err != nil {
 		s.stats.CompareErrors.Add(1)
 	}
@@ -312,7 +312,7 @@
 func (s *Spread) Compare(ctx context.Context, request *peer.CompareRequest) (*peer.CompareReply, error) {
 	s.stats.Served.Add(1)
 	if len(request.Objects) > 0 || request.From > 0 {
-		s.apply(ctx, updateOf(request.From, request.Revision, request.Objects), request.Instance)
+		s.apply(ctx, peer.Update(request.From, request.Revision, request.Objects), request.Instance)
 	}
 	reply := &peer.CompareReply{Instance: s.self, Revision: s.Current().Revision}
 	if reply.Revision <= request.Revision {
@@ -320,7 +320,7 @@
 	}
 	err := s.replica.Do(ctx, func(r *store.Replica) {
 		u := r.Since(request.Revision)
-		reply.From, reply.Revision, reply.Objects = u.From, u.Revision, messages(u.Objects)
+		reply.From, reply.Revision, reply.Objects = u.From, u.Revision, peer.Objects(u.Objects)
 	})
 	if err != nil {
 		return nil, status.Error(codes.Unavailable, err.Error())
@@ -328,22 +328,6 @@
 	return reply, nil
 }
 
-func updateOf(from, revision uint64, objects []*peer.Object) store.Update {
-	u := store.Update{From: from, Revision: revision}
-	for _, o := range objects {
-		u.Objects = append(u.Objects, store.Object{Name: o.Name, Version: o.Version, Value: o.Value, Deleted: o.Deleted})
-	}
-	return u
-}
-
-func messages(objects []store.Object) []*peer.Object {
-	out := make([]*peer.Object, 0, len(objects))
-	for _, o := range objects {
-		out = append(out, &peer.Object{Name: o.Name, Version: o.Version, Value: o.Value, Deleted: o.Deleted})
-	}
-	return out
-}
-
 // jitter spreads d over half to one and a half times itself.
 func (s *Spread) jitter(d time.Duration) time.Duration {
 	return d/2 + time.Duration(rand.Int64N(int64(d)+1))
--- a/internal/store/object/client.go
+++ b/internal/store/object/client.go
@@ -7,7 +7,6 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -35,14 +34,6 @@
 	Objects  []Message `json:"objects"`
 }
 
-// Errors that callers tell apart.
-var (
-	// ErrConflict means that the object's version was not the one named.
-	ErrConflict = errors.New("the object has changed")
-	// ErrNotFound means that the object does not exist.
-	ErrNotFound = errors.New("no such object")
-)
-
 // maxAnswer bounds an answer of the platform in bytes.
 const maxAnswer = 64 << 20
 
@@ -65,7 +56,7 @@
 }
 
 // Put writes an object whose version must be ifVersion, 0 to create it. On
-// ErrConflict the returned object is the one that stands.
+// store.ErrConflict the returned object is the one that stands.
 func (c *Client) Put(ctx context.Context, name string, value []byte, ifVersion uint64) (store.Object, error) {
 	return c.call(ctx, http.MethodPut, name, value, strconv.FormatUint(ifVersion, 10))
 }
@@ -93,9 +84,9 @@
 	case http.StatusOK:
 		return m.Object(), nil
 	case http.StatusNotFound:
-		return store.Object{}, oops.Code("not-found").Wrapf(ErrNotFound, "%s %s", method, name)
+		return store.Object{}, oops.Code("not-found").Wrapf(store.ErrNotFound, "%s %s", method, name)
 	case http.StatusConflict:
-		return m.Object(), oops.Code("conflict").Wrapf(ErrConflict, "%s %s", method, name)
+		return m.Object(), oops.Code("conflict").Wrapf(store.ErrConflict, "%s %s", method, name)
 	default:
 		return store.Object{}, oops.Code("platform-call").Errorf("%s %s: status %d", method, name, status)
 	}
