--- a/internal/entry/client/handler.go
+++ b/internal/entry/client/handler.go
@@ -38,6 +38,13 @@
 	comeBackFull = 250 * time.Millisecond
 	// comeBackStarting is the same for a process that knows no desired state yet.
 	comeBackStarting = 300 * time.Millisecond
+	// comeBackElsewhere is the same for a process that leaves: others serve.
+	comeBackElsewhere = 50 * time.Millisecond
+	// leavingCall and leavingStream are the times that a plain request and a
+	// stream need at most in all but a few cases; a leaving process begins none
+	// that would outlast it.
+	leavingCall   = time.Second
+	leavingStream = 4 * time.Second
 )
 
 // Handler serves the callers of one entry.
@@ -49,6 +56,8 @@
 
 	leaving  atomic.Bool
 	inFlight atomic.Int64
+	// exit is when the process ends, nil while it does not leave.
+	exit atomic.Pointer[time.Time]
 }
 
 // New returns a handler that goes by the current view.
@@ -57,7 +66,25 @@
 }
 
 // Leave makes the handler unready and asks callers to leave their connections.
-func (h *Handler) Leave() { h.leaving.Store(true) }
+// exit is when the process will end whatever is under way.
+func (h *Handler) Leave(exit time.Time) {
+	h.exit.Store(&exit)
+	h.leaving.Store(true)
+}
+
+// mayFinish tells whether a request that begins now will have its answer before
+// the process ends.
+func (h *Handler) mayFinish(r *service.Route, now time.Time) bool {
+	exit := h.exit.Load()
+	if exit == nil {
+		return true
+	}
+	need := leavingCall
+	if r.Kind == service.Stream {
+		need = leavingStream
+	}
+	return exit.Sub(now) >= need
+}
 
 // InFlight returns the number of requests that have no whole answer yet.
 func (h *Handler) InFlight() int64 { return h.inFlight.Load() }
@@ -114,6 +141,9 @@
 		return answer.Refuse(answer.NotFound, "no route leads to %s%s", r.Host, r.URL.Path)
 	}
 	c.route = route
+	if !h.mayFinish(route, c.arrived) {
+		return answer.Refuse(answer.Leaving, "this entry leaves").After(comeBackElsewhere)
+	}
 	if c.view.AsksForKeys() && !route.Public {
 		if c.account, ok = c.view.Account(c.info.Key); !ok {
 			return answer.Refuse(answer.Unauthorized, "the key belongs to no client account")
--- a/internal/entry/direct/entry.go
+++ b/internal/entry/direct/entry.go
@@ -237,7 +237,7 @@
 	began := time.Now()
 	end := began.Add(time.Duration(e.config.Direct.Grace) - exitMargin)
 	l.Info("leaving", "grace", time.Duration(e.config.Direct.Grace).String(), "in-flight", e.handler.InFlight())
-	e.handler.Leave()
+	e.handler.Leave(end)
 	callers.SetKeepAlivesEnabled(false)
 	clock.Sleep(ctx, min(rotationTime, time.Until(end)))
 	for e.handler.InFlight() > 0 && time.Now().Before(end) && ctx.Err() == nil {
--- a/internal/process/directory/directory.go
+++ b/internal/process/directory/directory.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"math/rand/v2"
 	"net/netip"
 	"slices"
@@ -63,6 +64,9 @@
 	watchWait = 25 * time.Second
 	// watchMargin is the time beyond that after which a watch is taken for lost.
 	watchMargin = 2 * time.Second
+	// gather is the pause after a change of the upstreams, so that a series of
+	// them, as at a start, takes few calls.
+	gather = 150 * time.Millisecond
 	// minPause and maxPause bound the pause after a failed call.
 	minPause = 200 * time.Millisecond
 	maxPause = time.Second
@@ -73,6 +77,12 @@
 	comparePeers = 900 * time.Millisecond
 	// peersAsked is how many peers are asked at a time while the store fails.
 	peersAsked = 3
+	// maxPushed bounds the peers that a change is pushed to.
+	maxPushed = 64
+	// checkSlot is how often any of the entries reads the store anew: a watch may
+	// hear nothing of a change, at all processes at once. It leaves most of the
+	// time within which a change must be in force to the call and the push.
+	checkSlot = 800 * time.Millisecond
 	// peerTimeout bounds a call to a peer.
 	peerTimeout = time.Second
 )
@@ -170,6 +180,7 @@
 		duties.Go(func() { d.follow(ctx, k) })
 	}
 	duties.Go(func() { d.followPeers(ctx) })
+	duties.Go(func() { d.followSlots(ctx) })
 	duties.Wait()
 }
 
@@ -183,6 +194,9 @@
 		case errors.Is(err, store.ErrHistoryGone):
 			d.log.Info("the store forgot its history, listing again", "kind", k)
 			anew = true
+		case errors.Is(err, context.Canceled) && ctx.Err() == nil:
+			// The watch was ended to begin anew.
+			anew = true
 		case err != nil:
 			d.failed(k, err)
 			clock.Sleep(ctx, pause/2+rand.N(pause))
@@ -190,7 +204,9 @@
 		default:
 			pause, anew = minPause, false
 			d.answered(k)
-			d.apply(k, u, "store")
+			if d.apply(k, u, "store") && k == Upstreams {
+				clock.Sleep(ctx, gather)
+			}
 		}
 	}
 }
@@ -244,13 +260,17 @@
 }
 
 // apply moves one kind forward and publishes what follows. What is older than
-// what the process knows is refused, whoever sends it.
-func (d *Directory) apply(k Kind, u store.Update, source string) {
+// what the process knows is refused, whoever sends it. The result tells whether
+// there was news.
+func (d *Directory) apply(k Kind, u store.Update, source string) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	before := d.replicas[k].Revision()
 	if outcome := d.replicas[k].Apply(u); outcome != store.Applied {
-		return
+		return false
+	}
+	if changes := d.replicas[k].Since(before); before > 0 && len(changes.Objects) == 0 {
+		return false
 	}
 	d.log.V(1).Info("objects changed", "kind", k, "revision", u.Revision, "from", before, "source", source, "objects", len(u.Objects))
 	switch k {
@@ -261,6 +281,7 @@
 	case Instances:
 		d.readInstances()
 	}
+	return true
 }
 
 // readDesired takes the newest desired state into force; d.mu is held.
@@ -409,6 +430,87 @@
 	}
 }
 
+// followSlots reads the store anew in this process's turn, and pushes what no
+// watch has told to all peers.
+func (d *Directory) followSlots(ctx context.Context) {
+	for ctx.Err() == nil {
+		clock.Sleep(ctx, d.untilSlot(time.Now()))
+		for _, k := range []Kind{DesiredState, Upstreams} {
+			d.check(ctx, k)
+		}
+	}
+}
+
+// untilSlot is the time until this process's next turn. The turns follow the
+// time of day: where clocks differ, two may check at once and a turn be left out.
+func (d *Directory) untilSlot(now time.Time) time.Duration {
+	d.mu.Lock()
+	names := slices.Sorted(maps.Keys(d.instances))
+	d.mu.Unlock()
+	index := max(slices.Index(names, d.self), 0)
+	cycle := time.Duration(max(len(names), 1)) * checkSlot
+	start := time.Duration(index) * checkSlot
+	wait := start - time.Duration(now.UnixNano()%int64(cycle))
+	if wait <= 0 {
+		wait += cycle
+	}
+	return wait
+}
+
+// check reads a kind anew.
+func (d *Directory) check(ctx context.Context, k Kind) {
+	d.mu.Lock()
+	skip := d.contact[k].failing || d.replicas[k].Revision() == 0
+	before := d.replicas[k].Revision()
+	d.mu.Unlock()
+	if skip {
+		return
+	}
+	limited, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	u, err := d.store.List(limited, k)
+	if err != nil {
+		d.failed(k, err)
+		d.endWatch(k)
+		return
+	}
+	if d.apply(k, u, "check") {
+		d.log.Info("the watch missed a change", "kind", k, "revision", u.Revision, "known", before)
+		d.endWatch(k)
+		d.push(ctx, k, before)
+	}
+}
+
+// endWatch ends the pending watch of a kind, which then begins anew.
+func (d *Directory) endWatch(k Kind) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if cancel := d.interrupt[k]; cancel != nil {
+		cancel()
+	}
+}
+
+// push sends all peers what changed since a revision.
+func (d *Directory) push(ctx context.Context, k Kind, from uint64) {
+	d.mu.Lock()
+	u := d.replicas[k].Since(from)
+	d.mu.Unlock()
+	request := &peer.CompareRequest{Instance: d.self, Kind: string(k), Revision: u.Revision, From: u.From, Objects: peer.Objects(u.Objects)}
+	for _, a := range d.peers(maxPushed) {
+		go func() {
+			limited, cancel := context.WithTimeout(ctx, peerTimeout)
+			defer cancel()
+			connection, err := d.pool.Get(a)
+			if err == nil {
+				_, err = peer.NewSpreadClient(connection).Compare(limited, request)
+			}
+			if err != nil {
+				d.log.V(1).Info("a peer did not take a change", "peer", a, "reason", err.Error())
+			}
+		}()
+	}
+}
+
 // missing returns the kinds that the store does not serve.
 func (d *Directory) missing() []Kind {
 	d.mu.Lock()
@@ -443,18 +545,25 @@
 	if reply.Revision <= revision {
 		return
 	}
-	d.mu.Lock()
-	d.stats.PeerUpdates++
-	// A watch that missed this may hear nothing any more.
-	if cancel := d.interrupt[k]; cancel != nil {
-		cancel()
+	d.take(k, peer.Update(reply.From, reply.Revision, reply.Objects), reply.Instance)
+}
+
+// take applies what a peer knows. A watch that missed it may hear nothing any
+// more.
+func (d *Directory) take(k Kind, u store.Update, source string) {
+	if d.apply(k, u, source) {
+		d.mu.Lock()
+		d.stats.PeerUpdates++
+		d.mu.Unlock()
+		d.endWatch(k)
 	}
-	d.mu.Unlock()
-	d.apply(k, peer.Update(reply.From, reply.Revision, reply.Objects), reply.Instance)
 }
 
 // Compare implements peer.SpreadServer.
 func (d *Directory) Compare(_ context.Context, request *peer.CompareRequest) (*peer.CompareReply, error) {
+	if k := Kind(request.Kind); len(request.Objects) > 0 && slices.Contains(kinds, k) {
+		d.take(k, peer.Update(request.From, request.Revision, request.Objects), request.Instance)
+	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	reply := &peer.CompareReply{Instance: d.self}
--- a/internal/world/answer/kind.go
+++ b/internal/world/answer/kind.go
@@ -71,7 +71,7 @@
 	{Overloaded, http.StatusServiceUnavailable, NotRun, true, time.Second, "overloaded_error", "The upstreams' queues are full, or the request could not have been served in time."},
 	{QueueTimeout, http.StatusServiceUnavailable, NotRun, true, time.Second, "overloaded_error", "The request waited for queue-wait without being started."},
 	{NoUpstream, http.StatusServiceUnavailable, NotRun, true, 2 * time.Second, "overloaded_error", "No upstream of this service or model can be reached."},
-	{Leaving, http.StatusServiceUnavailable, NotRun, true, time.Second, "overloaded_error", "The upstream is leaving and takes no new work."},
+	{Leaving, http.StatusServiceUnavailable, NotRun, true, time.Second, "overloaded_error", "The upstream or the entry is leaving and takes no new work."},
 	{Sealed, http.StatusConflict, NotRun, true, time.Second, "conflict_error", "This attempt was refused earlier and arrived late; a new attempt may run."},
 	{Undecided, http.StatusServiceUnavailable, Unknown, true, 2 * time.Second, "overloaded_error", "This attempt was refused, but an earlier one with the same key may have run. Retry with the same key."},
 	{ClaimUnavailable, http.StatusServiceUnavailable, Unknown, true, 5 * time.Second, "overloaded_error", "The platform that decides keys without a session is away. This attempt did not run; an earlier one with the same key may have. Retry with the same key, or open a session."},
