Guard the ranks' maps from the agents and replan from fresh counts

The step grants of the first stage lead the engines' single orders; a leader among the group's agents takes its term in the store and keeps it until a rank hears nothing from it.

--- /dev/null
+++ b/internal/agent/direct/agent.go
@@ -0,0 +1,129 @@
+// Package direct puts an agent together that guards the expert map of the engine
+// beside it and leads the engine's group whenever no other agent does. Requests
+// do not pass through it.
+package direct
+
+import (
+	"context"
+	"errors"
+	"expvar"
+	"net/http"
+	"time"
+
+	"bramleydeal/internal/agent/rank"
+	"bramleydeal/internal/process/config"
+	"bramleydeal/internal/process/debug"
+	"bramleydeal/internal/process/directory"
+	"bramleydeal/internal/process/log"
+	"bramleydeal/internal/process/tlsfiles"
+	"bramleydeal/internal/wire/dial"
+	"bramleydeal/internal/wire/peer"
+	"bramleydeal/internal/world/fleet"
+	"google.golang.org/grpc"
+)
+
+// stopTimeout bounds the closing of the listeners.
+const stopTimeout = time.Second
+
+// Deployment is what an agent meets on the operators' platform.
+type Deployment struct {
+	Lister Lister
+	Leases Leases
+	Reader directory.Reader
+	Orders rank.Orders
+}
+
+// Agent is one agent process.
+type Agent struct {
+	peer.UnimplementedAgentServer
+
+	config  config.Process
+	log     *log.Logger
+	files   *tlsfiles.Files
+	pool    *dial.Pool
+	traffic dial.Traffic
+	roster  *roster
+	lead    *lead
+	metrics *expvar.Map
+}
+
+// New puts an agent together.
+func New(c config.Process, d Deployment, logger *log.Logger) (*Agent, error) {
+	files, err := tlsfiles.Load(c.TLS)
+	if err != nil {
+		return nil, err
+	}
+	a := &Agent{config: c, log: logger, files: files, metrics: new(expvar.Map).Init()}
+	a.pool = dial.NewPool(files.Peers(), &a.traffic)
+	a.roster = &roster{
+		lister: d.Lister, reader: d.Reader, engine: c.Upstream.Address, port: c.PeerListen.Port(), pool: a.pool, log: logger.Part("roster"),
+	}
+	a.lead = &lead{self: c.Name, roster: a.roster, leases: d.Leases, log: logger.Part("lead")}
+	engine := rank.NewOrderedEngine(d.Orders, logger.Part("engine"))
+	a.lead.rank = rank.New(a.roster, engine, logger.Part("rank"))
+	a.metrics.Set("peers", expvar.Func(func() any { return a.traffic.State() }))
+	a.metrics.Set("memstats", expvar.Get("memstats"))
+	return a, nil
+}
+
+// Order implements peer.AgentServer.
+func (a *Agent) Order(ctx context.Context, m *peer.GrantOrder) (*peer.GrantReply, error) {
+	return a.lead.rank.Order(ctx, m)
+}
+
+// Run serves until stop or ctx ends.
+func (a *Agent) Run(ctx, stop context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	defer a.pool.Close()
+	listener, err := a.traffic.Listen(a.config.PeerListen.String())
+	if err != nil {
+		return err
+	}
+	peers := grpc.NewServer(dial.ServerOptions(a.files.Peers())...)
+	peer.RegisterAgentServer(peers, a)
+	go a.report("peers", func() error { return peers.Serve(listener) })
+	if a.config.DebugListen.IsValid() {
+		go a.report("debug", func() error {
+			return debug.Serve(ctx, a.config.DebugListen, debug.Handler(a.metrics, func() any { return a.State(ctx) }, nil))
+		})
+	}
+	go a.roster.run(ctx)
+	go a.lead.rank.Run(ctx)
+	go a.lead.run(ctx)
+	a.log.Part("agent").Info("started", "address", a.config.PeerListen, "engine", a.config.Upstream.Address)
+	select {
+	case <-stop.Done():
+	case <-ctx.Done():
+	}
+	cancel()
+	a.log.Part("agent").Info("stopped")
+	timer := time.AfterFunc(stopTimeout, peers.Stop)
+	defer timer.Stop()
+	peers.GracefulStop()
+	return nil
+}
+
+func (a *Agent) report(part string, serve func() error) {
+	if err := serve(); err != nil && !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, grpc.ErrServerStopped) {
+		a.log.Part("agent").Error(err, "a listener ended", "listener", part)
+	}
+}
+
+// State is the agent's dump.
+type State struct {
+	Instance      string              `json:"instance"`
+	Role          fleet.Role          `json:"role"`
+	FailureDomain fleet.FailureDomain `json:"failure-domain"`
+	Group         string              `json:"group"`
+	Rank          rank.State          `json:"rank"`
+	Peers         dial.TrafficState   `json:"peers"`
+}
+
+// State returns the agent's dump.
+func (a *Agent) State(ctx context.Context) State {
+	return State{
+		Instance: a.config.Name, Role: fleet.AgentRole, FailureDomain: a.config.FailureDomain, Group: a.roster.Name(),
+		Rank: a.lead.rank.State(ctx), Peers: a.traffic.State(),
+	}
+}
--- /dev/null
+++ b/internal/agent/direct/lead.go
@@ -0,0 +1,291 @@
+package direct
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"strconv"
+	"sync"
+	"time"
+
+	"bramleydeal/internal/agent/rank"
+	"bramleydeal/internal/core/group"
+	"bramleydeal/internal/core/store"
+	"bramleydeal/internal/process/clock"
+	"bramleydeal/internal/wire/orders"
+	"bramleydeal/internal/wire/peer"
+	"bramleydeal/internal/world/service"
+	"github.com/go-logr/logr"
+)
+
+// Leases keeps who leads a group.
+type Leases interface {
+	Get(ctx context.Context, name string) (store.Object, error)
+	Put(ctx context.Context, name string, value []byte, version uint64) (store.Object, error)
+}
+
+// Times of leading a group.
+const (
+	// observeInterval is how often a leader reads the ranks' counts: well below
+	// the seconds for which a demand lasts.
+	observeInterval = 250 * time.Millisecond
+	// resendInterval is when an order that was not answered is sent again.
+	resendInterval = 300 * time.Millisecond
+	// giveUpAfter is how long a change waits for all promises.
+	giveUpAfter = 2 * time.Second
+	// aheadSteps is the least distance to a change in steps, each some tens of
+	// milliseconds.
+	aheadSteps = 2
+	// silence is how long a rank hears nothing before it claims to lead; each
+	// rank waits silenceGap longer than the one before.
+	silence    = 1500 * time.Millisecond
+	silenceGap = 300 * time.Millisecond
+	// firstSilence is the same of the first rank for its first claim.
+	firstSilence = 300 * time.Millisecond
+	claimTimeout = time.Second
+	lookInterval = 100 * time.Millisecond
+	// minPlanGap is the least time between two changes, so that the counts under
+	// the new map are in.
+	minPlanGap = 300 * time.Millisecond
+)
+
+// Rules of the maps.
+const (
+	// fetchTime is how long one change may copy experts: much longer copies end
+	// after the demand that they were made for.
+	fetchTime = 600 * time.Millisecond
+	// leastSaving is the share of a mean step that a layer must save for each
+	// expert that its busiest rank fetches.
+	leastSaving = 0.08
+	// stayShare is the share of a rank's load that an expert in place is worth.
+	stayShare = 0.03
+)
+
+// lead leads the rank's group whenever it must.
+type lead struct {
+	self   string
+	roster *roster
+	rank   *rank.Rank
+	leases Leases
+	log    logr.Logger
+	begun  time.Time
+}
+
+// run claims to lead while no leader is heard, until ctx ends.
+func (l *lead) run(ctx context.Context) {
+	l.begun = time.Now()
+	for ctx.Err() == nil {
+		clock.Sleep(ctx, lookInterval)
+		if !l.roster.Stepping() || !l.due(time.Now()) {
+			continue
+		}
+		term, err := l.claim(ctx)
+		if err != nil {
+			l.log.Info("the lead cannot be claimed", "group", l.roster.Name(), "reason", err.Error())
+			clock.Sleep(ctx, silence)
+			continue
+		}
+		l.hold(ctx, term)
+	}
+}
+
+// due tells whether the leader was not heard for too long.
+func (l *lead) due(now time.Time) bool {
+	index := time.Duration(l.roster.current.Load().self.Rank)
+	heard, _ := l.rank.LastOrder()
+	if heard.IsZero() {
+		return now.Sub(l.begun) >= firstSilence+index*silence
+	}
+	return now.Sub(heard) >= silence+index*silenceGap
+}
+
+// lease is the value of a group's lease. It does not lapse: whoever hears no
+// leader takes the next term.
+type lease struct {
+	Holder string `json:"holder"`
+	Term   uint64 `json:"term"`
+}
+
+// claim takes the next term of the group in the store.
+func (l *lead) claim(ctx context.Context) (uint64, error) {
+	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
+	defer cancel()
+	name := "group-" + l.roster.Name()
+	var last lease
+	held, err := l.leases.Get(ctx, name)
+	switch {
+	case errors.Is(err, store.ErrNotFound):
+	case err != nil:
+		return 0, err
+	default:
+		if err := json.Unmarshal(held.Value, &last); err != nil {
+			return 0, err
+		}
+	}
+	next := lease{Holder: l.self, Term: last.Term + 1}
+	value, err := json.Marshal(next)
+	if err != nil {
+		return 0, err
+	}
+	_, err = l.leases.Put(ctx, name, value, held.Version)
+	return next.Term, err
+}
+
+// led is a group while this agent leads it.
+type led struct {
+	lead   *lead
+	term   uint64
+	shape  group.Shape
+	rules  group.ReplanRules
+	demand *group.Demand
+
+	mu      sync.Mutex
+	counts  map[string][]uint32
+	held    map[string][][]int
+	maps    map[string]uint64
+	planAt  time.Time
+	staging bool
+	staged  uint64
+	counter uint64
+}
+
+// hold leads the group under a term until another one does.
+func (l *lead) hold(ctx context.Context, term uint64) {
+	m := l.roster.current.Load()
+	g := newLed(l, term, m.experts, m.self.Size)
+	l.log.Info("leading a group", "group", m.self.Group, "term", term, "ranks", m.self.Size)
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	leader := group.NewLeader(l.roster.Ranks(), group.Ballot{Term: term, Proposer: l.self}, 0, group.LeaderRules{
+		Resend: resendInterval, Poll: observeInterval, GiveUp: giveUpAfter, Ahead: aheadSteps,
+	})
+	orders.Conduct(ctx, m.self.Group, m.self.Size, leader, g.call, func(leader *group.Leader) bool {
+		if _, promised := l.rank.LastOrder(); promised.Term > term {
+			return true
+		}
+		g.event(ctx, leader)
+		return false
+	})
+	l.log.Info("no longer leading a group", "group", m.self.Group, "term", term)
+}
+
+func newLed(l *lead, term uint64, e *service.Experts, ranks int) *led {
+	fetches := 1
+	if e.FetchTime > 0 {
+		fetches = max(int(fetchTime/e.FetchTime), 1)
+	}
+	return &led{
+		lead: l, term: term, demand: group.NewDemand(),
+		shape:  group.Shape{Ranks: ranks, Experts: e.Count, Layers: e.Sets, Slots: e.Places},
+		rules:  group.ReplanRules{Fetches: fetches, Spare: e.Spare, Least: leastSaving, Stay: stayShare},
+		counts: map[string][]uint32{}, held: map[string][][]int{}, maps: map[string]uint64{},
+	}
+}
+
+// call sends an order and takes in what the answer tells of the rank.
+func (g *led) call(ctx context.Context, name string, m *peer.GrantOrder) (*peer.GrantReply, error) {
+	m.Loads = m.Kind == peer.GrantOrder_COLLECT
+	reply, err := g.lead.rank.Call(ctx, name, m)
+	if err != nil {
+		g.lead.log.V(1).Info("a rank does not answer", "rank", name, "order", m.Kind.String(), "reason", err.Error())
+		return nil, err
+	}
+	if len(reply.Held) > 0 {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		g.counts[name] = reply.Chosen
+		g.maps[name] = reply.LoadMap
+		g.held[name] = g.held[name][:0]
+		for _, set := range reply.Held {
+			var experts []int
+			for _, e := range set.Experts {
+				experts = append(experts, int(e))
+			}
+			g.held[name] = append(g.held[name], experts)
+		}
+	}
+	return reply, nil
+}
+
+// event is called after each event of the leader: it proposes a staged map and
+// begins the next plan.
+func (g *led) event(ctx context.Context, l *group.Leader) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if l.Phase() != group.Steady {
+		return
+	}
+	now := time.Now()
+	if g.staged != 0 {
+		if l.Propose(g.staged) {
+			g.lead.log.Info("map proposed", "map", g.staged, "term", g.term, "step", l.Step())
+			g.staged, g.planAt = 0, now
+		}
+		return
+	}
+	if g.staging || now.Sub(g.planAt) < minPlanGap {
+		return
+	}
+	current, ok := g.current(l.Current().Map)
+	if !ok {
+		return
+	}
+	g.planAt = now.Add(observeInterval - minPlanGap)
+	loads, ok := g.demand.Count(g.counts, g.shape, now)
+	if !ok {
+		return
+	}
+	next, changed := group.Replan(current, loads, g.shape, g.rules)
+	if !changed {
+		return
+	}
+	g.counter++
+	next.Version = g.term<<16 | g.counter
+	g.staging = true
+	g.lead.log.Info("map planned", "map", next.Version, "from", current.Version, "moves", current.Moves(next),
+		"skew", group.Skew(current, loads, g.shape), "planned-skew", group.Skew(next, loads, g.shape))
+	go g.stage(ctx, next)
+}
+
+// current returns the map in use, once all ranks have told what they hold of it.
+func (g *led) current(version uint64) (group.Map, bool) {
+	byRank := make([][][]int, g.shape.Ranks)
+	for i := range byRank {
+		name := strconv.Itoa(i)
+		if g.maps[name] != version || len(g.held[name]) != g.shape.Layers {
+			return group.Map{}, false
+		}
+		byRank[i] = g.held[name]
+	}
+	return group.MapOf(version, byRank, g.shape), true
+}
+
+// stage gives a map to all ranks at once and notes it when all have it.
+func (g *led) stage(ctx context.Context, m group.Map) {
+	began := time.Now()
+	content, err := json.Marshal(m)
+	if err != nil {
+		g.lead.log.Error(err, "a map cannot be written")
+		return
+	}
+	failed := make([]error, g.shape.Ranks)
+	var calls sync.WaitGroup
+	for i := range failed {
+		calls.Go(func() {
+			_, failed[i] = g.lead.rank.Call(ctx, strconv.Itoa(i), &peer.GrantOrder{
+				Group: g.lead.roster.Name(), Kind: peer.GrantOrder_STAGE, Map: m.Version, Content: content,
+			})
+		})
+	}
+	calls.Wait()
+	err = errors.Join(failed...)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.staging = false
+	if err != nil {
+		g.lead.log.Info("a map cannot be staged", "map", m.Version, "reason", err.Error())
+		return
+	}
+	g.staged = m.Version
+	g.lead.log.Info("map staged", "map", m.Version, "took-ms", time.Since(began).Milliseconds())
+}
--- /dev/null
+++ b/internal/agent/direct/roster.go
@@ -0,0 +1,170 @@
+package direct
+
+import (
+	"context"
+	"net/netip"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"bramleydeal/internal/core/store"
+	"bramleydeal/internal/process/clock"
+	"bramleydeal/internal/process/directory"
+	"bramleydeal/internal/wire/dial"
+	"bramleydeal/internal/wire/orders"
+	"bramleydeal/internal/wire/peer"
+	"bramleydeal/internal/world/service"
+	"github.com/go-logr/logr"
+	"github.com/samber/oops"
+)
+
+// Times of the roster.
+const (
+	// rosterInterval is how often the roster is read; the read may be seconds old
+	// anyway, and a rank that moves is missed at the next order at the latest.
+	rosterInterval = 3 * time.Second
+	// rosterRetry is the same until the own engine is found and after failures.
+	rosterRetry   = 500 * time.Millisecond
+	rosterTimeout = 2 * time.Second
+)
+
+// Lister reads what may be some seconds old.
+type Lister interface {
+	ListCached(ctx context.Context, k directory.Kind) (store.Update, error)
+}
+
+// members is a group as the workers' list shows it.
+type members struct {
+	self    service.Membership
+	service string
+	// addresses are those of the agents by rank.
+	addresses map[string]netip.AddrPort
+	experts   *service.Experts
+}
+
+// roster knows the group of the engine beside this agent. It implements
+// rank.Group.
+type roster struct {
+	lister Lister
+	reader directory.Reader
+	engine netip.AddrPort
+	// port is where agents listen, the same on all machines.
+	port uint16
+	pool *dial.Pool
+	log  logr.Logger
+
+	current atomic.Pointer[members]
+}
+
+// Name implements rank.Group.
+func (r *roster) Name() string {
+	if m := r.current.Load(); m != nil {
+		return m.self.Group
+	}
+	return ""
+}
+
+// Stepping implements rank.Group.
+func (r *roster) Stepping() bool {
+	m := r.current.Load()
+	return m != nil && m.experts != nil && m.self.Size > 1
+}
+
+// Self implements rank.Group.
+func (r *roster) Self() string {
+	if m := r.current.Load(); m != nil {
+		return strconv.Itoa(m.self.Rank)
+	}
+	return ""
+}
+
+// Ranks implements rank.Group.
+func (r *roster) Ranks() []string {
+	m := r.current.Load()
+	if m == nil {
+		return nil
+	}
+	out := make([]string, m.self.Size)
+	for i := range out {
+		out[i] = strconv.Itoa(i)
+	}
+	return out
+}
+
+// Call implements rank.Group.
+func (r *roster) Call(ctx context.Context, name string, m *peer.GrantOrder) (*peer.GrantReply, error) {
+	now := r.current.Load()
+	if now == nil || !now.addresses[name].IsValid() {
+		return nil, oops.Code("unreachable").Errorf("no agent is known for rank %s", name)
+	}
+	return orders.CallAt(ctx, r.pool, now.addresses[name], m)
+}
+
+// run keeps the roster up to date until ctx ends.
+func (r *roster) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		pause := rosterInterval
+		if err := r.read(ctx); err != nil {
+			pause = rosterRetry
+			r.log.V(1).Info("the roster cannot be read", "reason", err.Error())
+		} else if r.current.Load() == nil {
+			pause = rosterRetry
+		}
+		clock.Sleep(ctx, pause)
+	}
+}
+
+// read reads the list of workers, and the shape of the experts once.
+func (r *roster) read(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, rosterTimeout)
+	defer cancel()
+	list, err := r.lister.ListCached(ctx, directory.Upstreams)
+	if err != nil {
+		return err
+	}
+	var all []service.Upstream
+	var own *service.Upstream
+	for _, o := range list.Objects {
+		u, err := r.reader.Upstream(o.Name, o.Value)
+		if err != nil || u.Membership == nil {
+			continue // names no rank
+		}
+		all = append(all, u)
+		if u.Address == r.engine {
+			own = &all[len(all)-1]
+		}
+	}
+	if own == nil {
+		return nil
+	}
+	next := &members{self: *own.Membership, service: own.Service, addresses: map[string]netip.AddrPort{}}
+	for _, u := range all {
+		if u.Membership.Group == own.Membership.Group {
+			next.addresses[strconv.Itoa(u.Membership.Rank)] = netip.AddrPortFrom(u.Address.Addr(), r.port)
+		}
+	}
+	if before := r.current.Load(); before != nil && before.service == next.service && before.experts != nil {
+		next.experts = before.experts
+	} else if next.experts, err = r.readExperts(ctx, own.Service); err != nil {
+		return err
+	}
+	r.current.Store(next)
+	return nil
+}
+
+func (r *roster) readExperts(ctx context.Context, name string) (*service.Experts, error) {
+	list, err := r.lister.ListCached(ctx, directory.DesiredState)
+	if err != nil {
+		return nil, err
+	}
+	for _, o := range list.Objects {
+		d, err := r.reader.Desired(o.Value)
+		if err != nil {
+			return nil, err
+		}
+		if e := d.Services[name].Engine; e != nil {
+			return e.Experts, nil
+		}
+	}
+	return nil, nil
+}
--- a/internal/agent/rank/engine.go
+++ b/internal/agent/rank/engine.go
@@ -19,21 +19,34 @@
 // engineTimeout bounds a call to the engine.
 const engineTimeout = 2 * time.Second
 
-// engine speaks to the rank's side of a model engine.
-type engine struct {
+// Engine is the rank's side of a model engine.
+type Engine interface {
+	// Read returns the plan that the engine goes by and the next step that it
+	// would start, and with loads what its requests chose.
+	Read(ctx context.Context, loads bool) (Status, error)
+	// Put replaces the plan. It reports false when the engine is past the plan's
+	// step, lacks the map that the plan needs, or has another plan by now.
+	Put(ctx context.Context, p Plan) (Status, bool, error)
+	// Stage gives the engine a map and returns once it is there.
+	Stage(ctx context.Context, version uint64, content []byte) error
+}
+
+// planEngine is an engine that takes whole plans and keeps the agent's state.
+type planEngine struct {
 	base string
 	http *http.Client
 }
 
-func newEngine(address netip.AddrPort) *engine {
-	return &engine{base: "http://" + address.String(), http: &http.Client{Timeout: engineTimeout}}
+// NewPlanEngine returns the engine at an address that takes whole plans.
+func NewPlanEngine(address netip.AddrPort) Engine {
+	return &planEngine{base: "http://" + address.String(), http: &http.Client{Timeout: engineTimeout}}
 }
 
-// plan is what the engine goes by. State is the agent's own state, which the
+// Plan is what the engine goes by. State is the agent's own state, which the
 // engine keeps, so that it outlives the agent.
-type plan struct {
+type Plan struct {
 	Version uint64      `json:"version"`
-	Grants  []planGrant `json:"grants"`
+	Grants  []PlanGrant `json:"grants"`
 	Hold    uint64      `json:"hold"`
 	// NotPast makes the engine refuse the plan when it has started a later step.
 	NotPast uint64 `json:"not-past"`
@@ -42,22 +55,27 @@
 	State *group.Rank `json:"state,omitempty"`
 }
 
-type planGrant struct {
+// PlanGrant allows a map from a step on.
+type PlanGrant struct {
 	From uint64 `json:"from"`
 	Map  uint64 `json:"map"`
 }
 
-// status is the engine's answer.
-type status struct {
+// Status is the engine's answer.
+type Status struct {
 	Step    uint64   `json:"step"`
-	Plan    plan     `json:"plan"`
+	Plan    Plan     `json:"plan"`
 	LoadMap uint64   `json:"load-map"`
 	Tokens  []uint32 `json:"tokens"`
+	// Chosen has, by layer and expert, how often each was chosen since the rank
+	// started, modulo 2^32, and Held the experts of the rank by layer, where the
+	// engine counts by expert.
+	Chosen []uint32 `json:"-"`
+	Held   [][]int  `json:"-"`
 }
 
-// read returns the engine's plan and next step, and with tokens the tokens
-// counted since they were last read.
-func (e *engine) read(ctx context.Context, tokens bool) (status, error) {
+// Read implements Engine. The tokens are those counted since they were last read.
+func (e *planEngine) Read(ctx context.Context, tokens bool) (Status, error) {
 	path := "/rank"
 	if tokens {
 		path += "?tokens"
@@ -66,18 +84,17 @@
 	return s, err
 }
 
-// put replaces the plan. It reports false when the engine is past the plan's
-// step or has another plan by now.
-func (e *engine) put(ctx context.Context, p plan) (status, bool, error) {
+// Put implements Engine.
+func (e *planEngine) Put(ctx context.Context, p Plan) (Status, bool, error) {
 	body, err := json.Marshal(p)
 	if err != nil {
-		return status{}, false, oops.Wrap(err)
+		return Status{}, false, oops.Wrap(err)
 	}
 	return e.call(ctx, http.MethodPut, "/rank", body)
 }
 
-// stage gives the engine a map, whose weights it fetches while it goes on.
-func (e *engine) stage(ctx context.Context, version uint64, content []byte) error {
+// Stage implements Engine: the engine fetches the weights while it goes on.
+func (e *planEngine) Stage(ctx context.Context, version uint64, content []byte) error {
 	_, ok, err := e.call(ctx, http.MethodPut, "/rank/maps/"+strconv.FormatUint(version, 10), content)
 	if err == nil && !ok {
 		return oops.Code("engine").Errorf("the engine refuses map %d", version)
@@ -85,17 +102,17 @@
 	return err
 }
 
-func (e *engine) call(ctx context.Context, method, path string, body []byte) (status, bool, error) {
+func (e *planEngine) call(ctx context.Context, method, path string, body []byte) (Status, bool, error) {
 	request, err := http.NewRequestWithContext(ctx, method, e.base+path, bytes.NewReader(body))
 	if err != nil {
-		return status{}, false, oops.Wrap(err)
+		return Status{}, false, oops.Wrap(err)
 	}
 	response, err := e.http.Do(request)
 	if err != nil {
-		return status{}, false, oops.Code("engine").Wrap(err)
+		return Status{}, false, oops.Code("engine").Wrap(err)
 	}
 	defer response.Body.Close()
-	var s status
+	var s Status
 	switch response.StatusCode {
 	case http.StatusOK, http.StatusConflict:
 		if method != http.MethodGet && path != "/rank" {
@@ -109,10 +126,10 @@
 }
 
 // planOf returns the plan for a rank's state, to replace one of a version.
-func planOf(r group.Rank, version uint64) plan {
-	p := plan{Version: version, Hold: r.Hold, State: &r}
+func planOf(r group.Rank, version uint64) Plan {
+	p := Plan{Version: version, Hold: r.Hold, State: &r}
 	for _, g := range r.Grants {
-		p.Grants = append(p.Grants, planGrant(g))
+		p.Grants = append(p.Grants, PlanGrant(g))
 	}
 	return p
 }
--- /dev/null
+++ b/internal/agent/rank/ordered.go
@@ -0,0 +1,218 @@
+package rank
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"strconv"
+	"sync"
+	"time"
+
+	"bramleydeal/internal/core/group"
+	"bramleydeal/internal/process/clock"
+	"github.com/go-logr/logr"
+	"github.com/samber/oops"
+)
+
+// Orders is an engine that takes single orders and keeps nothing of the agent's
+// state. An error says that the order may have been taken, or may be carried out
+// later; false says that it was not and will not be.
+type Orders interface {
+	// Report returns where the engine stands.
+	Report(ctx context.Context) (Report, error)
+	// Counts returns how often each expert was chosen since the rank started, by
+	// layer and expert in one list, modulo 2^32.
+	Counts(ctx context.Context) ([]uint32, error)
+	// Held returns the experts of the rank by layer.
+	Held(ctx context.Context) ([][]int, error)
+	// Prepare begins to copy the experts of a map, by layer and rank.
+	Prepare(ctx context.Context, epoch, version uint64, experts [][][]int) (bool, error)
+	// Arm makes the rank switch to a prepared map as a step begins.
+	Arm(ctx context.Context, epoch, version, step uint64) (bool, error)
+	// Hold stops the group before a step, Release lets it go on.
+	Hold(ctx context.Context, epoch, step uint64) (bool, error)
+	Release(ctx context.Context, epoch, step uint64) (bool, error)
+}
+
+// Report is where an engine stands.
+type Report struct {
+	// Epoch rises whenever the group forms anew; all maps but the first are then
+	// forgotten.
+	Epoch uint64
+	// Next is the next step that the rank would start.
+	Next uint64
+	// Map is the version in use, Prepared one that was copied whole, 0 for none.
+	Map, Prepared uint64
+	// Armed is the map that the rank switches to as step ArmedStep begins, 0 for
+	// none; Hold is the step before which the group stops, 0 for none.
+	Armed, ArmedStep, Hold uint64
+}
+
+// orderedEngine makes an engine out of one that takes single orders. The agent's
+// state is in memory only: after a restart, what the engine holds is taken for
+// what was granted, under a new incarnation, so that orders sent to the one
+// before are refused.
+type orderedEngine struct {
+	orders Orders
+	log    logr.Logger
+
+	mu    sync.Mutex
+	state *group.Rank
+	epoch uint64
+	// held are the experts of the map heldMap.
+	held    [][]int
+	heldMap uint64
+}
+
+// NewOrderedEngine returns the engine that takes single orders.
+func NewOrderedEngine(o Orders, log logr.Logger) Engine { return &orderedEngine{orders: o, log: log} }
+
+// Times of staging.
+const (
+	stagePoll = 25 * time.Millisecond
+	// stageTimeout is longer than a rank copies all experts that one map may add.
+	stageTimeout = 6 * time.Second
+)
+
+// Read implements Engine.
+func (e *orderedEngine) Read(ctx context.Context, loads bool) (Status, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	r, err := e.report(ctx)
+	if err != nil {
+		return Status{}, err
+	}
+	s := e.status(r)
+	if !loads {
+		return s, nil
+	}
+	if s.Chosen, err = e.orders.Counts(ctx); err != nil {
+		return Status{}, err
+	}
+	if e.held == nil || e.heldMap != r.Map {
+		if e.held, err = e.orders.Held(ctx); err != nil {
+			return Status{}, err
+		}
+		e.heldMap = r.Map
+	}
+	s.Held = e.held
+	return s, nil
+}
+
+// report reads where the engine stands and brings the state in line with it;
+// e.mu is held.
+func (e *orderedEngine) report(ctx context.Context) (Report, error) {
+	r, err := e.orders.Report(ctx)
+	if err != nil {
+		return r, err
+	}
+	if e.state == nil || r.Epoch != e.epoch {
+		e.begin(r)
+	}
+	if r.Hold != 0 && r.Hold != e.state.Hold {
+		// The order for it was given up and carried out late.
+		e.log.Info("ending a hold that no change goes with", "step", r.Hold, "next", r.Next)
+		if _, err := e.orders.Release(ctx, r.Epoch, r.Hold); err != nil {
+			return r, err
+		}
+	}
+	return r, nil
+}
+
+// begin takes what the engine holds for what was granted.
+func (e *orderedEngine) begin(r Report) {
+	s := &group.Rank{
+		Incarnation: strconv.FormatUint(r.Epoch, 10) + "-" + strconv.FormatUint(rand.Uint64(), 36),
+		Grants:      []group.Grant{{Map: r.Map}},
+		Hold:        r.Hold,
+	}
+	if r.Armed != 0 {
+		s.Grants = append(s.Grants, group.Grant{From: r.ArmedStep, Map: r.Armed})
+	}
+	e.log.Info("rank begins", "incarnation", s.Incarnation, "epoch", r.Epoch, "map", r.Map, "armed", r.Armed, "hold", r.Hold)
+	e.state, e.epoch, e.held = s, r.Epoch, nil
+}
+
+func (e *orderedEngine) status(r Report) Status {
+	state := *e.state
+	return Status{Step: r.Next, LoadMap: r.Map, Plan: Plan{Hold: state.Hold, State: &state}}
+}
+
+// Put implements Engine: it gives the orders that lead from the state before to
+// the plan's. What an order achieved is kept even when a later one fails.
+func (e *orderedEngine) Put(ctx context.Context, p Plan) (Status, bool, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	r, err := e.report(ctx)
+	if err != nil {
+		return Status{}, false, err
+	}
+	next := p.State
+	if next.Incarnation != e.state.Incarnation || p.NotPast != 0 && r.Next > p.NotPast {
+		return e.status(r), false, nil
+	}
+	ok, err := e.carryOut(ctx, r, next, p.Needs)
+	if ok && err == nil {
+		e.state = next
+	}
+	return e.status(r), ok, err
+}
+
+func (e *orderedEngine) carryOut(ctx context.Context, r Report, next *group.Rank, needs uint64) (bool, error) {
+	if next.Hold != 0 && next.Hold != e.state.Hold {
+		if needs != r.Prepared && needs != r.Map {
+			return false, nil
+		}
+		return e.orders.Hold(ctx, r.Epoch, next.Hold)
+	}
+	last := next.Grants[len(next.Grants)-1]
+	before := e.state.Grants[len(e.state.Grants)-1]
+	if last != before && last.Map != before.Map && !(r.Armed == last.Map && r.ArmedStep == last.From) {
+		if ok, err := e.orders.Arm(ctx, r.Epoch, last.Map, last.From); !ok || err != nil {
+			return ok, err
+		}
+		e.log.Info("map armed", "map", last.Map, "from-step", last.From, "next", r.Next, "epoch", r.Epoch)
+	}
+	if e.state.Hold != 0 && next.Hold == 0 {
+		// The grant stands even if the release is not answered.
+		granted := *e.state
+		granted.Grants = next.Grants
+		e.state = &granted
+		return e.orders.Release(ctx, r.Epoch, granted.Hold)
+	}
+	return true, nil
+}
+
+// Stage implements Engine: it returns once the map is copied whole.
+func (e *orderedEngine) Stage(ctx context.Context, version uint64, content []byte) error {
+	var m group.Map
+	if err := json.Unmarshal(content, &m); err != nil {
+		return oops.Code("invalid-order").Wrapf(err, "read the map")
+	}
+	ctx, cancel := context.WithTimeout(ctx, stageTimeout)
+	defer cancel()
+	ordered := false
+	for {
+		r, err := e.orders.Report(ctx)
+		switch {
+		case err != nil:
+			e.log.Info("the engine does not answer", "reason", err.Error())
+		case r.Prepared == version || r.Map == version:
+			return nil
+		case r.Prepared > version || r.Map > version:
+			return oops.Code("engine").Errorf("map %d is older than one that the engine has", version)
+		case !ordered:
+			// An order without an answer is given again; the engine refuses a second
+			// one of the same version while the copy runs, which shows in the report.
+			ok, err := e.orders.Prepare(ctx, r.Epoch, version, m.ByRank())
+			if err == nil && !ok {
+				return oops.Code("engine").Errorf("the engine refuses map %d", version)
+			}
+			ordered = err == nil
+		}
+		if ctx.Err() != nil {
+			return oops.Code("engine").Errorf("map %d is not there in time", version)
+		}
+		clock.Sleep(ctx, stagePoll)
+	}
+}
--- a/internal/agent/rank/rank.go
+++ b/internal/agent/rank/rank.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"net/netip"
 	"slices"
 	"strconv"
 	"sync"
@@ -11,10 +10,6 @@
 	"time"
 
 	"bramleydeal/internal/core/group"
-	"bramleydeal/internal/settings/reference"
-	"bramleydeal/internal/settings/snapshot"
-	"bramleydeal/internal/settings/tree"
-	"bramleydeal/internal/wire/dial"
 	"bramleydeal/internal/wire/orders"
 	"bramleydeal/internal/wire/peer"
 	"github.com/go-logr/logr"
@@ -36,42 +31,44 @@
 // Rank is the agent's part in its group. All calls to the engine that change
 // its plan are made one at a time.
 type Rank struct {
-	self    string
-	scope   tree.Scope
-	current func() *snapshot.Snapshot
-	engine  *engine
-	pool    *dial.Pool
-	log     logr.Logger
+	group  Group
+	engine Engine
+	log    logr.Logger
 
 	mu        sync.Mutex
 	heldSince time.Time
 	lastOrder time.Time
+	promised  group.Ballot
 	stats     Stats
 }
 
 // Stats counts what a rank did.
 type Stats struct{ Accepted, Refused, Completed atomic.Uint64 }
 
-// Config is what a Rank is made of.
-type Config struct {
-	Self    string
-	Scope   tree.Scope
-	Current func() *snapshot.Snapshot
-	Engine  netip.AddrPort
-	Pool    *dial.Pool
-	Log     logr.Logger
+// Group is what a rank knows of its group.
+type Group interface {
+	// Name returns the group's name.
+	Name() string
+	// Stepping tells whether the group steps on expert maps.
+	Stepping() bool
+	// Self returns the name of the rank itself.
+	Self() string
+	// Ranks returns the names of all ranks in their order.
+	Ranks() []string
+	// Call sends an order to the agent of another rank.
+	Call(ctx context.Context, rank string, m *peer.GrantOrder) (*peer.GrantReply, error)
 }
 
-// New returns the rank beside the engine at an address.
-func New(c Config) *Rank {
-	return &Rank{self: c.Self, scope: c.Scope, current: c.Current, engine: newEngine(c.Engine), pool: c.Pool, log: c.Log}
+// New returns the rank beside an engine.
+func New(g Group, e Engine, log logr.Logger) *Rank {
+	return &Rank{group: g, engine: e, log: log}
 }
 
 // Order carries out one order, or refuses it. An error says that the engine did
 // not answer; the order may or may not have been taken, and may be sent again.
 func (r *Rank) Order(ctx context.Context, m *peer.GrantOrder) (*peer.GrantReply, error) {
 	if m.Kind == peer.GrantOrder_STAGE {
-		if err := r.engine.stage(ctx, m.Map, m.Content); err != nil {
+		if err := r.engine.Stage(ctx, m.Map, m.Content); err != nil {
 			return nil, grpcstatus.Error(codes.Unavailable, err.Error())
 		}
 		return &peer.GrantReply{Accepted: true}, nil
@@ -88,7 +85,7 @@
 	}
 	if reply.Accepted {
 		r.stats.Accepted.Add(1)
-		r.lastOrder = time.Now()
+		r.lastOrder, r.promised = time.Now(), orders.Reply(reply).State.Promised
 	} else {
 		r.stats.Refused.Add(1)
 	}
@@ -98,7 +95,7 @@
 // take reads the engine's plan, which is the rank's state, decides on the order
 // and puts the new plan to the engine before anybody hears of it; r.mu is held.
 func (r *Rank) take(ctx context.Context, o group.Order, loads bool) (*peer.GrantReply, error) {
-	s, err := r.engine.read(ctx, loads)
+	s, err := r.engine.Read(ctx, loads)
 	if err != nil {
 		return nil, err
 	}
@@ -110,7 +107,7 @@
 	if accepted && !equal(next, state) {
 		p := planOf(next, s.Plan.Version)
 		p.require(o)
-		after, ok, err := r.engine.put(ctx, p)
+		after, ok, err := r.engine.Put(ctx, p)
 		if err != nil {
 			return nil, err
 		}
@@ -121,18 +118,26 @@
 	}
 	reply := orders.ReplyMessage(group.Reply{Accepted: accepted, State: next, Step: s.Step})
 	reply.LoadMap, reply.Loads = s.LoadMap, s.Tokens
+	reply.Chosen = s.Chosen
+	for _, experts := range s.Held {
+		set := &peer.ExpertSet{}
+		for _, e := range experts {
+			set.Experts = append(set.Experts, uint32(e))
+		}
+		reply.Held = append(reply.Held, set)
+	}
 	return reply, nil
 }
 
 // state returns the state that the engine keeps. An engine that keeps none has
 // lost its memory: the rank begins a new incarnation, known to the engine
 // before it is known to anybody else.
-func (r *Rank) state(ctx context.Context, s *status) (group.Rank, error) {
+func (r *Rank) state(ctx context.Context, s *Status) (group.Rank, error) {
 	if s.Plan.State != nil {
 		return *s.Plan.State, nil
 	}
 	fresh := group.Rank{Incarnation: strconv.FormatUint(rand.Uint64(), 36)}
-	after, ok, err := r.engine.put(ctx, planOf(fresh, s.Plan.Version))
+	after, ok, err := r.engine.Put(ctx, planOf(fresh, s.Plan.Version))
 	if err != nil {
 		return group.Rank{}, err
 	}
@@ -148,7 +153,7 @@
 }
 
 // require adds what must be true of the engine for an order to be carried out.
-func (p *plan) require(o group.Order) {
+func (p *Plan) require(o group.Order) {
 	switch v := o.(type) {
 	case group.Hold:
 		p.NotPast, p.Needs = v.Step, v.Map
@@ -164,7 +169,7 @@
 	for {
 		select {
 		case <-ticker.C:
-			if !r.Enabled() {
+			if !r.group.Stepping() {
 				continue
 			}
 			if b, due := r.leftOpen(ctx, time.Now()); due {
@@ -176,15 +181,10 @@
 	}
 }
 
-// Enabled tells whether the rank's group steps on expert maps.
-func (r *Rank) Enabled() bool {
-	return tree.Get(r.current().Tree, r.scope, reference.ExpertParallel)
-}
-
 // leftOpen tells whether the rank has been stopped by a hold for so long that
 // its leader must be lost, and returns the ballot to complete the change under.
 func (r *Rank) leftOpen(ctx context.Context, now time.Time) (group.Ballot, bool) {
-	s, err := r.engine.read(ctx, false)
+	s, err := r.engine.Read(ctx, false)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if err != nil || s.Plan.State == nil || s.Plan.Hold == 0 || s.Step < s.Plan.Hold {
@@ -200,27 +200,27 @@
 	}
 	r.heldSince = time.Time{}
 	p := s.Plan.State.Promised
-	return group.Ballot{Term: p.Term, Attempt: p.Attempt + 1, Proposer: r.self}, true
+	return group.Ballot{Term: p.Term, Attempt: p.Attempt + 1, Proposer: r.group.Self()}, true
 }
 
-func (r *Rank) ranks() []string {
-	names := []string{}
-	for _, i := range r.current().Upstreams(r.scope) {
-		names = append(names, i.Name)
-	}
-	return names
+// LastOrder returns when the rank last accepted an order, and the ballot that it
+// promised.
+func (r *Rank) LastOrder() (time.Time, group.Ballot) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.lastOrder, r.promised
 }
 
-func (r *Rank) index() int { return max(slices.Index(r.ranks(), r.self), 0) }
+func (r *Rank) index() int { return max(slices.Index(r.group.Ranks(), r.group.Self()), 0) }
 
 // complete brings the group to where it stands by its ranks' own word.
 func (r *Rank) complete(ctx context.Context, b group.Ballot) {
 	ctx, cancel := context.WithTimeout(ctx, completeFor)
 	defer cancel()
-	ranks := r.ranks()
+	ranks := r.group.Ranks()
 	r.log.Info("completing a change that its leader left open", "attempt", b.Attempt)
 	l := group.NewLeader(ranks, b, 0, group.LeaderRules{Resend: orders.CallTimeout / 2, GiveUp: completeFor})
-	orders.Conduct(ctx, r.scope.Group, len(ranks), l, r.call, func(l *group.Leader) bool {
+	orders.Conduct(ctx, r.group.Name(), len(ranks), l, r.Call, func(l *group.Leader) bool {
 		if l.Phase() == group.Steady {
 			r.stats.Completed.Add(1)
 			r.log.Info("completed the change", "from-step", l.Current().From, "map", l.Current().Map)
@@ -230,12 +230,12 @@
 	})
 }
 
-// call sends an order to another rank's agent, or takes it itself.
-func (r *Rank) call(ctx context.Context, rank string, m *peer.GrantOrder) (*peer.GrantReply, error) {
-	if rank == r.self {
+// Call sends an order to another rank's agent, or takes it itself.
+func (r *Rank) Call(ctx context.Context, rank string, m *peer.GrantOrder) (*peer.GrantReply, error) {
+	if rank == r.group.Self() {
 		return r.Order(ctx, m)
 	}
-	return orders.Call(ctx, r.current(), r.pool, rank, m)
+	return r.group.Call(ctx, rank, m)
 }
 
 // State is the rank's part of the dump.
@@ -251,7 +251,7 @@
 // State returns the rank's part of the dump.
 func (r *Rank) State(ctx context.Context) State {
 	out := State{Accepted: r.stats.Accepted.Load(), Refused: r.stats.Refused.Load(), Completed: r.stats.Completed.Load()}
-	s, err := r.engine.read(ctx, false)
+	s, err := r.engine.Read(ctx, false)
 	if err != nil {
 		out.Error = err.Error()
 		return out
--- a/internal/agent/server/server.go
+++ b/internal/agent/server/server.go
@@ -24,6 +24,7 @@
 	"bramleydeal/internal/settings/tree"
 	"bramleydeal/internal/store/object"
 	"bramleydeal/internal/wire/dial"
+	"bramleydeal/internal/wire/orders"
 	"bramleydeal/internal/wire/peer"
 	"bramleydeal/internal/world/fleet"
 	"google.golang.org/grpc"
@@ -66,9 +67,7 @@
 		Current: a.spread.Current, Client: upstream.NewClient(c.Upstream.Address), Pool: a.pool, Log: logger.Part("door"),
 	}
 	if c.Upstream.Kind == config.Engine {
-		a.rank = rank.New(rank.Config{
-			Self: c.Name, Scope: a.scope(), Current: a.spread.Current, Engine: c.Upstream.Address, Pool: a.pool, Log: logger.Part("rank"),
-		})
+		a.rank = rank.New(ranks{a}, rank.NewPlanEngine(c.Upstream.Address), logger.Part("rank"))
 		door.Orders = a.rank
 	}
 	a.door = entry.NewServer(ctx, door)
@@ -93,6 +92,34 @@
 	return s
 }
 
+// ranks is the group of the agent's engine, as the settings say it.
+type ranks struct{ *Agent }
+
+// Name implements rank.Group.
+func (r ranks) Name() string { return r.scope().Group }
+
+// Stepping implements rank.Group.
+func (r ranks) Stepping() bool {
+	return tree.Get(r.spread.Current().Tree, r.scope(), reference.ExpertParallel)
+}
+
+// Self implements rank.Group.
+func (r ranks) Self() string { return r.config.Name }
+
+// Ranks implements rank.Group.
+func (r ranks) Ranks() []string {
+	names := []string{}
+	for _, i := range r.spread.Current().Upstreams(r.scope()) {
+		names = append(names, i.Name)
+	}
+	return names
+}
+
+// Call implements rank.Group.
+func (r ranks) Call(ctx context.Context, name string, m *peer.GrantOrder) (*peer.GrantReply, error) {
+	return orders.Call(ctx, r.spread.Current(), r.pool, name, m)
+}
+
 // Run serves until stop ends, then drains; it returns when all is closed. ctx
 // ends everything at once.
 func (a *Agent) Run(ctx, stop context.Context) error {
@@ -179,7 +206,7 @@
 		Instance: a.config.Name, Role: fleet.AgentRole, FailureDomain: a.config.FailureDomain,
 		Revision: a.spread.Current().Revision, Door: a.door.State(ctx), Spread: a.spread.State(), Peers: a.traffic.State(),
 	}
-	if a.rank != nil && a.rank.Enabled() {
+	if a.rank != nil && (ranks{a}).Stepping() {
 		s := a.rank.State(ctx)
 		out.Rank = &s
 	}
--- a/internal/core/group/placement.go
+++ b/internal/core/group/placement.go
@@ -290,3 +290,29 @@
 		heap.Push(h, p)
 	}
 }
+
+// ByRank returns the experts by layer and rank.
+func (m Map) ByRank() [][][]int {
+	out := make([][][]int, len(m.Layers))
+	for l, layer := range m.Layers {
+		out[l] = make([][]int, m.Ranks)
+		for r := range m.Ranks {
+			out[l][r] = slices.DeleteFunc(slices.Clone(layer[r*m.Slots:(r+1)*m.Slots]), func(e int) bool { return e == Empty })
+		}
+	}
+	return out
+}
+
+// MapOf returns the map of the experts by rank and layer.
+func MapOf(version uint64, byRank [][][]int, s Shape) Map {
+	m := Map{Version: version, Ranks: s.Ranks, Slots: s.Slots, Layers: make([][]int, s.Layers)}
+	for l := range m.Layers {
+		m.Layers[l] = slices.Repeat([]int{Empty}, s.Ranks*s.Slots)
+		for r, layers := range byRank {
+			if l < len(layers) {
+				copy(m.Layers[l][r*s.Slots:(r+1)*s.Slots], layers[l])
+			}
+		}
+	}
+	return m
+}
--- a/internal/operator/command/process.go
+++ b/internal/operator/command/process.go
@@ -11,6 +11,7 @@
 	"runtime/debug"
 	"syscall"
 
+	beside "bramleydeal/internal/agent/direct"
 	agent "bramleydeal/internal/agent/server"
 	"bramleydeal/internal/entry/direct"
 	entry "bramleydeal/internal/entry/server"
@@ -80,7 +81,7 @@
 			}
 			return serve(ctx, func(ctx context.Context) (process, error) {
 				if c.Direct != nil {
-					return direct.New(c, deployment(c), rand.Uint64(), log.New(os.Stdout, c.LogFormat, c.Name))
+					return direct.New(c, entryDeployment(c), rand.Uint64(), log.New(os.Stdout, c.LogFormat, c.Name))
 				}
 				return entry.New(ctx, c, rand.Uint64(), log.New(os.Stderr, c.LogFormat, c.Name))
 			})
@@ -88,8 +89,14 @@
 	}
 }
 
-// deployment returns what a process meets on the operators' platform.
-func deployment(c config.Process) direct.Deployment {
+// agentDeployment returns what an agent meets on the operators' platform.
+func agentDeployment(c config.Process) beside.Deployment {
+	s := platform.NewStore(c.Platform)
+	return beside.Deployment{Lister: s, Leases: s, Reader: platform.Reader{}, Orders: platform.NewEngine(c.Upstream.Address)}
+}
+
+// entryDeployment returns what an entry meets on the operators' platform.
+func entryDeployment(c config.Process) direct.Deployment {
 	return direct.Deployment{Store: platform.NewStore(c.Platform), Reader: platform.Reader{}, Dialect: platform.Dialect{}}
 }
 
@@ -105,6 +112,9 @@
 				return err
 			}
 			return serve(ctx, func(ctx context.Context) (process, error) {
+				if c.Direct != nil {
+					return beside.New(c, agentDeployment(c), log.New(os.Stdout, c.LogFormat, c.Name))
+				}
 				return agent.New(ctx, c, rand.Uint64(), log.New(os.Stderr, c.LogFormat, c.Name))
 			})
 		},
--- a/internal/wire/orders/orders.go
+++ b/internal/wire/orders/orders.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"net/netip"
 	"time"
 
 	"bramleydeal/internal/core/group"
@@ -161,7 +162,12 @@
 	if !ok {
 		return nil, oops.Code("unreachable").Errorf("%s is no instance", rank)
 	}
-	connection, err := pool.Get(i.Address)
+	return CallAt(ctx, pool, i.Address, m)
+}
+
+// CallAt sends an order to the agent at an address.
+func CallAt(ctx context.Context, pool *dial.Pool, address netip.AddrPort, m *peer.GrantOrder) (*peer.GrantReply, error) {
+	connection, err := pool.Get(address)
 	if err != nil {
 		return nil, err
 	}
