--- a/internal/agent/direct/lead.go
+++ b/internal/agent/direct/lead.go
@@ -28,7 +28,7 @@
 const (
 	// observeInterval is how often a leader reads the ranks' counts: well below
 	// the seconds for which a demand lasts.
-	observeInterval = 250 * time.Millisecond
+	observeInterval = 150 * time.Millisecond
 	// resendInterval is when an order that was not answered is sent again.
 	resendInterval = 300 * time.Millisecond
 	// giveUpAfter is how long a change waits for all promises.
@@ -46,7 +46,7 @@
 	lookInterval = 100 * time.Millisecond
 	// minPlanGap is the least time between two changes, so that the counts under
 	// the new map are in.
-	minPlanGap = 300 * time.Millisecond
+	minPlanGap = 150 * time.Millisecond
 )
 
 // Rules of the maps.
@@ -54,9 +54,13 @@
 	// fetchTime is how long one change may copy experts: much longer copies end
 	// after the demand that they were made for.
 	fetchTime = 600 * time.Millisecond
-	// leastSaving is the share of a mean step that a layer must save for each
-	// expert that its busiest rank fetches.
+	// leastSaving is the share of a rank's mean load in a layer that must be saved
+	// for each expert that its busiest rank fetches, while steps take longPass of
+	// the longest pause allowed between events; shorter steps ask for more.
 	leastSaving = 0.08
+	longPass    = 0.75
+	// passGain is the weight of the latest steps in the mean time of a step.
+	passGain = 0.4
 	// stayShare is the share of a rank's load that an expert in place is worth.
 	stayShare = 0.03
 )
@@ -147,6 +151,25 @@
 	staging bool
 	staged  uint64
 	counter uint64
+	pass    passTime
+}
+
+// passTime is the mean time of a step.
+type passTime struct {
+	step uint64
+	at   time.Time
+	mean time.Duration
+}
+
+// reached takes in the step that a group has reached at now.
+func (p *passTime) reached(step uint64, now time.Time) {
+	if !p.at.IsZero() && step > p.step {
+		took := now.Sub(p.at) / time.Duration(step-p.step)
+		p.mean += time.Duration(passGain * float64(took-p.mean))
+	}
+	if step != p.step {
+		p.step, p.at = step, now
+	}
 }
 
 // hold leads the group under a term until another one does.
@@ -230,12 +253,15 @@
 	if !ok {
 		return
 	}
-	g.planAt = now.Add(observeInterval - minPlanGap)
+	g.planAt = now
 	loads, ok := g.demand.Count(g.counts, g.shape, now)
 	if !ok {
 		return
 	}
-	next, changed := group.Replan(current, loads, g.shape, g.rules)
+	g.pass.reached(l.Step(), now)
+	rules := g.rules
+	rules.Least = g.least()
+	next, changed := group.Replan(current, loads, g.shape, rules)
 	if !changed {
 		return
 	}
@@ -243,10 +269,22 @@
 	next.Version = g.term<<16 | g.counter
 	g.staging = true
 	g.lead.log.Info("map planned", "map", next.Version, "from", current.Version, "moves", current.Moves(next),
-		"skew", group.Skew(current, loads, g.shape), "planned-skew", group.Skew(next, loads, g.shape))
+		"skew", group.Skew(current, loads, g.shape), "planned-skew", group.Skew(next, loads, g.shape),
+		"pass-ms", g.pass.mean.Milliseconds(), "least", rules.Least)
 	go g.stage(ctx, next)
 }
 
+// least is what a change must save. Steps well below the longest pause that
+// callers take for on time need no better map.
+func (g *led) least() float64 {
+	maxGap := g.lead.roster.maxGap()
+	if maxGap <= 0 || g.pass.mean <= 0 {
+		return leastSaving
+	}
+	slack := max(longPass*float64(maxGap)/float64(g.pass.mean), 1)
+	return leastSaving * slack * slack * slack
+}
+
 // current returns the map in use, once all ranks have told what they hold of it.
 func (g *led) current(version uint64) (group.Map, bool) {
 	byRank := make([][][]int, g.shape.Ranks)
--- a/internal/agent/direct/roster.go
+++ b/internal/agent/direct/roster.go
@@ -40,6 +40,9 @@
 	// addresses are those of the agents by rank.
 	addresses map[string]netip.AddrPort
 	experts   *service.Experts
+	// gap is the longest pause between events that every route to the service
+	// takes for on time, 0 for none.
+	gap time.Duration
 }
 
 // roster knows the group of the engine beside this agent. It implements
@@ -144,27 +147,49 @@
 		}
 	}
 	if before := r.current.Load(); before != nil && before.service == next.service && before.experts != nil {
-		next.experts = before.experts
-	} else if next.experts, err = r.readExperts(ctx, own.Service); err != nil {
+		next.experts, next.gap = before.experts, before.gap
+	} else if err := r.readService(ctx, next); err != nil {
 		return err
 	}
 	r.current.Store(next)
 	return nil
 }
 
-func (r *roster) readExperts(ctx context.Context, name string) (*service.Experts, error) {
+// readService reads what the desired state says of the group's service.
+func (r *roster) readService(ctx context.Context, m *members) error {
 	list, err := r.lister.ListCached(ctx, directory.DesiredState)
 	if err != nil {
-		return nil, err
+		return err
 	}
 	for _, o := range list.Objects {
 		d, err := r.reader.Desired(o.Value)
 		if err != nil {
-			return nil, err
+			return err
+		}
+		if e := d.Services[m.service].Engine; e != nil {
+			m.experts = e.Experts
 		}
-		if e := d.Services[name].Engine; e != nil {
-			return e.Experts, nil
+		m.gap = shortestGap(d, m.service)
+	}
+	return nil
+}
+
+func shortestGap(d *service.Desired, name string) time.Duration {
+	gap := time.Duration(0)
+	for _, r := range d.Routes {
+		for _, t := range r.Targets {
+			if t.Service == name && r.MaxGap > 0 && (gap == 0 || r.MaxGap < gap) {
+				gap = r.MaxGap
+			}
 		}
 	}
-	return nil, nil
+	return gap
+}
+
+// maxGap returns the longest pause between events that is on time, 0 for none.
+func (r *roster) maxGap() time.Duration {
+	if m := r.current.Load(); m != nil {
+		return m.gap
+	}
+	return 0
 }
--- a/internal/core/group/replan.go
+++ b/internal/core/group/replan.go
@@ -13,92 +13,120 @@
 	Fetches int
 	// Spare is the most experts of one layer that a rank may have to fetch.
 	Spare int
-	// Least is the least share of the mean step that a layer's change must save,
-	// for each expert that the busiest rank fetches.
+	// Least is the least share of a rank's mean load in a layer that a change must
+	// save, for each expert that the busiest rank fetches.
 	Least float64
 	// Stay is the share of a rank's mean load that holding an expert already is
 	// worth in the placement.
 	Stay float64
 }
 
-// replanned is a layer's new placement and what comes of it.
-type replanned struct {
-	layer int
+// option is one way to place a layer anew.
+type option struct {
 	slots []int
+	// saved is in shares of the layer's mean load of a rank.
 	saved float64
-	// fetches counts, for each rank, the experts that it does not hold yet.
+	// fetches counts, for each rank, the experts that it does not hold yet, most
+	// is the largest of them.
 	fetches []int
+	most    int
 }
 
 // Replan returns the map to change to for the loads that are expected, and false
-// when no change is worth its fetches. The layers that save most come first, as
-// far as no rank fetches more than the rules allow; what is left is done by the
-// next change.
+// when no change is worth its fetches. What saves most for the time that it takes
+// comes first, in all layers, as far as no rank fetches more than the rules
+// allow; the next change does the rest.
 func Replan(current Map, loads Loads, s Shape, r ReplanRules) (Map, bool) {
-	var plans []replanned
+	options := make([][]option, len(current.Layers))
 	for l := range current.Layers {
-		if p, ok := replanLayer(current.Layers[l], loads[l], s, r); ok {
-			p.layer = l
-			plans = append(plans, p)
+		options[l] = replanLayer(current.Layers[l], loads[l], s, r)
+	}
+	chosen := make([]option, len(options))
+	for l := range chosen {
+		chosen[l].fetches = make([]int, s.Ranks)
+	}
+	total := make([]int, s.Ranks)
+	for {
+		layer, next := bestUpgrade(options, chosen, total, r)
+		if layer < 0 {
+			break
+		}
+		for rank := range total {
+			total[rank] += next.fetches[rank] - chosen[layer].fetches[rank]
 		}
+		chosen[layer] = next
 	}
-	slices.SortStableFunc(plans, func(a, b replanned) int { return cmp.Compare(b.worth(), a.worth()) })
 	next := current.Clone()
-	total := make([]int, s.Ranks)
 	changed := false
-	for _, p := range plans {
-		if !fits(total, p.fetches, r.Fetches) && changed {
-			continue
-		}
-		for rank, n := range p.fetches {
-			total[rank] += n
+	for l, o := range chosen {
+		if o.slots != nil {
+			next.Layers[l], changed = o.slots, true
 		}
-		next.Layers[p.layer] = p.slots
-		changed = true
 	}
 	return next, changed
 }
 
-// worth is what a layer's change saves for the time that its fetches take.
-func (p replanned) worth() float64 { return p.saved / float64(max(slices.Max(p.fetches), 1)) }
+// bestUpgrade returns the layer and the option that saves most beyond what is
+// chosen, for each expert that its busiest rank fetches more; -1 for none.
+func bestUpgrade(options [][]option, chosen []option, total []int, r ReplanRules) (int, option) {
+	layer, best, most := -1, option{}, 0.0
+	for l, list := range options {
+		for _, o := range list {
+			more := o.saved - chosen[l].saved
+			worth := more / float64(max(o.most-chosen[l].most, 1))
+			if worth < r.Least || worth <= most || !fits(total, chosen[l].fetches, o.fetches, r.Fetches) {
+				continue
+			}
+			layer, best, most = l, o, worth
+		}
+	}
+	return layer, best
+}
 
-func fits(total, more []int, most int) bool {
+// fits tells whether no rank fetches more than most with other fetches in place
+// of some.
+func fits(total, without, with []int, most int) bool {
 	for rank := range total {
-		if total[rank]+more[rank] > most {
+		if total[rank]-without[rank]+with[rank] > most {
 			return false
 		}
 	}
 	return true
 }
 
-// replanLayer places one layer anew and tells whether that is worth it.
-func replanLayer(layer []int, loads []float64, s Shape, r ReplanRules) (replanned, bool) {
+// stays are the preferences for what is held that are tried, in multiples of the
+// rules': a stronger one fetches less.
+var stays = []float64{1, 4, 16}
+
+// replanLayer returns the ways to place a layer anew that save something, with
+// rising numbers of fetches.
+func replanLayer(layer []int, loads []float64, s Shape, r ReplanRules) []option {
 	mean := 0.0
 	for _, x := range loads {
 		mean += x / float64(s.Ranks)
 	}
 	if mean == 0 {
-		return replanned{}, false
+		return nil
 	}
 	before := slices.Max(rankTimes(layer, loads, s, nil))
-	best := replanned{}
-	// A stronger preference for what is held fetches less; the cheapest placement
-	// for what it saves is taken.
-	for _, stay := range []float64{r.Stay, 4 * r.Stay, 16 * r.Stay} {
-		slots, ok := placeNear(layer, loads, s, stay*mean, r.Spare)
-		if !ok {
-			continue
-		}
-		p := replanned{slots: slots, fetches: fetches(layer, slots, s)}
-		p.saved = (before - slices.Max(rankTimes(slots, loads, s, nil))) / mean
-		if best.slots == nil || p.worth() > best.worth() {
-			best = p
-		}
+	if before <= (1+r.Least)*mean {
+		return nil
 	}
-	if best.slots == nil {
-		return best, false
+	var out []option
+	for spare := 1; spare <= min(r.Spare, r.Fetches); spare++ {
+		for _, stay := range stays {
+			slots, ok := placeNear(layer, loads, s, stay*r.Stay*mean, spare)
+			if !ok {
+				continue
+			}
+			o := option{slots: slots, fetches: fetches(layer, slots, s)}
+			o.most = slices.Max(o.fetches)
+			if o.saved = (before - slices.Max(rankTimes(slots, loads, s, nil))) / mean; o.saved > 0 {
+				out = append(out, o)
+			}
+		}
 	}
-	return best, best.saved > r.Least*float64(max(slices.Max(best.fetches), 1))
+	return out
 }
 
 // fetches counts the experts that each rank has to fetch to go from one layer to
--- a/internal/core/upstream/quota.go
+++ b/internal/core/upstream/quota.go
@@ -34,8 +34,16 @@
 	requests, repeats float64
 }
 
-// NewQuota returns a quota that has seen nothing.
-func NewQuota(r QuotaRules) *Quota { return &Quota{rules: r} }
+// NewQuota returns the quota of a process that starts at now. The process may
+// have used its part of the slack just before it was started again, so that it
+// has none in its first window.
+func NewQuota(r QuotaRules, now time.Time) *Quota {
+	q := &Quota{rules: r}
+	if b := q.bucket(now); b != nil {
+		b.repeats = r.Slack / float64(max(r.Processes, 1))
+	}
+	return q
+}
 
 // Configure changes the rules.
 func (q *Quota) Configure(r QuotaRules) { q.rules = r }
--- a/internal/entry/upstream/pools.go
+++ b/internal/entry/upstream/pools.go
@@ -26,6 +26,7 @@
 	// mu guards all below. The core's decisions take microseconds, so that a lock
 	// is cheaper than a goroutine of its own.
 	mu       sync.Mutex
+	started  time.Time
 	rules    Rules
 	services map[string]*pooled
 }
@@ -37,7 +38,7 @@
 
 // NewPools returns pools that hold no service.
 func NewPools(seed uint64, domain fleet.FailureDomain, rules Rules, log logr.Logger) *Pools {
-	return &Pools{domain: domain, seed: seed, log: log, rules: rules, services: map[string]*pooled{}}
+	return &Pools{domain: domain, seed: seed, log: log, started: time.Now(), rules: rules, services: map[string]*pooled{}}
 }
 
 // Update takes in a new view. processes is the number of entries that share the
@@ -67,7 +68,7 @@
 func (p *Pools) of(name string) *pooled {
 	s := p.services[name]
 	if s == nil {
-		s = &pooled{core.NewPool(p.seed, p.domain, p.rules.Pool), core.NewQuota(p.rules.Quota)}
+		s = &pooled{core.NewPool(p.seed, p.domain, p.rules.Pool), core.NewQuota(p.rules.Quota, p.started)}
 		p.services[name] = s
 	}
 	return s
