Leave a stopped group alone and tell callers how long an outage may last

While a zone is cut off, both groups of these sites refuse everything; each request was sent twice and told to come back at once, to be refused again. One request at a time now tries a group that stopped, the others are refused without being sent.

--- a/internal/core/upstream/pool.go
+++ b/internal/core/upstream/pool.go
@@ -20,6 +20,8 @@
 	byID    map[string]*member
 	groups  map[string]*poolGroup
 	random  *rand.Rand
+	// goodAt is when a request last ended well.
+	goodAt time.Time
 }
 
 // member is one upstream of a pool.
@@ -41,7 +43,7 @@
 // all of them.
 type poolGroup struct {
 	health health
-	broken bool
+	epoch  uint64
 	size   int
 	// outstanding is the sum over the group's members.
 	outstanding int
@@ -69,6 +71,10 @@
 	rateGain = 0.15
 	// minRateSamples is how many outcomes an error rate needs to be believed.
 	minRateSamples = 6
+	// groupPause is how long a group that stopped is left alone between two
+	// requests that try it: a group opens again within some hundred milliseconds,
+	// and refuses at once until then.
+	groupPause = 250 * time.Millisecond
 	// saidLasts is how long an upstream's word about its load is worth anything;
 	// a request takes a second or so.
 	saidLasts = time.Second
@@ -120,10 +126,13 @@
 		if g == nil {
 			g = &poolGroup{}
 		}
-		g.outstanding, g.size, g.broken = 0, max(s.Size, 1), false
+		if s.Epoch > g.epoch {
+			// The group formed anew.
+			g.health, g.epoch = health{}, s.Epoch
+		}
+		g.outstanding, g.size = 0, max(s.Size, 1)
 		groups[s.Group] = g
 	}
-	g.broken = g.broken || s.Broken
 	return g
 }
 
@@ -158,7 +167,6 @@
 const (
 	sound standing = iota
 	lapsed
-	groupOut
 	out
 	unusable
 )
@@ -196,10 +204,11 @@
 		return unusable
 	case p.rules.Outstanding > 0 && m.outstanding >= p.rules.Outstanding:
 		return unusable
+	case m.group != nil && (m.group.health.out(now) || slices.Contains(s.Groups, m.Membership.Group)):
+		// Whatever rank is asked, the group runs nothing.
+		return unusable
 	case m.health.out(now):
 		return out
-	case m.group != nil && (m.group.broken || m.group.health.out(now) || slices.Contains(s.Groups, m.Membership.Group)):
-		return groupOut
 	case m.Lapsed:
 		return lapsed
 	default:
@@ -276,6 +285,9 @@
 	if m.group != nil {
 		m.group.outstanding = max(m.group.outstanding-1, 0)
 	}
+	if m.group != nil && o != GroupStalled {
+		m.group.health.probing = false
+	}
 	switch o {
 	case Answered:
 		p.good(m, took, now)
@@ -286,25 +298,37 @@
 		m.health.eject(p.rules.EjectionTime, now)
 	case GroupStalled:
 		m.health.probing = false
-		m.group.stalled(p.rules.EjectionTime, now)
+		m.group.stalled(now)
 	case TurnedAway, CallerLeft:
 		m.health.probing = false
-		if m.group != nil {
-			m.group.health.probing = false
-		}
 	}
 }
 
-func (g *poolGroup) stalled(base time.Duration, now time.Time) {
-	if g != nil && !g.health.out(now) {
+func (g *poolGroup) stalled(now time.Time) {
+	if g != nil {
 		g.health.ejections = 0
-		g.health.eject(base, now)
+		g.health.eject(groupPause, now)
+	}
+}
+
+// Outage is the time since the last good answer while no upstream may be used or
+// none is sound, 0 otherwise.
+func (p *Pool) Outage(now time.Time) time.Duration {
+	for _, m := range p.members {
+		if st := p.standing(m, Selection{}, now); st <= lapsed {
+			return 0
+		}
+	}
+	if p.goodAt.IsZero() {
+		return 0
 	}
+	return now.Sub(p.goodAt)
 }
 
 func (p *Pool) good(m *member, took time.Duration, now time.Time) {
+	p.goodAt = now
 	if m.group != nil {
-		m.group.health.succeeded(took)
+		m.group.health = health{}
 	}
 	m.note(0)
 	m.health.succeeded(took)
--- a/internal/entry/client/forward.go
+++ b/internal/entry/client/forward.go
@@ -88,11 +88,18 @@
 		f.passOn(f.failed.head, f.failed.body)
 		f.log(f.failed.head.StatusCode, "upstream's own failure")
 	case core.RefuseWith:
-		f.handler.refuse(f.w, f.call, answer.Refuse(n.Kind, "tried %d upstreams", f.attempt.Sent()).After(comeBackOf(n.Kind)))
+		f.handler.refuse(f.w, f.call, answer.Refuse(n.Kind, "tried %d upstreams", f.attempt.Sent()).After(f.comeBack(n.Kind)))
 	}
 }
 
-func comeBackOf(k answer.Kind) time.Duration {
+// comeBack is when the caller may find an upstream that serves it. An outage is
+// expected to last about as long again as it has lasted; a caller that comes back
+// with less than two thirds of its time would find too little left.
+func (f *forwarding) comeBack(k answer.Kind) time.Duration {
+	now := time.Now()
+	if outage := f.handler.pools.Outage(f.service, now); outage > 0 {
+		return min(max(outage, comeBackOutage), max(f.until.Sub(now)/3, comeBackFull))
+	}
 	if k == answer.Overloaded {
 		return comeBackFull
 	}
--- a/internal/entry/upstream/pools.go
+++ b/internal/entry/upstream/pools.go
@@ -95,6 +95,13 @@
 	p.of(u.Service).pool.Said(u.ID, running, waiting, now)
 }
 
+// Outage is how long a service has had no sound upstream, 0 while it has one.
+func (p *Pools) Outage(name string, now time.Time) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.of(name).pool.Outage(now)
+}
+
 // Request counts a caller's request for a service.
 func (p *Pools) Request(name string, now time.Time) {
 	p.mu.Lock()
