--- a/internal/agent/direct/lead.go
+++ b/internal/agent/direct/lead.go
@@ -271,7 +271,7 @@
 	g.lead.log.Info("map planned", "map", next.Version, "from", current.Version, "moves", current.Moves(next),
 		"skew", group.Skew(current, loads, g.shape), "planned-skew", group.Skew(next, loads, g.shape),
 		"pass-ms", g.pass.mean.Milliseconds(), "least", rules.Least)
-	go g.stage(ctx, next)
+	go g.stage(ctx, next, l.Ballot())
 }
 
 // least is what a change must save. Steps well below the longest pause that
@@ -298,8 +298,11 @@
 	return group.MapOf(version, byRank, g.shape), true
 }
 
+// errTermOver says that a rank has promised to follow a later leader.
+var errTermOver = errors.New("the term is over")
+
 // stage gives a map to all ranks at once and notes it when all have it.
-func (g *led) stage(ctx context.Context, m group.Map) {
+func (g *led) stage(ctx context.Context, m group.Map, b group.Ballot) {
 	began := time.Now()
 	content, err := json.Marshal(m)
 	if err != nil {
@@ -310,9 +313,14 @@
 	var calls sync.WaitGroup
 	for i := range failed {
 		calls.Go(func() {
-			_, failed[i] = g.lead.rank.Call(ctx, strconv.Itoa(i), &peer.GrantOrder{
+			reply, err := g.lead.rank.Call(ctx, strconv.Itoa(i), &peer.GrantOrder{
 				Group: g.lead.roster.Name(), Kind: peer.GrantOrder_STAGE, Map: m.Version, Content: content,
+				Ballot: orders.BallotMessage(b),
 			})
+			if err == nil && !reply.Accepted {
+				err = errTermOver
+			}
+			failed[i] = err
 		})
 	}
 	calls.Wait()
--- a/internal/agent/rank/ordered.go
+++ b/internal/agent/rank/ordered.go
@@ -191,28 +191,44 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, stageTimeout)
 	defer cancel()
-	ordered := false
-	for {
-		r, err := e.orders.Report(ctx)
-		switch {
-		case err != nil:
-			e.log.Info("the engine does not answer", "reason", err.Error())
-		case r.Prepared == version || r.Map == version:
-			return nil
-		case r.Prepared > version || r.Map > version:
-			return oops.Code("engine").Errorf("map %d is older than one that the engine has", version)
-		case !ordered:
-			// An order without an answer is given again; the engine refuses a second
-			// one of the same version while the copy runs, which shows in the report.
-			ok, err := e.orders.Prepare(ctx, r.Epoch, version, m.ByRank())
-			if err == nil && !ok {
-				return oops.Code("engine").Errorf("the engine refuses map %d", version)
-			}
-			ordered = err == nil
+	for ordered := false; ; {
+		done, given, err := e.stageOnce(ctx, version, m, ordered)
+		if done || err != nil {
+			return err
 		}
+		ordered = given
 		if ctx.Err() != nil {
 			return oops.Code("engine").Errorf("map %d is not there in time", version)
 		}
 		clock.Sleep(ctx, stagePoll)
 	}
 }
+
+// stageOnce looks whether a map is copied whole, and gives the order for it
+// unless that was answered. No map is staged while a change is under way: it
+// would take the place of the one that the rank promised to switch to.
+func (e *orderedEngine) stageOnce(ctx context.Context, version uint64, m group.Map, ordered bool) (done, given bool, err error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	r, err := e.report(ctx)
+	switch {
+	case err != nil:
+		e.log.Info("the engine does not answer", "reason", err.Error())
+		return false, ordered, nil
+	case r.Prepared == version || r.Map == version:
+		return true, ordered, nil
+	case r.Prepared > version || r.Map > version:
+		return false, ordered, oops.Code("engine").Errorf("map %d is older than one that the engine has", version)
+	case e.state.Hold != 0 || e.state.Grants[len(e.state.Grants)-1].Map != r.Map:
+		return false, ordered, oops.Code("engine").Errorf("a change of the map is under way")
+	case ordered:
+		return false, true, nil
+	}
+	// An order without an answer is given again; the engine refuses a second one
+	// of the same version while the copy runs, which shows in the report.
+	ok, err := e.orders.Prepare(ctx, r.Epoch, version, m.ByRank())
+	if err == nil && !ok {
+		return false, false, oops.Code("engine").Errorf("the engine refuses map %d", version)
+	}
+	return false, err == nil, nil
+}
--- a/internal/agent/rank/rank.go
+++ b/internal/agent/rank/rank.go
@@ -68,6 +68,9 @@
 // not answer; the order may or may not have been taken, and may be sent again.
 func (r *Rank) Order(ctx context.Context, m *peer.GrantOrder) (*peer.GrantReply, error) {
 	if m.Kind == peer.GrantOrder_STAGE {
+		if r.outdated(m) {
+			return &peer.GrantReply{}, nil
+		}
 		if err := r.engine.Stage(ctx, m.Map, m.Content); err != nil {
 			return nil, grpcstatus.Error(codes.Unavailable, err.Error())
 		}
@@ -92,6 +95,13 @@
 	return reply, nil
 }
 
+// outdated tells whether an order comes from a leader whose term is over.
+func (r *Rank) outdated(m *peer.GrantOrder) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return m.Ballot != nil && orders.BallotOf(m.Ballot).Compare(r.promised) < 0
+}
+
 // take reads the engine's plan, which is the rank's state, decides on the order
 // and puts the new plan to the engine before anybody hears of it; r.mu is held.
 func (r *Rank) take(ctx context.Context, o group.Order, loads bool) (*peer.GrantReply, error) {
--- /dev/null
+++ b/internal/core/group/replan_test.go
@@ -0,0 +1,217 @@
+package group
+
+import (
+	"math"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+var replanShape = Shape{Ranks: 8, Experts: 64, Layers: 6, Slots: 11}
+
+var replanRules = ReplanRules{Fetches: 4, Spare: 4, Least: 0.08, Stay: 0.03}
+
+// dealt is the map that a group begins with: experts in turn, with free places.
+func dealt(s Shape) Map {
+	byRank := make([][][]int, s.Ranks)
+	for r := range byRank {
+		byRank[r] = make([][]int, s.Layers)
+		for l := range byRank[r] {
+			for e := r; e < s.Experts; e += s.Ranks {
+				byRank[r][l] = append(byRank[r][l], e)
+			}
+		}
+	}
+	return MapOf(0, byRank, s)
+}
+
+// steep returns loads of which few experts carry most, others in each layer.
+func steep(s Shape, seed uint64) Loads {
+	random := rand.New(rand.NewPCG(seed, seed))
+	out := make(Loads, s.Layers)
+	for l := range out {
+		out[l] = make([]float64, s.Experts)
+		for place, e := range random.Perm(s.Experts) {
+			out[l][e] = 1e6 * math.Pow(float64(place+1), -1.6)
+		}
+	}
+	return out
+}
+
+// checkMap fails for a map that an engine would refuse.
+func checkMap(t interface{ Fatalf(string, ...any) }, m Map, s Shape) {
+	for l, layer := range m.Layers {
+		count := make([]int, s.Experts)
+		for r := range s.Ranks {
+			held := slices.DeleteFunc(slices.Clone(layer[r*s.Slots:(r+1)*s.Slots]), func(e int) bool { return e == Empty })
+			slices.Sort(held)
+			if len(slices.Compact(slices.Clone(held))) != len(held) {
+				t.Fatalf("layer %d: rank %d holds an expert twice: %v", l, r, held)
+			}
+			for _, e := range held {
+				count[e]++
+			}
+		}
+		if i := slices.Index(count, 0); i >= 0 {
+			t.Fatalf("layer %d: nobody holds expert %d", l, i)
+		}
+	}
+}
+
+// busiest is the most experts that one rank fetches, over all layers and in one.
+func busiest(from, to Map, s Shape) (all, layer int) {
+	total := make([]int, s.Ranks)
+	for l := range from.Layers {
+		for r, n := range fetches(from.Layers[l], to.Layers[l], s) {
+			total[r] += n
+			layer = max(layer, n)
+		}
+	}
+	return slices.Max(total), layer
+}
+
+func TestReplanRemovesASteepDemandsSkewInFewChanges(t *testing.T) {
+	is := is.New(t)
+	loads := steep(replanShape, 1)
+	m := dealt(replanShape)
+	before := Skew(m, loads, replanShape)
+	is.True(before > 3)
+	for change := 1; ; change++ {
+		next, changed := Replan(m, loads, replanShape, replanRules)
+		if !changed {
+			break
+		}
+		checkMap(t, next, replanShape)
+		all, layer := busiest(m, next, replanShape)
+		is.True(all <= replanRules.Fetches)
+		is.True(layer <= replanRules.Spare)
+		is.True(Skew(next, loads, replanShape) < Skew(m, loads, replanShape))
+		m = next
+		is.True(change < 10)
+	}
+	is.True(Skew(m, loads, replanShape) < 1.25)
+}
+
+func TestReplanTakesTheLargestSavingsOfAllLayersFirst(t *testing.T) {
+	is := is.New(t)
+	loads := steep(replanShape, 2)
+	next, changed := Replan(dealt(replanShape), loads, replanShape, ReplanRules{Fetches: 6, Spare: 4, Least: 0.08, Stay: 0.03})
+	is.True(changed)
+	// One expert a rank and layer goes a long way: the first change saves more
+	// than half of what the skew costs.
+	before, after := Skew(dealt(replanShape), loads, replanShape), Skew(next, loads, replanShape)
+	is.True(before-after > (before-1)/2)
+}
+
+func TestReplanLeavesAnEvenDemandAlone(t *testing.T) {
+	is := is.New(t)
+	loads := make(Loads, replanShape.Layers)
+	for l := range loads {
+		loads[l] = slices.Repeat([]float64{1000}, replanShape.Experts)
+	}
+	_, changed := Replan(dealt(replanShape), loads, replanShape, replanRules)
+	is.True(!changed)
+	_, changed = Replan(dealt(replanShape), make(Loads, replanShape.Layers), replanShape, replanRules)
+	is.True(!changed) // nothing was asked yet
+}
+
+func TestReplanAsksMoreSavingWhereTheRulesDo(t *testing.T) {
+	is := is.New(t)
+	loads := steep(replanShape, 3)
+	m := dealt(replanShape)
+	moves := func(least float64) int {
+		rules := replanRules
+		rules.Least, rules.Fetches = least, 100
+		next, changed := Replan(m, loads, replanShape, rules)
+		if !changed {
+			return 0
+		}
+		return m.Moves(next)
+	}
+	is.True(moves(0.05) > moves(0.5))
+	is.Equal(moves(100), 0)
+}
+
+// TestReplanGivesMapsThatEnginesTake plans from any map and demand of any shape.
+func TestReplanGivesMapsThatEnginesTake(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		ranks := rapid.SampledFrom([]int{2, 3, 8, 32}).Draw(t, "ranks")
+		s := Shape{Ranks: ranks, Layers: rapid.IntRange(1, 3).Draw(t, "layers"), Experts: ranks * rapid.IntRange(1, 6).Draw(t, "experts")}
+		s.Slots = s.Experts/ranks + rapid.IntRange(0, 3).Draw(t, "free")
+		rules := ReplanRules{
+			Fetches: rapid.IntRange(1, 8).Draw(t, "fetches"), Spare: rapid.IntRange(1, 4).Draw(t, "spare"),
+			Least: 0.05, Stay: 0.03,
+		}
+		m := dealt(s)
+		for range 4 {
+			loads := make(Loads, s.Layers)
+			for l := range loads {
+				for range s.Experts {
+					loads[l] = append(loads[l], float64(rapid.IntRange(0, 1000).Draw(t, "load")))
+				}
+			}
+			next, changed := Replan(m, loads, s, rules)
+			if !changed {
+				continue
+			}
+			checkMap(t, next, s)
+			if all, layer := busiest(m, next, s); all > rules.Fetches || layer > rules.Spare {
+				t.Fatalf("a rank fetches %d experts, %d in one layer", all, layer)
+			}
+			m = next
+		}
+	})
+}
+
+func TestDemandFollowsAChangeWithinASecond(t *testing.T) {
+	is := is.New(t)
+	s := Shape{Ranks: 2, Experts: 2, Layers: 1, Slots: 2}
+	d := NewDemand()
+	now := time.Unix(1000, 0)
+	counts := map[string][]uint32{"0": {0, 0}, "1": {math.MaxUint32 - 50, 0}}
+	_, ok := d.Count(clone(counts), s, now)
+	is.True(!ok) // counts alone say nothing yet
+	step := func(first, second uint32) Loads {
+		now = now.Add(150 * time.Millisecond)
+		for rank := range counts {
+			counts[rank][0] += first // passes the range of the type at rank 1
+			counts[rank][1] += second
+		}
+		loads, ok := d.Count(clone(counts), s, now)
+		is.True(ok)
+		return loads
+	}
+	for range 10 {
+		step(100, 0)
+	}
+	var loads Loads
+	for range 7 {
+		loads = step(0, 100)
+	}
+	is.True(loads[0][1] > 2*loads[0][0])
+}
+
+func TestDemandPassesOverARankWhoseCountsBeginAnew(t *testing.T) {
+	is := is.New(t)
+	s := Shape{Ranks: 1, Experts: 2, Layers: 1, Slots: 2}
+	d := NewDemand()
+	now := time.Unix(1000, 0)
+	d.Count(map[string][]uint32{"0": {5000, 5000}}, s, now)
+	_, ok := d.Count(map[string][]uint32{"0": {10, 0}}, s, now.Add(time.Second))
+	is.True(!ok)
+	loads, ok := d.Count(map[string][]uint32{"0": {20, 0}}, s, now.Add(2*time.Second))
+	is.True(ok)
+	is.Equal(loads[0], []float64{10, 0})
+}
+
+func clone(counts map[string][]uint32) map[string][]uint32 {
+	out := map[string][]uint32{}
+	for rank, c := range counts {
+		out[rank] = slices.Clone(c)
+	}
+	return out
+}
--- /dev/null
+++ b/internal/core/upstream/pool_test.go
@@ -0,0 +1,222 @@
+package upstream
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+	"time"
+
+	"bramleydeal/internal/world/fleet"
+	"bramleydeal/internal/world/service"
+	"github.com/matryer/is"
+)
+
+var poolRules = PoolRules{EjectionTime: time.Second, EjectionFailures: 3, EjectionRate: 0.4, SlowFactor: 3}
+
+// plain returns n upstreams of a plain service, each in a failure domain of its own.
+func plain(n int) []service.Upstream {
+	var out []service.Upstream
+	for i := range n {
+		out = append(out, service.Upstream{
+			ID: fmt.Sprint("u", i), Service: "stock", Slots: 6, FailureDomain: fleet.FailureDomain(fmt.Sprint("d", i)),
+			Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, byte(i + 1)}), 8000),
+		})
+	}
+	return out
+}
+
+// grouped returns two groups of ranks.
+func grouped(ranks int) []service.Upstream {
+	out := plain(2 * ranks)
+	for i := range out {
+		out[i].Membership = &service.Membership{Group: fmt.Sprint("g", i/ranks), Epoch: 1, Rank: i % ranks, Size: ranks}
+	}
+	return out
+}
+
+func newTestPool(members []service.Upstream) *Pool {
+	p := NewPool(1, "d0", poolRules)
+	p.Configure(members, poolRules)
+	return p
+}
+
+var testNow = time.Unix(1000, 0)
+
+func choose(p *Pool, s Selection, now time.Time) string {
+	u, ok := p.Choose(s, now)
+	if !ok {
+		return ""
+	}
+	return u.ID
+}
+
+func TestPoolSpreadsRequestsEvenlyAndPrefersItsOwnDomainAmongEquals(t *testing.T) {
+	is := is.New(t)
+	p := newTestPool(plain(3))
+	is.Equal(choose(p, Selection{}, testNow), "u0")
+	seen := map[string]int{"u0": 1}
+	for range 8 {
+		seen[choose(p, Selection{}, testNow)]++
+	}
+	is.Equal(seen, map[string]int{"u0": 3, "u1": 3, "u2": 3})
+}
+
+func TestPoolEvensOutGroupsBeforeRanks(t *testing.T) {
+	is := is.New(t)
+	p := newTestPool(grouped(4))
+	perGroup := map[string]int{}
+	perRank := map[string]int{}
+	for range 16 {
+		u, ok := p.Choose(Selection{}, testNow)
+		is.True(ok)
+		perGroup[u.Membership.Group]++
+		perRank[u.ID]++
+	}
+	is.Equal(perGroup, map[string]int{"g0": 8, "g1": 8})
+	for _, n := range perRank {
+		is.Equal(n, 2)
+	}
+}
+
+func TestPoolGivesNoWorkToLeavingUpstreams(t *testing.T) {
+	is := is.New(t)
+	members := plain(2)
+	members[0].Leaving = true
+	p := newTestPool(members)
+	for range 5 {
+		is.Equal(choose(p, Selection{}, testNow), "u1")
+	}
+	is.Equal(choose(p, Selection{Exclude: []string{"u1"}}, testNow), "")
+}
+
+func TestPoolUsesLapsedUpstreamsOnlyWithoutOthers(t *testing.T) {
+	is := is.New(t)
+	members := plain(2)
+	members[0].Lapsed = true
+	p := newTestPool(members)
+	is.Equal(choose(p, Selection{}, testNow), "u1")
+	is.Equal(choose(p, Selection{Exclude: []string{"u1"}}, testNow), "u0")
+}
+
+func TestPoolEjectsAfterFailuresInARowAndLetsOneProbeBack(t *testing.T) {
+	is := is.New(t)
+	p := newTestPool(plain(3))
+	for range poolRules.EjectionFailures {
+		p.Ended("u0", Faulty, 0, testNow)
+	}
+	is.True(choose(p, Selection{Exclude: []string{"u1"}}, testNow) == "u2") // u0 is ejected
+	later := testNow.Add(2 * poolRules.EjectionTime)
+	is.Equal(choose(p, Selection{Exclude: []string{"u1", "u2"}}, later), "u0")
+	is.True(choose(p, Selection{Exclude: []string{"u1"}}, later) == "u2") // one probe at a time
+	p.Ended("u0", Answered, time.Millisecond, later)
+	is.Equal(choose(p, Selection{Exclude: []string{"u1", "u2"}}, later), "u0")
+}
+
+func TestPoolEjectsGreyUpstreamsThatFailOften(t *testing.T) {
+	is := is.New(t)
+	p := newTestPool(plain(3))
+	for i := range 12 {
+		outcome := Answered
+		if i%2 == 0 {
+			outcome = Faulty // half of the requests, never three in a row
+		}
+		p.Ended("u1", outcome, 50*time.Millisecond, testNow)
+	}
+	for range 6 {
+		is.True(choose(p, Selection{}, testNow) != "u1")
+	}
+}
+
+func TestPoolDoesNotEjectMoreThanHalfForFailures(t *testing.T) {
+	is := is.New(t)
+	p := newTestPool(plain(3))
+	for _, id := range []string{"u0", "u1", "u2"} {
+		for range poolRules.EjectionFailures {
+			p.Ended(id, Faulty, 0, testNow)
+		}
+	}
+	out := 0
+	for _, s := range p.State(testNow) {
+		if s.Ejected {
+			out++
+		}
+	}
+	is.Equal(out, 1)
+}
+
+func TestPoolLeavesAStoppedGroupAloneButForOneTry(t *testing.T) {
+	is := is.New(t)
+	p := newTestPool(grouped(2))
+	p.Ended("u2", Answered, time.Millisecond, testNow)
+	p.Ended("u0", GroupStalled, 0, testNow)
+	for range 4 {
+		u, ok := p.Choose(Selection{}, testNow)
+		is.True(ok)
+		is.Equal(u.Membership.Group, "g1")
+	}
+	is.Equal(p.Outage(testNow), time.Duration(0))
+	p.Ended("u2", GroupStalled, 0, testNow)
+	is.Equal(choose(p, Selection{}, testNow), "")
+	soon := testNow.Add(groupPause)
+	first, ok := p.Choose(Selection{}, soon)
+	is.True(ok)
+	second, ok := p.Choose(Selection{}, soon)
+	is.True(ok)
+	is.True(first.Membership.Group != second.Membership.Group) // one each
+	is.Equal(choose(p, Selection{}, soon), "")
+	is.Equal(p.Outage(soon), groupPause)
+	p.Ended(first.ID, Answered, time.Millisecond, soon)
+	is.True(choose(p, Selection{}, soon) != "")
+}
+
+func TestPoolForgetsAnOutageWhenTheGroupFormsAnew(t *testing.T) {
+	is := is.New(t)
+	members := grouped(2)[:2]
+	p := newTestPool(members)
+	p.Ended("u0", GroupStalled, 0, testNow)
+	is.Equal(choose(p, Selection{}, testNow), "")
+	for i := range members {
+		formed := *members[i].Membership
+		formed.Epoch++
+		members[i].Membership = &formed
+	}
+	p.Configure(members, poolRules)
+	is.True(choose(p, Selection{}, testNow) != "")
+}
+
+func TestPoolBeginsAfreshWithANewIncarnationUnderAnOldID(t *testing.T) {
+	is := is.New(t)
+	members := plain(2)
+	p := newTestPool(members)
+	p.Ended("u0", Unreachable, 0, testNow)
+	is.Equal(choose(p, Selection{}, testNow), "u1")
+	members[0].Born = testNow
+	p.Configure(members, poolRules)
+	is.Equal(choose(p, Selection{}, testNow), "u0")
+}
+
+func TestPoolAvoidsSlowUpstreams(t *testing.T) {
+	is := is.New(t)
+	p := newTestPool(plain(3))
+	for range 30 {
+		p.Ended("u0", Answered, 60*time.Millisecond, testNow)
+		p.Ended("u1", Answered, 60*time.Millisecond, testNow)
+		p.Ended("u2", Answered, 300*time.Millisecond, testNow)
+	}
+	for range 6 {
+		is.True(choose(p, Selection{}, testNow) != "u2")
+	}
+}
+
+func TestPoolBoundsItsRequestsAtOneUpstream(t *testing.T) {
+	is := is.New(t)
+	rules := poolRules
+	rules.Outstanding = 2
+	p := NewPool(1, "d0", rules)
+	p.Configure(plain(1), rules)
+	is.Equal(choose(p, Selection{}, testNow), "u0")
+	is.Equal(choose(p, Selection{}, testNow), "u0")
+	is.Equal(choose(p, Selection{}, testNow), "")
+	p.Ended("u0", CallerLeft, 0, testNow)
+	is.Equal(choose(p, Selection{}, testNow), "u0")
+}
--- /dev/null
+++ b/internal/core/upstream/quota_test.go
@@ -0,0 +1,90 @@
+package upstream
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+var quotaRules = QuotaRules{Ratio: 0.2, Slack: 92, Window: 10 * time.Second, Processes: 8}
+
+func TestQuotaAllowsItsShareOfTheSlackAndTheRatio(t *testing.T) {
+	is := is.New(t)
+	start := time.Unix(1000, 0)
+	q := NewQuota(quotaRules, start)
+	now := start.Add(quotaRules.Window + time.Second)
+	for range 100 {
+		q.Request(now)
+	}
+	allowed := 0
+	for q.Repeat(now) {
+		allowed++
+	}
+	is.Equal(allowed, 26) // 0.85 * (0.2*100 + 92/8)
+	is.True(!q.Repeat(now.Add(quotaRules.Window / 2)))
+	is.True(q.Repeat(now.Add(2 * quotaRules.Window)))
+}
+
+func TestQuotaHasNoSlackRightAfterAStart(t *testing.T) {
+	is := is.New(t)
+	start := time.Unix(1000, 0)
+	q := NewQuota(quotaRules, start)
+	is.True(!q.Repeat(start.Add(time.Second)))
+	for range 100 {
+		q.Request(start.Add(time.Second))
+	}
+	is.True(q.Repeat(start.Add(time.Second))) // the ratio counts from the first request on
+}
+
+// TestQuotaHoldsOverAnyWindowOfAllProcesses lets processes send, repeat and
+// restart at any time, and counts repeats over every sliding window.
+func TestQuotaHoldsOverAnyWindowOfAllProcesses(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		start := time.Unix(1000, 0)
+		now := start
+		quotas := make([]*Quota, quotaRules.Processes)
+		for i := range quotas {
+			quotas[i] = NewQuota(quotaRules, now)
+		}
+		var requests, repeats []time.Time
+		for range rapid.IntRange(100, 400).Draw(t, "events") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 400).Draw(t, "ms")) * time.Millisecond)
+			i := rapid.IntRange(0, len(quotas)-1).Draw(t, "process")
+			switch rapid.IntRange(0, 20).Draw(t, "event") {
+			case 0:
+				quotas[i] = NewQuota(quotaRules, now)
+			case 1, 2, 3, 4, 5, 6:
+				quotas[i].Request(now)
+				requests = append(requests, now)
+			default:
+				for range rapid.IntRange(1, 10).Draw(t, "tries") {
+					if quotas[i].Repeat(now) {
+						repeats = append(repeats, now)
+					}
+				}
+			}
+		}
+		for _, from := range repeats {
+			end := from.Add(quotaRules.Window)
+			sent := inWindow(repeats, from, end)
+			// As the users count: requests of that window or of one before it.
+			asked := max(inWindow(requests, from, end), inWindow(requests, from.Add(-quotaRules.Window), from),
+				inWindow(requests, from.Add(-quotaRules.Window/2), from.Add(quotaRules.Window/2)))
+			if bound := quotaRules.Ratio*float64(asked) + quotaRules.Slack; float64(sent) > bound {
+				t.Fatalf("%d repeats in a window, the bound is %.1f", sent, bound)
+			}
+		}
+	})
+}
+
+func inWindow(at []time.Time, from, to time.Time) int {
+	n := 0
+	for _, x := range at {
+		if !x.Before(from) && x.Before(to) {
+			n++
+		}
+	}
+	return n
+}
--- a/internal/wire/orders/orders.go
+++ b/internal/wire/orders/orders.go
@@ -22,23 +22,23 @@
 	m := &peer.GrantOrder{Group: name}
 	switch v := o.(type) {
 	case group.Collect:
-		m.Kind, m.Ballot = peer.GrantOrder_COLLECT, ballotMessage(v.Ballot)
+		m.Kind, m.Ballot = peer.GrantOrder_COLLECT, BallotMessage(v.Ballot)
 		if v.Confirm {
 			m.Kind = peer.GrantOrder_CONFIRM
 		}
 	case group.Hold:
-		m.Kind, m.Ballot, m.Incarnation, m.Step, m.Map = peer.GrantOrder_HOLD, ballotMessage(v.Ballot), v.Incarnation, v.Step, v.Map
+		m.Kind, m.Ballot, m.Incarnation, m.Step, m.Map = peer.GrantOrder_HOLD, BallotMessage(v.Ballot), v.Incarnation, v.Step, v.Map
 	case group.Give:
-		m.Kind, m.Ballot, m.Incarnation, m.Grants = peer.GrantOrder_GIVE, ballotMessage(v.Ballot), v.Incarnation, grantMessages([]group.Grant{v.Grant})
+		m.Kind, m.Ballot, m.Incarnation, m.Grants = peer.GrantOrder_GIVE, BallotMessage(v.Ballot), v.Incarnation, grantMessages([]group.Grant{v.Grant})
 	case group.Restore:
-		m.Kind, m.Ballot, m.Incarnation, m.Grants = peer.GrantOrder_RESTORE, ballotMessage(v.Ballot), v.Incarnation, grantMessages(v.Grants)
+		m.Kind, m.Ballot, m.Incarnation, m.Grants = peer.GrantOrder_RESTORE, BallotMessage(v.Ballot), v.Incarnation, grantMessages(v.Grants)
 	}
 	return m
 }
 
 // Order returns the order of a message.
 func Order(m *peer.GrantOrder) (group.Order, error) {
-	b := ballotOf(m.Ballot)
+	b := BallotOf(m.Ballot)
 	switch m.Kind {
 	case peer.GrantOrder_COLLECT, peer.GrantOrder_CONFIRM:
 		return group.Collect{Ballot: b, Confirm: m.Kind == peer.GrantOrder_CONFIRM}, nil
@@ -58,7 +58,7 @@
 // ReplyMessage returns the message of a rank's answer.
 func ReplyMessage(r group.Reply) *peer.GrantReply {
 	return &peer.GrantReply{
-		Accepted: r.Accepted, Incarnation: r.State.Incarnation, Promised: ballotMessage(r.State.Promised),
+		Accepted: r.Accepted, Incarnation: r.State.Incarnation, Promised: BallotMessage(r.State.Promised),
 		Grants: grantMessages(r.State.Grants), Hold: r.State.Hold, Step: r.Step,
 	}
 }
@@ -66,15 +66,17 @@
 // Reply returns the answer of a message.
 func Reply(m *peer.GrantReply) group.Reply {
 	return group.Reply{Accepted: m.Accepted, Step: m.Step, State: group.Rank{
-		Incarnation: m.Incarnation, Promised: ballotOf(m.Promised), Grants: grantsOf(m.Grants), Hold: m.Hold,
+		Incarnation: m.Incarnation, Promised: BallotOf(m.Promised), Grants: grantsOf(m.Grants), Hold: m.Hold,
 	}}
 }
 
-func ballotMessage(b group.Ballot) *peer.Ballot {
+// BallotMessage returns the message of a ballot.
+func BallotMessage(b group.Ballot) *peer.Ballot {
 	return &peer.Ballot{Term: b.Term, Attempt: b.Attempt, Proposer: b.Proposer}
 }
 
-func ballotOf(m *peer.Ballot) group.Ballot {
+// BallotOf returns the ballot of a message.
+func BallotOf(m *peer.Ballot) group.Ballot {
 	return group.Ballot{Term: m.GetTerm(), Attempt: m.GetAttempt(), Proposer: m.GetProposer()}
 }
 
