--- a/internal/agent/rank/ordered.go
+++ b/internal/agent/rank/ordered.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"math/rand/v2"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -26,12 +27,29 @@
 	// Held returns the experts of the rank by layer.
 	Held(ctx context.Context) ([][]int, error)
 	// Prepare begins to copy the experts of a map, by layer and rank.
-	Prepare(ctx context.Context, epoch, version uint64, experts [][][]int) (bool, error)
+	Prepare(ctx context.Context, m Mark, version uint64, experts [][][]int) (bool, error)
 	// Arm makes the rank switch to a prepared map as a step begins.
-	Arm(ctx context.Context, epoch, version, step uint64) (bool, error)
+	Arm(ctx context.Context, m Mark, version, step uint64) (bool, error)
 	// Hold stops the group before a step, Release lets it go on.
-	Hold(ctx context.Context, epoch, step uint64) (bool, error)
-	Release(ctx context.Context, epoch, step uint64) (bool, error)
+	Hold(ctx context.Context, m Mark, step uint64) (bool, error)
+	Release(ctx context.Context, m Mark, step uint64) (bool, error)
+}
+
+// Mark makes an engine refuse an order that is out of date.
+type Mark struct {
+	// Epoch is that of the group when the order was given.
+	Epoch uint64
+	// Fence follows from the ballot under which the order is given: an engine
+	// refuses one that is lower than one it has seen. 0 is no fence.
+	Fence uint64
+}
+
+// attemptBits is the room for a ballot's attempt in a fence.
+const attemptBits = 20
+
+// mark returns the mark of an order that is given now; e.mu is held.
+func (e *orderedEngine) mark(r Report, promised group.Ballot) Mark {
+	return Mark{Epoch: r.Epoch, Fence: promised.Term<<attemptBits + promised.Attempt}
 }
 
 // Report is where an engine stands.
@@ -106,19 +124,39 @@
 	if err != nil {
 		return r, err
 	}
-	if e.state == nil || r.Epoch != e.epoch {
+	if e.state == nil || r.Epoch != e.epoch || e.contradicted(r) {
 		e.begin(r)
 	}
 	if r.Hold != 0 && r.Hold != e.state.Hold {
-		// The order for it was given up and carried out late.
+		// The order for it was given up and carried out late. An agent that took
+		// over this rank may have given it: its fence is higher.
 		e.log.Info("ending a hold that no change goes with", "step", r.Hold, "next", r.Next)
-		if _, err := e.orders.Release(ctx, r.Epoch, r.Hold); err != nil {
+		if _, err := e.orders.Release(ctx, e.mark(r, e.state.Promised), r.Hold); err != nil {
 			return r, err
 		}
 	}
 	return r, nil
 }
 
+// contradicted tells whether the engine stands where this agent's orders cannot
+// have led it: another one took over the rank, or an unanswered order was
+// carried out.
+func (e *orderedEngine) contradicted(r Report) bool {
+	if e.state.Hold != 0 && r.Hold != e.state.Hold {
+		return true
+	}
+	if r.Armed != 0 && !slices.Contains(e.state.Grants, group.Grant{From: r.ArmedStep, Map: r.Armed}) {
+		return true
+	}
+	granted := e.state.Grants[0].Map
+	for _, g := range e.state.Grants {
+		if g.From < r.Next {
+			granted = g.Map
+		}
+	}
+	return r.Map != granted
+}
+
 // begin takes what the engine holds for what was granted.
 func (e *orderedEngine) begin(r Report) {
 	s := &group.Rank{
@@ -159,16 +197,17 @@
 }
 
 func (e *orderedEngine) carryOut(ctx context.Context, r Report, next *group.Rank, needs uint64) (bool, error) {
+	mark := e.mark(r, next.Promised)
 	if next.Hold != 0 && next.Hold != e.state.Hold {
 		if needs != r.Prepared && needs != r.Map {
 			return false, nil
 		}
-		return e.orders.Hold(ctx, r.Epoch, next.Hold)
+		return e.orders.Hold(ctx, mark, next.Hold)
 	}
 	last := next.Grants[len(next.Grants)-1]
 	before := e.state.Grants[len(e.state.Grants)-1]
 	if last != before && last.Map != before.Map && !(r.Armed == last.Map && r.ArmedStep == last.From) {
-		if ok, err := e.orders.Arm(ctx, r.Epoch, last.Map, last.From); !ok || err != nil {
+		if ok, err := e.orders.Arm(ctx, mark, last.Map, last.From); !ok || err != nil {
 			return ok, err
 		}
 		e.log.Info("map armed", "map", last.Map, "from-step", last.From, "next", r.Next, "epoch", r.Epoch)
@@ -178,7 +217,7 @@
 		granted := *e.state
 		granted.Grants = next.Grants
 		e.state = &granted
-		return e.orders.Release(ctx, r.Epoch, granted.Hold)
+		return e.orders.Release(ctx, mark, granted.Hold)
 	}
 	return true, nil
 }
@@ -226,7 +265,7 @@
 	}
 	// An order without an answer is given again; the engine refuses a second one
 	// of the same version while the copy runs, which shows in the report.
-	ok, err := e.orders.Prepare(ctx, r.Epoch, version, m.ByRank())
+	ok, err := e.orders.Prepare(ctx, e.mark(r, e.state.Promised), version, m.ByRank())
 	if err == nil && !ok {
 		return false, false, oops.Code("engine").Errorf("the engine refuses map %d", version)
 	}
--- a/internal/agent/rank/ordered_test.go
+++ b/internal/agent/rank/ordered_test.go
@@ -33,6 +33,16 @@
 	all                    *engines
 	inUse, prepared, known uint64
 	armed, armedStep, hold uint64
+	fence                  uint64
+}
+
+// current tells whether an order's mark is up to date, and takes its fence in.
+func (s *single) current(m Mark) bool {
+	if m.Epoch != s.all.epoch || m.Fence != 0 && m.Fence < s.fence {
+		return false
+	}
+	s.fence = max(s.fence, m.Fence)
+	return true
 }
 
 func newEngines(t *rapid.T, n int) *engines {
@@ -104,9 +114,9 @@
 func (s *single) Counts(context.Context) ([]uint32, error) { return nil, nil }
 func (s *single) Held(context.Context) ([][]int, error)    { return nil, nil }
 
-func (s *single) Prepare(_ context.Context, epoch, version uint64, _ [][][]int) (bool, error) {
+func (s *single) Prepare(_ context.Context, m Mark, version uint64, _ [][][]int) (bool, error) {
 	return s.all.order(func() bool {
-		if epoch != s.all.epoch || version <= s.known || s.armed != 0 {
+		if !s.current(m) || version <= s.known || s.armed != 0 {
 			return false
 		}
 		s.known, s.prepared = version, version
@@ -114,12 +124,15 @@
 	})
 }
 
-func (s *single) Arm(_ context.Context, epoch, version, step uint64) (bool, error) {
+func (s *single) Arm(_ context.Context, m Mark, version, step uint64) (bool, error) {
 	return s.all.order(func() bool {
+		if !s.current(m) {
+			return false
+		}
 		if s.armed == version && s.armedStep == step {
 			return true
 		}
-		if epoch != s.all.epoch || s.prepared != version || step <= s.all.step || s.armed != 0 {
+		if s.prepared != version || step <= s.all.step || s.armed != 0 {
 			return false
 		}
 		s.armed, s.armedStep = version, step
@@ -127,12 +140,15 @@
 	})
 }
 
-func (s *single) Hold(_ context.Context, epoch, step uint64) (bool, error) {
+func (s *single) Hold(_ context.Context, m Mark, step uint64) (bool, error) {
 	return s.all.order(func() bool {
+		if !s.current(m) {
+			return false
+		}
 		if s.hold == step {
 			return true
 		}
-		if epoch != s.all.epoch || step <= s.all.step || s.hold != 0 {
+		if step <= s.all.step || s.hold != 0 {
 			return false
 		}
 		s.hold = step
@@ -140,9 +156,9 @@
 	})
 }
 
-func (s *single) Release(_ context.Context, epoch, step uint64) (bool, error) {
+func (s *single) Release(_ context.Context, m Mark, step uint64) (bool, error) {
 	return s.all.order(func() bool {
-		if epoch != s.all.epoch {
+		if !s.current(m) {
 			return false
 		}
 		if s.hold == step {
@@ -178,6 +194,9 @@
 	now     time.Time
 	engines *engines
 	agents  []*Rank
+	// others act for a rank whose agent does not answer; the agent itself may
+	// still be there.
+	others  []*Rank
 	leaders []*group.Leader
 	// sent are orders under way, answered their replies.
 	sent     []underWay
@@ -198,6 +217,7 @@
 	w := &world{t: t, now: time.Unix(1000, 0), engines: newEngines(t, worldRanks)}
 	for i := range worldRanks {
 		w.agents = append(w.agents, w.newAgent(i))
+		w.others = append(w.others, w.newAgent(i))
 	}
 	w.lead()
 	return w
@@ -213,19 +233,21 @@
 	rank int
 }
 
-func (p *proxy) now() *single                                        { return p.all.ranks[p.rank] }
-func (p *proxy) Report(ctx context.Context) (Report, error)          { return p.now().Report(ctx) }
-func (p *proxy) Counts(ctx context.Context) ([]uint32, error)        { return nil, nil }
-func (p *proxy) Held(ctx context.Context) ([][]int, error)           { return nil, nil }
-func (p *proxy) Hold(ctx context.Context, e, s uint64) (bool, error) { return p.now().Hold(ctx, e, s) }
-func (p *proxy) Release(ctx context.Context, e, s uint64) (bool, error) {
-	return p.now().Release(ctx, e, s)
+func (p *proxy) now() *single                                 { return p.all.ranks[p.rank] }
+func (p *proxy) Report(ctx context.Context) (Report, error)   { return p.now().Report(ctx) }
+func (p *proxy) Counts(ctx context.Context) ([]uint32, error) { return nil, nil }
+func (p *proxy) Held(ctx context.Context) ([][]int, error)    { return nil, nil }
+func (p *proxy) Hold(ctx context.Context, m Mark, s uint64) (bool, error) {
+	return p.now().Hold(ctx, m, s)
+}
+func (p *proxy) Release(ctx context.Context, m Mark, s uint64) (bool, error) {
+	return p.now().Release(ctx, m, s)
 }
-func (p *proxy) Arm(ctx context.Context, e, v, s uint64) (bool, error) {
-	return p.now().Arm(ctx, e, v, s)
+func (p *proxy) Arm(ctx context.Context, m Mark, v, s uint64) (bool, error) {
+	return p.now().Arm(ctx, m, v, s)
 }
-func (p *proxy) Prepare(ctx context.Context, e, v uint64, m [][][]int) (bool, error) {
-	return p.now().Prepare(ctx, e, v, m)
+func (p *proxy) Prepare(ctx context.Context, m Mark, v uint64, experts [][][]int) (bool, error) {
+	return p.now().Prepare(ctx, m, v, experts)
 }
 
 // lead begins a leader under the next term; the ones before go on.
@@ -251,7 +273,11 @@
 	if err != nil {
 		w.t.Fatal(err)
 	}
-	reply, err := w.agents[r].Order(context.Background(), orders.Message("g", u.order))
+	agent := w.agents[r]
+	if w.engines.faults && rapid.IntRange(0, 7).Draw(w.t, "other") == 0 {
+		agent = w.others[r]
+	}
+	reply, err := agent.Order(context.Background(), orders.Message("g", u.order))
 	if err != nil {
 		return
 	}
@@ -295,6 +321,13 @@
 		w.stage(rapid.IntRange(max(latest-1, 0), latest).Draw(w.t, "leader"))
 	case kind == 17 && len(w.answered) > 0:
 		w.answered = w.answered[1:] // a reply is lost
+	case kind == 18 && rapid.Bool().Draw(w.t, "look"):
+		// Agents look at their engines by themselves.
+		i := rapid.IntRange(0, worldRanks-1).Draw(w.t, "rank")
+		for _, a := range []*Rank{w.agents[i], w.others[i]} {
+			// What cannot be ended now is tried again at the next look.
+			_, _ = a.engine.Read(context.Background(), false)
+		}
 	case kind == 18:
 		switch rapid.IntRange(0, 5).Draw(w.t, "loss") {
 		case 0:
