--- a/internal/agent/direct/agent.go
+++ b/internal/agent/direct/agent.go
@@ -8,6 +8,7 @@
 	"errors"
 	"expvar"
 	"net/http"
+	"net/netip"
 	"time"
 
 	"bramleydeal/internal/agent/rank"
@@ -30,7 +31,8 @@
 	Lister Lister
 	Leases Leases
 	Reader directory.Reader
-	Orders rank.Orders
+	// Orders reaches the engine at an address.
+	Orders func(netip.AddrPort) rank.Orders
 }
 
 // Agent is one agent process.
@@ -57,9 +59,10 @@
 	a.pool = dial.NewPool(files.Peers(), &a.traffic)
 	a.roster = &roster{
 		lister: d.Lister, reader: d.Reader, engine: c.Upstream.Address, port: c.PeerListen.Port(), pool: a.pool, log: logger.Part("roster"),
+		orders: d.Orders, fencing: c.Direct.Fencing,
 	}
 	a.lead = &lead{self: c.Name, roster: a.roster, leases: d.Leases, log: logger.Part("lead")}
-	engine := rank.NewOrderedEngine(d.Orders, logger.Part("engine"))
+	engine := rank.NewOrderedEngine(d.Orders(c.Upstream.Address), logger.Part("engine"))
 	a.lead.rank = rank.New(a.roster, engine, logger.Part("rank"))
 	a.metrics.Set("peers", expvar.Func(func() any { return a.traffic.State() }))
 	a.metrics.Set("memstats", expvar.Get("memstats"))
--- a/internal/agent/direct/lead.go
+++ b/internal/agent/direct/lead.go
@@ -29,6 +29,11 @@
 	// observeInterval is how often a leader reads the ranks' counts: well below
 	// the seconds for which a demand lasts.
 	observeInterval = 150 * time.Millisecond
+	// switchInterval is the same while the ranks are about to switch maps.
+	switchInterval = 40 * time.Millisecond
+	// keepAliveInterval is how often a leader that waits for some ranks lets the
+	// others hear from it.
+	keepAliveInterval = 500 * time.Millisecond
 	// resendInterval is when an order that was not answered is sent again.
 	resendInterval = 300 * time.Millisecond
 	// giveUpAfter is how long a change waits for all promises.
@@ -53,7 +58,7 @@
 const (
 	// fetchTime is how long one change may copy experts: much longer copies end
 	// after the demand that they were made for.
-	fetchTime = 600 * time.Millisecond
+	fetchTime = 450 * time.Millisecond
 	// leastSaving is the share of a rank's mean load in a layer that must be saved
 	// for each expert that its busiest rank fetches, while steps take longPass of
 	// the longest pause allowed between events; shorter steps ask for more.
@@ -143,15 +148,18 @@
 	rules  group.ReplanRules
 	demand *group.Demand
 
-	mu                sync.Mutex
-	counts            map[string][]uint32
-	held              map[string][][]int
-	maps              map[string]uint64
-	countedAt, planAt time.Time
-	staging           bool
-	staged            uint64
-	counter           uint64
-	pass              passTime
+	mu                                   sync.Mutex
+	counts                               map[string][]uint32
+	held                                 map[string][][]int
+	heldMap                              map[string]uint64
+	maps                                 map[string]uint64
+	countedAt, planAt, hurriedAt, keptAt time.Time
+	staging                              bool
+	staged                               uint64
+	// latest is the map that was staged last.
+	latest  group.Map
+	counter uint64
+	pass    passTime
 }
 
 // passTime is the mean time of a step.
@@ -201,7 +209,7 @@
 		lead: l, term: term, demand: group.NewDemand(),
 		shape:  group.Shape{Ranks: ranks, Experts: e.Count, Layers: e.Sets, Slots: e.Places},
 		rules:  group.ReplanRules{Fetches: fetches, Spare: e.Spare, Least: leastSaving, Stay: stayShare},
-		counts: map[string][]uint32{}, held: map[string][][]int{}, maps: map[string]uint64{},
+		counts: map[string][]uint32{}, held: map[string][][]int{}, heldMap: map[string]uint64{}, maps: map[string]uint64{},
 	}
 }
 
@@ -213,11 +221,14 @@
 		g.lead.log.V(1).Info("a rank does not answer", "rank", name, "order", m.Kind.String(), "reason", err.Error())
 		return nil, err
 	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if m.Kind == peer.GrantOrder_COLLECT {
+		g.maps[name] = reply.LoadMap
+	}
 	if len(reply.Held) > 0 {
-		g.mu.Lock()
-		defer g.mu.Unlock()
 		g.counts[name] = reply.Chosen
-		g.maps[name] = reply.LoadMap
+		g.heldMap[name] = reply.LoadMap
 		g.held[name] = g.held[name][:0]
 		for _, set := range reply.Held {
 			var experts []int
@@ -242,6 +253,7 @@
 		g.pass.reached(l.Step(), now)
 	}
 	if l.Phase() != group.Steady {
+		g.keepAlive(ctx, l, now)
 		return
 	}
 	if g.staged != 0 {
@@ -256,6 +268,11 @@
 	}
 	current, ok := g.current(l.Current().Map)
 	if !ok {
+		// The ranks have not switched yet, or not told so.
+		if now.Sub(g.hurriedAt) >= switchInterval {
+			g.hurriedAt = now
+			l.Hurry()
+		}
 		return
 	}
 	g.planAt = now
@@ -278,6 +295,19 @@
 	go g.stage(ctx, next, l.Ballot())
 }
 
+// keepAlive lets all ranks hear from a leader that waits for some of them.
+func (g *led) keepAlive(ctx context.Context, l *group.Leader, now time.Time) {
+	if now.Sub(g.keptAt) < keepAliveInterval {
+		return
+	}
+	g.keptAt = now
+	for _, name := range g.lead.roster.Ranks() {
+		m := orders.Message(g.lead.roster.Name(), group.Collect{Ballot: l.Ballot()})
+		// An answer is of no interest, and what fails is logged by the call.
+		go func() { _, _ = g.call(ctx, name, m) }()
+	}
+}
+
 // least is what a change must save. Steps well below the longest pause that
 // callers take for on time need no better map.
 func (g *led) least() float64 {
@@ -292,12 +322,21 @@
 // current returns the map in use, once all ranks have told what they hold of it.
 func (g *led) current(version uint64) (group.Map, bool) {
 	byRank := make([][][]int, g.shape.Ranks)
+	complete := true
 	for i := range byRank {
 		name := strconv.Itoa(i)
-		if g.maps[name] != version || len(g.held[name]) != g.shape.Layers {
+		if g.maps[name] != version {
 			return group.Map{}, false
 		}
 		byRank[i] = g.held[name]
+		complete = complete && len(g.held[name]) == g.shape.Layers && g.heldMap[name] == version
+	}
+	switch {
+	case version != 0 && g.latest.Version == version:
+		// A rank whose agent is absent does not tell what it holds.
+		return g.latest, true
+	case !complete:
+		return group.Map{}, false
 	}
 	return group.MapOf(version, byRank, g.shape), true
 }
@@ -336,6 +375,6 @@
 		g.lead.log.Info("a map cannot be staged", "map", m.Version, "reason", err.Error())
 		return
 	}
-	g.staged = m.Version
+	g.staged, g.latest = m.Version, m
 	g.lead.log.Info("map staged", "map", m.Version, "took-ms", time.Since(began).Milliseconds())
 }
--- a/internal/agent/direct/roster.go
+++ b/internal/agent/direct/roster.go
@@ -4,14 +4,15 @@
 	"context"
 	"net/netip"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"time"
 
+	"bramleydeal/internal/agent/rank"
 	"bramleydeal/internal/core/store"
 	"bramleydeal/internal/process/clock"
 	"bramleydeal/internal/process/directory"
 	"bramleydeal/internal/wire/dial"
-	"bramleydeal/internal/wire/orders"
 	"bramleydeal/internal/wire/peer"
 	"bramleydeal/internal/world/service"
 	"github.com/go-logr/logr"
@@ -37,9 +38,9 @@
 type members struct {
 	self    service.Membership
 	service string
-	// addresses are those of the agents by rank.
-	addresses map[string]netip.AddrPort
-	experts   *service.Experts
+	// engines are the addresses of the ranks' engines.
+	engines map[string]netip.AddrPort
+	experts *service.Experts
 	// gap is the longest pause between events that every route to the service
 	// takes for on time, 0 for none.
 	gap time.Duration
@@ -55,8 +56,15 @@
 	port uint16
 	pool *dial.Pool
 	log  logr.Logger
+	// orders reaches the engine at an address; fencing tells whether engines
+	// refuse orders that are out of date.
+	orders  func(netip.AddrPort) rank.Orders
+	fencing bool
 
 	current atomic.Pointer[members]
+
+	mu         sync.Mutex
+	colleagues map[netip.AddrPort]*colleague
 }
 
 // Name implements rank.Group.
@@ -97,10 +105,28 @@
 // Call implements rank.Group.
 func (r *roster) Call(ctx context.Context, name string, m *peer.GrantOrder) (*peer.GrantReply, error) {
 	now := r.current.Load()
-	if now == nil || !now.addresses[name].IsValid() {
-		return nil, oops.Code("unreachable").Errorf("no agent is known for rank %s", name)
+	if now == nil || !now.engines[name].IsValid() {
+		return nil, oops.Code("unreachable").Errorf("no engine is known for rank %s", name)
+	}
+	return r.colleague(name, now.engines[name]).call(ctx, m)
+}
+
+// colleague returns the agent beside another rank's engine.
+func (r *roster) colleague(name string, engine netip.AddrPort) *colleague {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	c := r.colleagues[engine]
+	if c == nil || c.name != name {
+		c = &colleague{name: name, address: netip.AddrPortFrom(engine.Addr(), r.port), pool: r.pool, log: r.log}
+		if r.fencing {
+			c.standIn = rank.New(r, rank.NewOrderedEngine(r.orders(engine), r.log.WithValues("for-rank", name)), r.log)
+		}
+		if r.colleagues == nil {
+			r.colleagues = map[netip.AddrPort]*colleague{}
+		}
+		r.colleagues[engine] = c
 	}
-	return orders.CallAt(ctx, r.pool, now.addresses[name], m)
+	return c
 }
 
 // run keeps the roster up to date until ctx ends.
@@ -140,10 +166,10 @@
 	if own == nil {
 		return nil
 	}
-	next := &members{self: *own.Membership, service: own.Service, addresses: map[string]netip.AddrPort{}}
+	next := &members{self: *own.Membership, service: own.Service, engines: map[string]netip.AddrPort{}}
 	for _, u := range all {
 		if u.Membership.Group == own.Membership.Group {
-			next.addresses[strconv.Itoa(u.Membership.Rank)] = netip.AddrPortFrom(u.Address.Addr(), r.port)
+			next.engines[strconv.Itoa(u.Membership.Rank)] = u.Address
 		}
 	}
 	if before := r.current.Load(); before != nil && before.service == next.service && before.experts != nil {
--- /dev/null
+++ b/internal/agent/direct/standby.go
@@ -0,0 +1,108 @@
+package direct
+
+import (
+	"context"
+	"net/netip"
+	"sync"
+	"time"
+
+	"bramleydeal/internal/agent/rank"
+	"bramleydeal/internal/wire/dial"
+	"bramleydeal/internal/wire/orders"
+	"bramleydeal/internal/wire/peer"
+	"github.com/go-logr/logr"
+	"github.com/samber/oops"
+)
+
+// Times of another rank's agent.
+const (
+	// agentTimeout is long against an agent's answer, in which the engine may have
+	// been asked several times.
+	agentTimeout = 450 * time.Millisecond
+	// stagingTimeout is the same for a map, whose experts are copied meanwhile.
+	stagingTimeout = fetchTime + 900*time.Millisecond
+	// absentAfter is the silence after which an agent is taken for absent.
+	absentAfter = 500 * time.Millisecond
+	// tryAgentEvery is how often an absent agent is tried again.
+	tryAgentEvery = 500 * time.Millisecond
+)
+
+// colleague is the agent of another rank as this one sees it. While that agent
+// does not answer, orders for its rank go straight to its engine, as if it had
+// been started again here: a group must not stand still for an agent that
+// stopped in the middle of a change.
+type colleague struct {
+	name    string
+	address netip.AddrPort
+	pool    *dial.Pool
+	log     logr.Logger
+	// standIn acts on the engine; nil where engines do not refuse old orders.
+	standIn *rank.Rank
+
+	mu              sync.Mutex
+	heardAt, tryAt  time.Time
+	actsForItsAgent bool
+}
+
+// call sends an order to the rank.
+func (c *colleague) call(ctx context.Context, m *peer.GrantOrder) (*peer.GrantReply, error) {
+	var failed error
+	if c.due(time.Now()) {
+		timeout := agentTimeout
+		if m.Kind == peer.GrantOrder_STAGE {
+			timeout = stagingTimeout
+		}
+		limited, cancel := context.WithTimeout(ctx, timeout)
+		defer cancel()
+		reply, err := orders.CallAt(limited, c.pool, c.address, m)
+		if err == nil {
+			c.heard(time.Now())
+			return reply, nil
+		}
+		failed = err
+	}
+	if c.standIn == nil || !c.absent(time.Now()) {
+		return nil, oops.Code("unreachable").Wrapf(failed, "the agent of rank %s does not answer", c.name)
+	}
+	// Counts that are read from afar stop the group for a moment.
+	m.Loads = false
+	reply, err := c.standIn.Order(ctx, m)
+	if err != nil {
+		c.log.Info("the engine of an absent agent does not answer", "rank", c.name, "order", m.Kind.String(), "reason", err.Error())
+	}
+	return reply, err
+}
+
+// due tells whether the agent itself is to be tried.
+func (c *colleague) due(now time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.heardAt.IsZero() {
+		c.heardAt = now
+	}
+	if now.Sub(c.heardAt) > absentAfter && now.Before(c.tryAt) {
+		return false
+	}
+	c.tryAt = now.Add(tryAgentEvery)
+	return true
+}
+
+func (c *colleague) heard(now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.actsForItsAgent {
+		c.log.Info("the agent of a rank is back", "rank", c.name, "address", c.address)
+	}
+	c.heardAt, c.actsForItsAgent = now, false
+}
+
+func (c *colleague) absent(now time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	absent := now.Sub(c.heardAt) > absentAfter
+	if absent && !c.actsForItsAgent {
+		c.actsForItsAgent = true
+		c.log.Info("acting for the agent of a rank", "rank", c.name, "address", c.address, "silent-ms", now.Sub(c.heardAt).Milliseconds())
+	}
+	return absent
+}
--- a/internal/core/group/leader.go
+++ b/internal/core/group/leader.go
@@ -151,6 +151,13 @@
 	return true
 }
 
+// Hurry makes a steady leader ask the ranks for their steps at its next tick.
+func (l *Leader) Hurry() {
+	if l.phase == Steady {
+		l.sentAt = time.Time{}
+	}
+}
+
 // Tick returns the orders due at now.
 func (l *Leader) Tick(now time.Time) []Send {
 	if l.begun.IsZero() {
--- a/internal/entry/client/handler.go
+++ b/internal/entry/client/handler.go
@@ -36,9 +36,10 @@
 	// comeBackFull is the same after an upstream had no room; a queue moves on
 	// with each request that ends.
 	comeBackFull = 250 * time.Millisecond
-	// comeBackOutage is the least time in an outage of a whole service: a group
-	// that lost a rank takes about a second to open again.
-	comeBackOutage = time.Second
+	// comeBackOutage is the least time in an outage of a whole service: a machine
+	// or a failure domain that was lost takes some seconds to come back, and its
+	// group to open again.
+	comeBackOutage = 3 * time.Second
 	// comeBackStarting is the same for a process that knows no desired state yet.
 	comeBackStarting = 300 * time.Millisecond
 	// comeBackElsewhere is the same for a process that leaves: others serve.
--- a/internal/operator/command/process.go
+++ b/internal/operator/command/process.go
@@ -92,7 +92,7 @@
 // agentDeployment returns what an agent meets on the operators' platform.
 func agentDeployment(c config.Process) beside.Deployment {
 	s := platform.NewStore(c.Platform)
-	return beside.Deployment{Lister: s, Leases: s, Reader: platform.Reader{}, Orders: platform.NewEngine(c.Upstream.Address)}
+	return beside.Deployment{Lister: s, Leases: s, Reader: platform.Reader{}, Orders: platform.NewOrders}
 }
 
 // entryDeployment returns what an entry meets on the operators' platform.
--- a/internal/process/config/config.go
+++ b/internal/process/config/config.go
@@ -84,6 +84,8 @@
 	RetryRatio  float64  `json:"retry-ratio"`
 	RetrySlack  float64  `json:"retry-slack"`
 	RetryWindow Duration `json:"retry-window"`
+	// Fencing tells that engines refuse orders with an old fencing number.
+	Fencing bool `json:"fencing"`
 }
 
 // Duration is a time written like "1500ms".
--- a/internal/wire/orders/orders.go
+++ b/internal/wire/orders/orders.go
@@ -100,7 +100,7 @@
 const (
 	tickInterval = 10 * time.Millisecond
 	// steadyInterval is the same while nothing changes.
-	steadyInterval = 100 * time.Millisecond
+	steadyInterval = 30 * time.Millisecond
 	// CallTimeout bounds one order's call.
 	CallTimeout = time.Second
 )
