--- a/internal/agent/direct/agent.go
+++ b/internal/agent/direct/agent.go
@@ -20,6 +20,7 @@
 	"bramleydeal/internal/wire/dial"
 	"bramleydeal/internal/wire/peer"
 	"bramleydeal/internal/world/fleet"
+	"github.com/VictoriaMetrics/metrics"
 	"google.golang.org/grpc"
 )
 
@@ -47,6 +48,7 @@
 	roster  *roster
 	lead    *lead
 	metrics *expvar.Map
+	numbers *metrics.Set
 }
 
 // New puts an agent together.
@@ -55,7 +57,7 @@
 	if err != nil {
 		return nil, err
 	}
-	a := &Agent{config: c, log: logger, files: files, metrics: new(expvar.Map).Init()}
+	a := &Agent{config: c, log: logger, files: files, metrics: new(expvar.Map).Init(), numbers: metrics.NewSet()}
 	a.pool = dial.NewPool(files.Peers(), &a.traffic)
 	a.roster = &roster{
 		lister: d.Lister, reader: d.Reader, engine: c.Upstream.Address, port: c.PeerListen.Port(), pool: a.pool, log: logger.Part("roster"),
@@ -64,11 +66,29 @@
 	a.lead = &lead{self: c.Name, roster: a.roster, leases: d.Leases, log: logger.Part("lead")}
 	engine := rank.NewOrderedEngine(d.Orders(c.Upstream.Address), logger.Part("engine"))
 	a.lead.rank = rank.New(a.roster, engine, logger.Part("rank"))
+	a.publishNumbers()
 	a.metrics.Set("peers", expvar.Func(func() any { return a.traffic.State() }))
 	a.metrics.Set("memstats", expvar.Get("memstats"))
 	return a, nil
 }
 
+// publishNumbers serves what the parts count.
+func (a *Agent) publishNumbers() {
+	stats, led := a.lead.rank.Stats(), &a.lead.numbers
+	for name, value := range map[string]func() float64{
+		`bramleydeal_rank_orders{outcome="accepted"}`: func() float64 { return float64(stats.Accepted.Load()) },
+		`bramleydeal_rank_orders{outcome="refused"}`:  func() float64 { return float64(stats.Refused.Load()) },
+		"bramleydeal_changes_completed":               func() float64 { return float64(stats.Completed.Load()) },
+		"bramleydeal_group_term":                      func() float64 { return float64(led.term.Load()) },
+		"bramleydeal_group_map":                       func() float64 { return float64(led.version.Load()) },
+		"bramleydeal_group_skew":                      func() float64 { return float64(led.skewMilli.Load()) / 1000 },
+		"bramleydeal_group_step_seconds":              func() float64 { return time.Duration(led.step.Load()).Seconds() },
+		"bramleydeal_experts_moved":                   func() float64 { return float64(led.moved.Load()) },
+	} {
+		a.numbers.NewGauge(name, value)
+	}
+}
+
 // Order implements peer.AgentServer.
 func (a *Agent) Order(ctx context.Context, m *peer.GrantOrder) (*peer.GrantReply, error) {
 	return a.lead.rank.Order(ctx, m)
@@ -78,6 +98,7 @@
 func (a *Agent) Run(ctx, stop context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	defer a.log.Flush()
 	defer a.pool.Close()
 	listener, err := a.traffic.Listen(a.config.PeerListen.String())
 	if err != nil {
@@ -88,7 +109,7 @@
 	go a.report("peers", func() error { return peers.Serve(listener) })
 	if a.config.DebugListen.IsValid() {
 		go a.report("debug", func() error {
-			return debug.Serve(ctx, a.config.DebugListen, debug.Handler(a.metrics, func() any { return a.State(ctx) }, nil))
+			return debug.Serve(ctx, a.config.DebugListen, debug.Handler(a.metrics, func() any { return a.State(ctx) }, nil, debug.WithMetrics(a.numbers)))
 		})
 	}
 	go a.roster.run(ctx)
--- a/internal/agent/direct/lead.go
+++ b/internal/agent/direct/lead.go
@@ -6,6 +6,7 @@
 	"errors"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"bramleydeal/internal/agent/rank"
@@ -78,6 +79,17 @@
 	leases Leases
 	log    logr.Logger
 	begun  time.Time
+
+	numbers numbers
+}
+
+// numbers are what the metrics tell of a group while this agent leads it; term is
+// 0 while it does not.
+type numbers struct {
+	term, version, moved atomic.Uint64
+	// skewMilli is the map's skew over the latest counts in thousandths, step the
+	// mean time of a step in nanoseconds.
+	skewMilli, step atomic.Int64
 }
 
 // run claims to lead while no leader is heard, until ctx ends.
@@ -187,6 +199,8 @@
 	l.log.Info("leading a group", "group", m.self.Group, "term", term, "ranks", m.self.Size)
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	l.numbers.term.Store(term)
+	defer l.numbers.term.Store(0)
 	leader := group.NewLeader(l.roster.Ranks(), group.Ballot{Term: term, Proposer: l.self}, 0, group.LeaderRules{
 		Resend: resendInterval, Poll: observeInterval, GiveUp: giveUpAfter, Ahead: aheadSteps,
 	})
@@ -280,6 +294,9 @@
 	if !ok {
 		return
 	}
+	g.lead.numbers.version.Store(current.Version)
+	g.lead.numbers.skewMilli.Store(int64(1000 * group.Skew(current, loads, g.shape)))
+	g.lead.numbers.step.Store(int64(g.pass.mean))
 	rules := g.rules
 	rules.Least = g.least()
 	next, changed := group.Replan(current, loads, g.shape, rules)
@@ -292,7 +309,7 @@
 	g.lead.log.Info("map planned", "map", next.Version, "from", current.Version, "moves", current.Moves(next),
 		"skew", group.Skew(current, loads, g.shape), "planned-skew", group.Skew(next, loads, g.shape),
 		"pass-ms", g.pass.mean.Milliseconds(), "least", rules.Least)
-	go g.stage(ctx, next, l.Ballot())
+	go g.stage(ctx, next, current.Moves(next), l.Ballot())
 }
 
 // keepAlive lets all ranks hear from a leader that waits for some of them.
@@ -345,7 +362,7 @@
 var errTermOver = errors.New("the term is over")
 
 // stage gives a map to all ranks at once and notes it when all have it.
-func (g *led) stage(ctx context.Context, m group.Map, b group.Ballot) {
+func (g *led) stage(ctx context.Context, m group.Map, moves int, b group.Ballot) {
 	began := time.Now()
 	content, err := json.Marshal(m)
 	if err != nil {
@@ -376,5 +393,6 @@
 		return
 	}
 	g.staged, g.latest = m.Version, m
+	g.lead.numbers.moved.Add(uint64(moves))
 	g.lead.log.Info("map staged", "map", m.Version, "took-ms", time.Since(began).Milliseconds())
 }
--- a/internal/agent/rank/rank.go
+++ b/internal/agent/rank/rank.go
@@ -248,6 +248,9 @@
 	return r.group.Call(ctx, rank, m)
 }
 
+// Stats returns what the rank counted.
+func (r *Rank) Stats() *Stats { return &r.stats }
+
 // State is the rank's part of the dump.
 type State struct {
 	Step      uint64     `json:"step"`
--- a/internal/entry/client/forward.go
+++ b/internal/entry/client/forward.go
@@ -69,7 +69,7 @@
 		if outcome == nil {
 			return
 		}
-		next := f.attempt.Ended(outcome, func() bool { return h.pools.Repeat(c.service, time.Now()) }, time.Now())
+		next := f.attempt.Ended(outcome, f.mayRepeat, time.Now())
 		if _, again := next.(core.Again); !again {
 			f.end(next)
 			return
@@ -77,15 +77,24 @@
 	}
 }
 
+// mayRepeat asks the retry budget for one more try.
+func (f *forwarding) mayRepeat() bool {
+	allowed := f.handler.pools.Repeat(f.service, time.Now())
+	f.handler.count.repeated(allowed)
+	return allowed
+}
+
 // end gives the caller what there is without a whole answer.
 func (f *forwarding) end(next core.Next) {
 	if f.begun {
+		f.handler.count.ended(f.route, "cut")
 		f.handler.log.Info("stream cut", "request", f.info.ID, "route", f.route.Name, "last-event", f.events.LastID(), "tries", f.attempt.Sent())
 		panic(http.ErrAbortHandler)
 	}
 	switch n := next.(type) {
 	case core.PassOn:
 		f.passOn(f.failed.head, f.failed.body)
+		f.handler.count.ended(f.route, "upstream-failure")
 		f.log(f.failed.head.StatusCode, "upstream's own failure")
 	case core.RefuseWith:
 		f.handler.refuse(f.w, f.call, answer.Refuse(n.Kind, "tried %d upstreams", f.attempt.Sent()).After(f.comeBack(n.Kind)))
@@ -258,7 +267,8 @@
 	if more {
 		f.passRest(x)
 	}
-	f.log(status, "answered", "upstream", u.ID)
+	f.handler.count.answered(f.route, "answered", time.Since(f.arrived))
+	f.logWell(status, "answered", "upstream", u.ID)
 	return nil
 }
 
@@ -310,9 +320,20 @@
 	if err != nil {
 		values = append(values, "reason", err.Error())
 	}
+	f.handler.count.tried(outcome)
 	f.handler.log.Info("try ended", append(values, more...)...)
 }
 
+// logWell writes the last line of a request that ended well. Of those that
+// needed one try there may be too many to be read.
+func (f *forwarding) logWell(status int, outcome string, more ...any) {
+	if len(f.chosen.Exclude) == 0 && !f.handler.rate.Allow(time.Now()) {
+		f.handler.omit()
+		return
+	}
+	f.log(status, outcome, more...)
+}
+
 // log writes the request's last line.
 func (f *forwarding) log(status int, outcome string, more ...any) {
 	values := []any{
--- a/internal/entry/client/handler.go
+++ b/internal/entry/client/handler.go
@@ -16,8 +16,10 @@
 	"time"
 
 	"bramleydeal/internal/entry/upstream"
+	"bramleydeal/internal/process/log"
 	"bramleydeal/internal/world/answer"
 	"bramleydeal/internal/world/service"
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/go-logr/logr"
 )
 
@@ -44,6 +46,9 @@
 	comeBackStarting = 300 * time.Millisecond
 	// comeBackElsewhere is the same for a process that leaves: others serve.
 	comeBackElsewhere = 50 * time.Millisecond
+	// requestLines is how many requests a second that ended well at the first try
+	// are logged.
+	requestLines = 150
 	// leavingCall and leavingStream are the times that a plain request and a
 	// stream need at most in all but a few cases; a leaving process begins none
 	// that would outlast it.
@@ -57,6 +62,10 @@
 	pools   *upstream.Pools
 	dialect Dialect
 	log     logr.Logger
+	// rate bounds the lines of ordinary requests; omit counts those left out.
+	rate  *log.Rate
+	omit  func()
+	count counters
 
 	leaving  atomic.Bool
 	inFlight atomic.Int64
@@ -64,9 +73,25 @@
 	exit atomic.Pointer[time.Time]
 }
 
-// New returns a handler that goes by the current view.
-func New(view func() *service.View, pools *upstream.Pools, d Dialect, log logr.Logger) *Handler {
-	return &Handler{view: view, pools: pools, dialect: d, log: log}
+// Config is what a Handler is made of.
+type Config struct {
+	// View returns what is known of the desired state and the upstreams.
+	View    func() *service.View
+	Pools   *upstream.Pools
+	Dialect Dialect
+	Log     logr.Logger
+	// Omit counts a log line that is left out.
+	Omit    func()
+	Metrics *metrics.Set
+}
+
+// New returns a handler.
+func New(c Config) *Handler {
+	h := &Handler{
+		view: c.View, pools: c.Pools, dialect: c.Dialect, log: c.Log, rate: log.NewRate(requestLines), omit: c.Omit, count: counters{c.Metrics},
+	}
+	c.Metrics.NewGauge("bramleydeal_requests_in_flight", func() float64 { return float64(h.InFlight()) })
+	return h
 }
 
 // Leave makes the handler unready and asks callers to leave their connections.
@@ -215,6 +240,7 @@
 	w.WriteHeader(row.Status)
 	// A write error means that the caller has gone.
 	_ = json.NewEncoder(w).Encode(map[string]string{"error": string(refusal.Kind), "detail": refusal.Detail})
+	h.count.refused(c.route, refusal.Kind)
 	h.log.Info("refused", "request", c.info.ID, "route", c.routeName(), "kind", refusal.Kind, "status", row.Status,
 		"detail", refusal.Detail, "desired-version", c.version(), "after-ms", time.Since(c.arrived).Milliseconds())
 }
--- a/internal/entry/client/stream.go
+++ b/internal/entry/client/stream.go
@@ -68,13 +68,15 @@
 		f.sendHead(x.Response)
 	}
 	f.handler.pools.Ended(u, choice.Answered, first, time.Now())
-	f.log(x.Response.StatusCode, "streamed", "upstream", u.ID, "first-ms", first.Milliseconds(), "last-event", f.events.LastID())
+	f.handler.count.answered(f.route, "streamed", first)
+	f.logWell(x.Response.StatusCode, "streamed", "upstream", u.ID, "first-ms", first.Milliseconds(), "last-event", f.events.LastID())
 	return nil
 }
 
 // left records that the caller can no longer be written to.
 func (f *forwarding) left(u service.Upstream, err error) core.Outcome {
 	f.handler.pools.Ended(u, choice.CallerLeft, 0, time.Now())
+	f.handler.count.ended(f.route, "caller-left")
 	f.log(0, "caller left", "upstream", u.ID, "reason", err.Error())
 	return nil
 }
--- a/internal/entry/direct/entry.go
+++ b/internal/entry/direct/entry.go
@@ -8,6 +8,7 @@
 	"encoding/json"
 	"errors"
 	"expvar"
+	"fmt"
 	"net"
 	"net/http"
 	"net/netip"
@@ -27,6 +28,7 @@
 	"bramleydeal/internal/wire/peer"
 	"bramleydeal/internal/world/fleet"
 	"bramleydeal/internal/world/service"
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/samber/oops"
 	"google.golang.org/grpc"
 )
@@ -83,6 +85,7 @@
 	pools     *upstream.Pools
 	handler   *client.Handler
 	metrics   *expvar.Map
+	numbers   *metrics.Set
 }
 
 // New puts an entry together. seed decides its random choices.
@@ -91,7 +94,7 @@
 	if err != nil {
 		return nil, err
 	}
-	e := &Entry{config: c, log: logger, files: files, store: d.Store, metrics: new(expvar.Map).Init()}
+	e := &Entry{config: c, log: logger, files: files, store: d.Store, metrics: new(expvar.Map).Init(), numbers: metrics.NewSet()}
 	e.pool = dial.NewPool(files.Peers(), &e.traffic)
 	drainTime := time.Duration(c.Direct.DrainTime)
 	e.directory = directory.New(c.Name, d.Store, d.Reader, e.pool,
@@ -105,13 +108,49 @@
 			Ratio: c.Direct.RetryRatio, Slack: c.Direct.RetrySlack, Window: time.Duration(c.Direct.RetryWindow), Processes: usualEntries,
 		},
 	}, logger.Part("pools"))
-	e.handler = client.New(e.directory.View, e.pools, d.Dialect, logger.Part("client"))
+	e.handler = client.New(client.Config{
+		View: e.directory.View, Pools: e.pools, Dialect: d.Dialect, Log: logger.Part("client"), Omit: logger.Omit, Metrics: e.numbers,
+	})
+	e.publishNumbers()
 	e.metrics.Set("upstreams", expvar.Func(func() any { return e.pools.State(time.Now()) }))
 	e.metrics.Set("peers", expvar.Func(func() any { return e.traffic.State() }))
 	e.metrics.Set("memstats", expvar.Get("memstats"))
 	return e, nil
 }
 
+// publishNumbers serves what the parts count.
+func (e *Entry) publishNumbers() {
+	gauge := func(name string, value func() float64) { e.numbers.NewGauge(name, value) }
+	gauge("bramleydeal_ready", func() float64 {
+		if e.handler.Ready() {
+			return 1
+		}
+		return 0
+	})
+	gauge("bramleydeal_desired_version", func() float64 { return float64(e.directory.State().DesiredVersion) })
+	for _, k := range []directory.Kind{directory.DesiredState, directory.Upstreams, directory.Instances} {
+		gauge(fmt.Sprintf(`bramleydeal_store_answered_ago_seconds{kind=%q}`, k), func() float64 {
+			return e.directory.State().Kinds[string(k)].AnsweredAgo.Seconds()
+		})
+	}
+	gauge("bramleydeal_store_calls", func() float64 { return float64(e.directory.State().Stats.StoreCalls) })
+	gauge("bramleydeal_store_errors", func() float64 { return float64(e.directory.State().Stats.StoreErrors) })
+	gauge("bramleydeal_peer_updates", func() float64 { return float64(e.directory.State().Stats.PeerUpdates) })
+	gauge("bramleydeal_upstreams_ejected", func() float64 {
+		n := 0
+		for _, members := range e.pools.State(time.Now()) {
+			for _, m := range members {
+				if m.Ejected {
+					n++
+				}
+			}
+		}
+		return float64(n)
+	})
+	gauge(`bramleydeal_log_lines_left_out{reason="reader-slow"}`, func() float64 { dropped, _ := e.log.Counts(); return float64(dropped) })
+	gauge(`bramleydeal_log_lines_left_out{reason="over-the-rate"}`, func() float64 { _, omitted := e.log.Counts(); return float64(omitted) })
+}
+
 // others returns the peers of the settings without the process itself.
 func others(c config.Process) (out []netip.AddrPort) {
 	for _, a := range c.Peers {
@@ -127,6 +166,7 @@
 func (e *Entry) Run(ctx, stop context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	defer e.log.Flush()
 	defer e.pool.Close()
 	e.directory.Subscribe(e.changed)
 	callers, err := e.listen(ctx)
@@ -180,7 +220,7 @@
 	}
 	if e.config.DebugListen.IsValid() {
 		go e.report("debug", func() error {
-			return debug.Serve(ctx, e.config.DebugListen, debug.Handler(e.metrics, func() any { return e.State() }, nil))
+			return debug.Serve(ctx, e.config.DebugListen, debug.Handler(e.metrics, func() any { return e.State() }, nil, debug.WithMetrics(e.numbers)))
 		})
 	}
 	return callers, nil
--- a/internal/operator/command/process.go
+++ b/internal/operator/command/process.go
@@ -81,7 +81,7 @@
 			}
 			return serve(ctx, func(ctx context.Context) (process, error) {
 				if c.Direct != nil {
-					return direct.New(c, entryDeployment(c), rand.Uint64(), log.New(os.Stdout, c.LogFormat, c.Name))
+					return direct.New(c, entryDeployment(c), rand.Uint64(), log.New(log.NewBounded(os.Stdout), c.LogFormat, c.Name))
 				}
 				return entry.New(ctx, c, rand.Uint64(), log.New(os.Stderr, c.LogFormat, c.Name))
 			})
@@ -113,7 +113,7 @@
 			}
 			return serve(ctx, func(ctx context.Context) (process, error) {
 				if c.Direct != nil {
-					return beside.New(c, agentDeployment(c), log.New(os.Stdout, c.LogFormat, c.Name))
+					return beside.New(c, agentDeployment(c), log.New(log.NewBounded(os.Stdout), c.LogFormat, c.Name))
 				}
 				return agent.New(ctx, c, rand.Uint64(), log.New(os.Stderr, c.LogFormat, c.Name))
 			})
--- a/internal/process/debug/debug.go
+++ b/internal/process/debug/debug.go
@@ -12,18 +12,37 @@
 	"net/netip"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/go-chi/chi/v5"
 	"github.com/samber/oops"
 )
 
+// Option configures the debug pages.
+type Option func(chi.Router)
+
+// WithMetrics serves counters and histograms at /metrics in the text exposition
+// format, with those of the process itself.
+func WithMetrics(set *metrics.Set) Option {
+	return func(r chi.Router) {
+		r.Get("/metrics", func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Content-Type", "text/plain; version=0.0.4")
+			set.WritePrometheus(w)
+			metrics.WriteProcessMetrics(w)
+		})
+	}
+}
+
 // Handler returns the debug pages: /debug/vars, /debug/state and the profiles.
 // state is called for each dump; drain, when not nil, answers POST /debug/drain.
-func Handler(metrics *expvar.Map, state func() any, drain func()) http.Handler {
+func Handler(vars *expvar.Map, state func() any, drain func(), options ...Option) http.Handler {
 	r := chi.NewRouter()
+	for _, o := range options {
+		o(r)
+	}
 	r.Get("/debug/vars", func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Content-Type", "application/json")
 		// A write error means that the reader has gone.
-		_, _ = w.Write([]byte(metrics.String()))
+		_, _ = w.Write([]byte(vars.String()))
 	})
 	r.Get("/debug/state", func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Content-Type", "application/json")
--- a/internal/process/log/log.go
+++ b/internal/process/log/log.go
@@ -25,6 +25,7 @@
 	handler  slog.Handler
 	instance string
 	level    *slog.LevelVar
+	bounded  *Bounded
 }
 
 // prefixed puts a part's prefix before each message.
@@ -57,7 +58,31 @@
 	if f == JSON {
 		h = slog.NewJSONHandler(w, options)
 	}
-	return &Logger{handler: h, instance: instance, level: level}
+	bounded, _ := w.(*Bounded)
+	return &Logger{handler: h, instance: instance, level: level, bounded: bounded}
+}
+
+// Omit counts a line that was left out for the rate of lines.
+func (l *Logger) Omit() {
+	if l.bounded != nil {
+		l.bounded.Omit()
+	}
+}
+
+// Counts returns how many lines were left out since the start, because the
+// reader was too slow and because there were too many.
+func (l *Logger) Counts() (dropped, omitted uint64) {
+	if l.bounded == nil {
+		return 0, 0
+	}
+	return l.bounded.Counts()
+}
+
+// Flush waits a short time for the lines so far to be read.
+func (l *Logger) Flush() {
+	if l.bounded != nil {
+		l.bounded.Flush()
+	}
 }
 
 // Part returns the logger of one part; the part is its prefix.
