--- a/internal/core/client/attempt.go
+++ b/internal/core/client/attempt.go
@@ -16,8 +16,22 @@
 	// connections that failed before.
 	sent, unsent int
 	mayHaveRun   bool
+	why          Why
 }
 
+// Why says for what reason a request was not sent once more.
+type Why string
+
+// The reasons.
+const (
+	NoUpstreamLeft   Why = "no upstream left"
+	NoTimeLeft       Why = "no time left"
+	NoTriesLeft      Why = "no tries left"
+	NotRepeatable    Why = "may have run and is not repeatable"
+	NoBudgetLeft     Why = "retry budget used up"
+	NoConnectionMade Why = "no connection made"
+)
+
 // AttemptRules say what a request may do.
 type AttemptRules struct {
 	// Repeatable requests may be sent again after they may have run.
@@ -83,24 +97,25 @@
 	switch o.(type) {
 	case Unsent:
 		a.unsent++
+		a.why = NoConnectionMade
 		if a.unsent < maxUnsent && a.inTime(now) {
 			return Again{}
 		}
 	case Declined:
 		a.sent++
-		if a.mayBeSentAgain(now) && mayRepeat() {
+		if a.mayBeSentAgain(now, mayRepeat) {
 			return Again{}
 		}
 	case Lost:
 		a.sent++
 		a.mayHaveRun = true
-		if a.rules.Repeatable && a.mayBeSentAgain(now) && mayRepeat() {
+		if a.mayBeSentAgain(now, mayRepeat) {
 			return Again{}
 		}
 	case Failed:
 		a.sent++
 		a.mayHaveRun = true
-		if a.rules.Repeatable && a.mayBeSentAgain(now) && mayRepeat() {
+		if a.mayBeSentAgain(now, mayRepeat) {
 			return Again{}
 		}
 		return PassOn{}
@@ -110,6 +125,7 @@
 
 // Unserved tells what the caller is told when no upstream can take the request.
 func (a *Attempt) Unserved(now time.Time) RefuseWith {
+	a.why = NoUpstreamLeft
 	if a.mayHaveRun {
 		return a.giveUp(now)
 	}
@@ -119,6 +135,7 @@
 // TimedOut tells what the caller is told when its time is up. underWay is true
 // while an upstream that was sent the request has not answered.
 func (a *Attempt) TimedOut(underWay bool) RefuseWith {
+	a.why = NoTimeLeft
 	if underWay || a.mayHaveRun {
 		return RefuseWith{answer.DeadlineExceeded}
 	}
@@ -138,11 +155,27 @@
 	}
 }
 
-func (a *Attempt) mayBeSentAgain(now time.Time) bool {
-	return a.sent < a.rules.Limit && a.inTime(now)
+// mayBeSentAgain tells whether there is one more try, and keeps the reason if not.
+func (a *Attempt) mayBeSentAgain(now time.Time, mayRepeat func() bool) bool {
+	switch {
+	case a.mayHaveRun && !a.rules.Repeatable:
+		a.why = NotRepeatable
+	case a.sent >= a.rules.Limit:
+		a.why = NoTriesLeft
+	case !a.inTime(now):
+		a.why = NoTimeLeft
+	case !mayRepeat():
+		a.why = NoBudgetLeft
+	default:
+		return true
+	}
+	return false
 }
 
 func (a *Attempt) inTime(now time.Time) bool { return a.rules.Until.Sub(now) >= minLeft }
 
+// Why returns the reason for which the request was not sent once more.
+func (a *Attempt) Why() Why { return a.why }
+
 // Sent returns how many upstreams may have read the request.
 func (a *Attempt) Sent() int { return a.sent }
--- a/internal/entry/client/forward.go
+++ b/internal/entry/client/forward.go
@@ -88,7 +88,8 @@
 func (f *forwarding) end(next core.Next) {
 	if f.begun {
 		f.handler.count.ended(f.route, "cut")
-		f.handler.log.Info("stream cut", "request", f.info.ID, "route", f.route.Name, "last-event", f.events.LastID(), "tries", f.attempt.Sent())
+		f.handler.log.Info("stream cut", "request", f.info.ID, "route", f.route.Name, "last-event", f.events.LastID(), "tries", f.attempt.Sent(),
+			"why", f.attempt.Why(), "desired-version", f.version(), "took-ms", time.Since(f.arrived).Milliseconds())
 		panic(http.ErrAbortHandler)
 	}
 	switch n := next.(type) {
@@ -97,7 +98,7 @@
 		f.handler.count.ended(f.route, "upstream-failure")
 		f.log(f.failed.head.StatusCode, "upstream's own failure")
 	case core.RefuseWith:
-		f.handler.refuse(f.w, f.call, answer.Refuse(n.Kind, "tried %d upstreams", f.attempt.Sent()).After(f.comeBack(n.Kind)))
+		f.handler.refuse(f.w, f.call, answer.Refuse(n.Kind, "sent to %d upstreams; %s", f.attempt.Sent(), f.attempt.Why()).After(f.comeBack(n.Kind)))
 	}
 }
 
--- a/internal/operator/command/command.go
+++ b/internal/operator/command/command.go
@@ -169,6 +169,9 @@
 	for _, c := range objectCommands() {
 		commander.Register(c, "operators")
 	}
+	for _, c := range logCommands() {
+		commander.Register(c, "operators")
+	}
 	for _, c := range fleetCommands() {
 		commander.Register(c, "operators")
 	}
--- /dev/null
+++ b/internal/operator/trace/trace_test.go
@@ -0,0 +1,44 @@
+package trace
+
+import (
+	"bytes"
+	"flag"
+	"io"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+var update = flag.Bool("update", false, "write the golden files anew")
+
+func TestStoryOfARequestAcrossProcesses(t *testing.T) {
+	is := is.New(t)
+	var logs []io.Reader
+	for _, name := range []string{"entry-2.log", "entry-1.log"} {
+		f, err := os.Open(filepath.Join("testdata", name))
+		is.NoErr(err)
+		defer f.Close()
+		logs = append(logs, f)
+	}
+	lines, err := Read(logs, "4f2a")
+	is.NoErr(err)
+	var out bytes.Buffer
+	is.NoErr(Print(&out, "4f2a", lines))
+	golden := filepath.Join("testdata", "story.golden")
+	if *update {
+		is.NoErr(os.WriteFile(golden, out.Bytes(), 0o644))
+	}
+	want, err := os.ReadFile(golden)
+	is.NoErr(err)
+	is.Equal(out.String(), string(want)) // go test ./internal/operator/trace -update
+}
+
+func TestARequestThatNoLineSpeaksOf(t *testing.T) {
+	is := is.New(t)
+	_, err := Read([]io.Reader{strings.NewReader("no line\n{\"time\":7}\n{\n")}, "4f2a")
+	is.True(err != nil)
+	is.True(strings.Contains(err.Error(), `"4f2a"`))
+}
