--- a/internal/agent/direct/standby.go
+++ b/internal/agent/direct/standby.go
@@ -42,6 +42,7 @@
 	mu              sync.Mutex
 	heardAt, tryAt  time.Time
 	actsForItsAgent bool
+	engineSilent    bool
 }
 
 // call sends an order to the rank.
@@ -67,12 +68,24 @@
 	// Counts that are read from afar stop the group for a moment.
 	m.Loads = false
 	reply, err := c.standIn.Order(ctx, m)
-	if err != nil {
-		c.log.Info("the engine of an absent agent does not answer", "rank", c.name, "order", m.Kind.String(), "reason", err.Error())
-	}
+	c.engineAnswered(err)
 	return reply, err
 }
 
+// engineAnswered logs when the engine of an absent agent falls silent and when it
+// answers again.
+func (c *colleague) engineAnswered(err error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch {
+	case err != nil && !c.engineSilent:
+		c.log.Info("the engine of an absent agent does not answer", "rank", c.name, "reason", err.Error())
+	case err == nil && c.engineSilent:
+		c.log.Info("the engine of an absent agent answers again", "rank", c.name)
+	}
+	c.engineSilent = err != nil
+}
+
 // due tells whether the agent itself is to be tried.
 func (c *colleague) due(now time.Time) bool {
 	c.mu.Lock()
--- a/internal/agent/rank/ordered.go
+++ b/internal/agent/rank/ordered.go
@@ -252,7 +252,7 @@
 	r, err := e.report(ctx)
 	switch {
 	case err != nil:
-		e.log.Info("the engine does not answer", "reason", err.Error())
+		e.log.V(1).Info("the engine does not answer", "reason", err.Error())
 		return false, ordered, nil
 	case r.Prepared == version || r.Map == version:
 		return true, ordered, nil
