--- /dev/null
+++ b/internal/agent/direct/direct_test.go
@@ -0,0 +1,230 @@
+package direct
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"net/netip"
+	"testing"
+	"time"
+
+	"bramleydeal/internal/agent/rank"
+	"bramleydeal/internal/core/group"
+	"bramleydeal/internal/core/store"
+	"bramleydeal/internal/process/directory"
+	"bramleydeal/internal/wire/dial"
+	"bramleydeal/internal/wire/orders"
+	"bramleydeal/internal/wire/peer"
+	"bramleydeal/internal/world/service"
+	"github.com/go-logr/logr"
+	"github.com/matryer/is"
+	"google.golang.org/grpc"
+)
+
+// lists is a store whose lists are given, and a reader of its objects.
+type lists map[directory.Kind][]store.Object
+
+func (l lists) ListCached(_ context.Context, k directory.Kind) (store.Update, error) {
+	return store.Update{Objects: l[k]}, nil
+}
+
+func (l lists) Desired(value []byte) (*service.Desired, error) {
+	var d service.Desired
+	err := json.Unmarshal(value, &d)
+	return &d, err
+}
+
+func (l lists) Upstream(_ string, value []byte) (service.Upstream, error) {
+	var u service.Upstream
+	err := json.Unmarshal(value, &u)
+	return u, err
+}
+
+func object(name string, v any) store.Object {
+	value, err := json.Marshal(v)
+	if err != nil {
+		panic(err) // tests write what can be written
+	}
+	return store.Object{Name: name, Value: value}
+}
+
+// member is the worker of a rank.
+func member(name string, n int) store.Object {
+	return object(fmt.Sprint(name, n), service.Upstream{
+		ID: fmt.Sprint(name, n), Service: "quotes", Address: engineAddress(n),
+		Membership: &service.Membership{Group: name, Epoch: 1, Rank: n, Size: 2},
+	})
+}
+
+func engineAddress(n int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 1, byte(n + 1)}), 9000)
+}
+
+var experts = service.Experts{Sets: 1, Count: 4, Places: 3, Spare: 1, FetchTime: 100 * time.Millisecond}
+
+func newRoster(engine netip.AddrPort, port uint16) *roster {
+	l := lists{
+		directory.Upstreams: {member("g0", 0), member("g0", 1), {Name: "odd", Value: []byte(`7`)}},
+		directory.DesiredState: {object("main", service.Desired{
+			Routes: []service.Route{
+				{MaxGap: 200 * time.Millisecond, Targets: []service.Target{{Service: "quotes"}}},
+				{MaxGap: 120 * time.Millisecond, Targets: []service.Target{{Service: "quotes"}}},
+				{MaxGap: 10 * time.Millisecond, Targets: []service.Target{{Service: "other"}}},
+			},
+			Services: map[string]service.Service{"quotes": {Engine: &service.Engine{Experts: &experts}}},
+		})},
+	}
+	return &roster{lister: l, reader: l, engine: engine, port: port, pool: dial.NewPool(nil, &dial.Traffic{}), log: logr.Discard()}
+}
+
+func TestRosterFindsTheGroupOfTheOwnEngine(t *testing.T) {
+	is := is.New(t)
+	r := newRoster(engineAddress(1), 7100)
+	is.True(!r.Stepping()) // nothing is known yet
+	is.NoErr(r.read(t.Context()))
+	is.Equal(r.Name(), "g0")
+	is.Equal(r.Self(), "1")
+	is.Equal(r.Ranks(), []string{"0", "1"})
+	is.True(r.Stepping())
+	is.Equal(r.maxGap(), 120*time.Millisecond)
+	is.Equal(r.current.Load().engines["0"], engineAddress(0))
+}
+
+func TestRosterKnowsNoGroupWithoutTheOwnEngine(t *testing.T) {
+	is := is.New(t)
+	r := newRoster(engineAddress(9), 7100)
+	is.NoErr(r.read(t.Context()))
+	is.True(!r.Stepping())
+	_, err := r.Call(t.Context(), "0", &peer.GrantOrder{})
+	is.True(err != nil)
+}
+
+// leases is a store of leases.
+type leases struct {
+	object store.Object
+	away   bool
+}
+
+func (l *leases) Get(context.Context, string) (store.Object, error) {
+	switch {
+	case l.away:
+		return store.Object{}, errors.New("away")
+	case l.object.Version == 0:
+		return store.Object{}, store.ErrNotFound
+	}
+	return l.object, nil
+}
+
+func (l *leases) Put(_ context.Context, name string, value []byte, version uint64) (store.Object, error) {
+	if l.away || version != l.object.Version {
+		return l.object, store.ErrConflict
+	}
+	l.object = store.Object{Name: name, Version: version + 1, Value: value}
+	return l.object, nil
+}
+
+func TestEachClaimTakesTheNextTerm(t *testing.T) {
+	is := is.New(t)
+	r := newRoster(engineAddress(0), 7100)
+	is.NoErr(r.read(t.Context()))
+	s := &leases{}
+	for term := uint64(1); term <= 3; term++ {
+		got, err := (&lead{self: "a", roster: r, leases: s, log: logr.Discard()}).claim(t.Context())
+		is.NoErr(err)
+		is.Equal(got, term)
+	}
+	s.away = true
+	_, err := (&lead{self: "a", roster: r, leases: s, log: logr.Discard()}).claim(t.Context())
+	is.True(err != nil)
+}
+
+// still is an engine that stands at one step and takes every order.
+type still struct{ reports int }
+
+func (s *still) Report(context.Context) (rank.Report, error) {
+	s.reports++
+	return rank.Report{Epoch: 1, Next: 5}, nil
+}
+func (s *still) Counts(context.Context) ([]uint32, error) { return []uint32{1, 2, 3, 4}, nil }
+func (s *still) Held(context.Context) ([][]int, error)    { return [][]int{{0, 2}}, nil }
+func (s *still) Prepare(context.Context, rank.Mark, uint64, [][][]int) (bool, error) {
+	return true, nil
+}
+func (s *still) Arm(context.Context, rank.Mark, uint64, uint64) (bool, error) { return true, nil }
+func (s *still) Hold(context.Context, rank.Mark, uint64) (bool, error)        { return true, nil }
+func (s *still) Release(context.Context, rank.Mark, uint64) (bool, error)     { return true, nil }
+
+func TestRanksClaimOneAfterTheOther(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	due := func(n int, after time.Duration) bool {
+		r := newRoster(engineAddress(n), 7100)
+		is.NoErr(r.read(t.Context()))
+		l := &lead{roster: r, rank: rank.New(r, rank.NewOrderedEngine(&still{}, logr.Discard()), logr.Discard()), begun: now}
+		return l.due(now.Add(after))
+	}
+	is.True(due(0, firstSilence))
+	is.True(!due(1, firstSilence))
+	is.True(due(1, firstSilence+silence))
+}
+
+// serverOf serves a rank's agent on loopback.
+func serverOf(t *testing.T, r *rank.Rank) (netip.AddrPort, *grpc.Server) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.1.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := grpc.NewServer()
+	peer.RegisterAgentServer(server, &Agent{lead: &lead{rank: r}})
+	go func() {
+		// It ends with the test.
+		_ = server.Serve(listener)
+	}()
+	t.Cleanup(server.Stop)
+	return netip.MustParseAddrPort(listener.Addr().String()), server
+}
+
+func TestALeaderActsForAnAgentThatIsAbsent(t *testing.T) {
+	is := is.New(t)
+	r := newRoster(engineAddress(1), 7100)
+	is.NoErr(r.read(t.Context()))
+	beside, instead := &still{}, &still{}
+	address, server := serverOf(t, rank.New(r, rank.NewOrderedEngine(beside, logr.Discard()), logr.Discard()))
+	c := &colleague{name: "0", address: address, pool: r.pool, log: logr.Discard()}
+	c.standIn = rank.New(r, rank.NewOrderedEngine(instead, logr.Discard()), logr.Discard())
+	ask := func() (*peer.GrantReply, error) {
+		m := orders.Message("g0", group.Collect{Ballot: group.Ballot{Term: 1}})
+		m.Loads = true
+		return c.call(t.Context(), m)
+	}
+	reply, err := ask()
+	is.NoErr(err)
+	is.Equal(len(reply.Chosen), 4)
+	is.Equal(instead.reports, 0)
+	server.Stop()
+	_, err = ask()
+	is.True(err != nil) // absent for too short a time
+	for end := time.Now().Add(20 * time.Second); ; time.Sleep(20 * time.Millisecond) {
+		if reply, err = ask(); err == nil {
+			break
+		}
+		is.True(time.Now().Before(end))
+	}
+	is.True(reply.Accepted)
+	is.Equal(len(reply.Chosen), 0) // counts are not read from afar
+	is.True(instead.reports > 0)
+}
+
+func TestNobodyActsForAnAgentWhereEnginesTakeOldOrders(t *testing.T) {
+	is := is.New(t)
+	r := newRoster(engineAddress(1), 1) // nobody listens there
+	is.NoErr(r.read(t.Context()))
+	c := r.colleague("0", engineAddress(0))
+	is.True(c.standIn == nil)
+	r.fencing, r.colleagues = true, nil
+	r.orders = func(netip.AddrPort) rank.Orders { return &still{} }
+	is.True(r.colleague("0", engineAddress(0)).standIn != nil)
+}
--- a/internal/entry/direct/entry.go
+++ b/internal/entry/direct/entry.go
@@ -104,9 +104,7 @@
 		Pool: choice.PoolRules{
 			EjectionTime: ejectionTime, EjectionFailures: ejectionFailures, EjectionRate: ejectionRate, SlowFactor: slowFactor,
 		},
-		Quota: choice.QuotaRules{
-			Ratio: c.Direct.RetryRatio, Slack: c.Direct.RetrySlack, Window: time.Duration(c.Direct.RetryWindow), Processes: usualEntries,
-		},
+		Quota: quotaRules(c.Direct),
 	}, logger.Part("pools"))
 	e.handler = client.New(client.Config{
 		View: e.directory.View, Pools: e.pools, Dialect: d.Dialect, Log: logger.Part("client"), Omit: logger.Omit, Metrics: e.numbers,
@@ -151,6 +149,20 @@
 	gauge(`bramleydeal_log_lines_left_out{reason="over-the-rate"}`, func() float64 { _, omitted := e.log.Counts(); return float64(omitted) })
 }
 
+func quotaRules(d *config.Direct) choice.QuotaRules {
+	return choice.QuotaRules{
+		Ratio: d.RetryRatio, Slack: d.RetrySlack, Window: time.Duration(d.RetryWindow), Processes: usualEntries,
+	}
+}
+
+// Reload takes changed settings into force: the bounds of repeats. Addresses are
+// those of the start.
+func (e *Entry) Reload(c config.Process) {
+	if c.Direct != nil {
+		e.pools.Configure(quotaRules(c.Direct))
+	}
+}
+
 // others returns the peers of the settings without the process itself.
 func others(c config.Process) (out []netip.AddrPort) {
 	for _, a := range c.Peers {
--- a/internal/entry/upstream/pools.go
+++ b/internal/entry/upstream/pools.go
@@ -74,6 +74,17 @@
 	return s
 }
 
+// Configure changes the rules of the quotas.
+func (p *Pools) Configure(q core.QuotaRules) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	q.Processes = p.rules.Quota.Processes
+	p.rules.Quota = q
+	for _, s := range p.services {
+		s.quota.Configure(q)
+	}
+}
+
 // Choose returns the upstream of a service for a request and counts it as begun.
 func (p *Pools) Choose(name string, s core.Selection, now time.Time) (service.Upstream, bool) {
 	p.mu.Lock()
--- a/internal/operator/command/process.go
+++ b/internal/operator/command/process.go
@@ -39,8 +39,7 @@
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	defer signal.Stop(signals)
-	// A changed settings file is read at the next start; the signal must not end
-	// the process.
+	// Only some processes take changed settings; the signal must end none.
 	signal.Ignore(syscall.SIGHUP)
 	go func() {
 		<-signals
@@ -81,7 +80,7 @@
 			}
 			return serve(ctx, func(ctx context.Context) (process, error) {
 				if c.Direct != nil {
-					return direct.New(c, entryDeployment(c), rand.Uint64(), log.New(log.NewBounded(os.Stdout), c.LogFormat, c.Name))
+					return directEntry(ctx, path, c)
 				}
 				return entry.New(ctx, c, rand.Uint64(), log.New(os.Stderr, c.LogFormat, c.Name))
 			})
@@ -89,6 +88,17 @@
 	}
 }
 
+// directEntry puts an entry together that takes changes of its settings file.
+func directEntry(ctx context.Context, path string, c config.Process) (process, error) {
+	logger := log.New(log.NewBounded(os.Stdout), c.LogFormat, c.Name)
+	e, err := direct.New(c, entryDeployment(c), rand.Uint64(), logger)
+	if err != nil {
+		return nil, err
+	}
+	go config.Follow(ctx, path, fleet.EntryRole, logger.Part("settings"), e.Reload)
+	return e, nil
+}
+
 // agentDeployment returns what an agent meets on the operators' platform.
 func agentDeployment(c config.Process) beside.Deployment {
 	s := platform.NewStore(c.Platform)
