--- a/internal/core/upstream/pool.go
+++ b/internal/core/upstream/pool.go
@@ -140,7 +140,7 @@
 type Selection struct {
 	// Exclude names the upstreams that were tried.
 	Exclude []string
-	// Groups names the groups that failed the request.
+	// Groups names the groups that failed the request: others come first.
 	Groups []string
 }
 
@@ -204,10 +204,10 @@
 		return unusable
 	case p.rules.Outstanding > 0 && m.outstanding >= p.rules.Outstanding:
 		return unusable
-	case m.group != nil && (m.group.health.out(now) || slices.Contains(s.Groups, m.Membership.Group)):
+	case m.group != nil && m.group.health.out(now):
 		// Whatever rank is asked, the group runs nothing.
 		return unusable
-	case m.health.out(now):
+	case m.health.out(now) || m.group != nil && slices.Contains(s.Groups, m.Membership.Group):
 		return out
 	case m.Lapsed:
 		return lapsed
--- a/internal/core/upstream/pool_test.go
+++ b/internal/core/upstream/pool_test.go
@@ -220,3 +220,15 @@
 	p.Ended("u0", CallerLeft, 0, testNow)
 	is.Equal(choose(p, Selection{}, testNow), "u0")
 }
+
+func TestPoolPrefersAnotherGroupForARequestThatOneFailed(t *testing.T) {
+	is := is.New(t)
+	p := newTestPool(grouped(2))
+	for range 3 {
+		u, ok := p.Choose(Selection{Exclude: []string{"u0"}, Groups: []string{"g0"}}, testNow)
+		is.True(ok)
+		is.Equal(u.Membership.Group, "g1")
+	}
+	single := newTestPool(grouped(2)[:2])
+	is.Equal(choose(single, Selection{Exclude: []string{"u0"}, Groups: []string{"g0"}}, testNow), "u1")
+}
--- a/internal/entry/client/forward.go
+++ b/internal/entry/client/forward.go
@@ -233,7 +233,6 @@
 	switch {
 	case info.GroupFault && u.Membership != nil:
 		outcome = choice.GroupStalled
-		f.chosen.Groups = append(f.chosen.Groups, u.Membership.Group)
 	case status == http.StatusMisdirectedRequest:
 		// Another worker has the address now.
 		outcome = choice.Unreachable
@@ -243,7 +242,14 @@
 	return core.Declined{}
 }
 
-func (f *forwarding) exclude(u service.Upstream) { f.chosen.Exclude = append(f.chosen.Exclude, u.ID) }
+// exclude keeps the request from an upstream that failed it, and as far as
+// possible from its group, which may have failed as a whole.
+func (f *forwarding) exclude(u service.Upstream) {
+	f.chosen.Exclude = append(f.chosen.Exclude, u.ID)
+	if u.Membership != nil {
+		f.chosen.Groups = append(f.chosen.Groups, u.Membership.Group)
+	}
+}
 
 // answer passes on an answer that is no stream of events, once it is whole.
 func (f *forwarding) answer(ctx context.Context, u service.Upstream, x *upstream.Exchange, began time.Time) core.Outcome {
--- a/internal/entry/client/stream.go
+++ b/internal/entry/client/stream.go
@@ -55,9 +55,6 @@
 		case limited.Err() != nil && ctx.Err() == nil:
 			err = errSilent
 		}
-		if u.Membership != nil {
-			f.chosen.Groups = append(f.chosen.Groups, u.Membership.Group)
-		}
 		return f.broken(ctx, u, began, err)
 	}
 }
