Send samples of one byte a count to a group's leader, at most 200 a second

A leader of 32 ranks got the cumulative counts of 1,536 experts from each rank 6.6 times a second, some 6 Mbit/s on a link of 8. Now each answer has what was chosen since the last one, a byte an expert.

--- a/internal/agent/direct/lead.go
+++ b/internal/agent/direct/lead.go
@@ -28,8 +28,10 @@
 // Times of leading a group.
 const (
 	// observeInterval is how often a leader reads the ranks' counts: well below
-	// the seconds for which a demand lasts.
+	// the seconds for which a demand lasts. observePerRank bounds the reads of a
+	// large group to some 200 a second.
 	observeInterval = 150 * time.Millisecond
+	observePerRank  = 5 * time.Millisecond
 	// switchInterval is the same while the ranks are about to switch maps.
 	switchInterval = 40 * time.Millisecond
 	// keepAliveInterval is how often a leader that waits for some ranks lets the
@@ -161,7 +163,6 @@
 	demand *group.Demand
 
 	mu                                   sync.Mutex
-	counts                               map[string][]uint32
 	held                                 map[string][][]int
 	heldMap                              map[string]uint64
 	maps                                 map[string]uint64
@@ -202,7 +203,7 @@
 	l.numbers.term.Store(term)
 	defer l.numbers.term.Store(0)
 	leader := group.NewLeader(l.roster.Ranks(), group.Ballot{Term: term, Proposer: l.self}, 0, group.LeaderRules{
-		Resend: resendInterval, Poll: observeInterval, GiveUp: giveUpAfter, Ahead: aheadSteps,
+		Resend: resendInterval, Poll: observeEvery(m.self.Size), GiveUp: giveUpAfter, Ahead: aheadSteps,
 	})
 	orders.Conduct(ctx, m.self.Group, m.self.Size, leader, g.call, func(leader *group.Leader) bool {
 		if _, promised := l.rank.LastOrder(); promised.Term > term {
@@ -214,16 +215,22 @@
 	l.log.Info("no longer leading a group", "group", m.self.Group, "term", term)
 }
 
+// observeEvery is how often the counts of so many ranks are read.
+func observeEvery(ranks int) time.Duration {
+	return max(observeInterval, time.Duration(ranks)*observePerRank)
+}
+
 func newLed(l *lead, term uint64, e *service.Experts, ranks int) *led {
+	shape := group.Shape{Ranks: ranks, Experts: e.Count, Layers: e.Sets, Slots: e.Places}
 	fetches := 1
 	if e.FetchTime > 0 {
 		fetches = max(int(fetchTime/e.FetchTime), 1)
 	}
 	return &led{
-		lead: l, term: term, demand: group.NewDemand(),
-		shape:  group.Shape{Ranks: ranks, Experts: e.Count, Layers: e.Sets, Slots: e.Places},
-		rules:  group.ReplanRules{Fetches: fetches, Spare: e.Spare, Least: leastSaving, Stay: stayShare},
-		counts: map[string][]uint32{}, held: map[string][][]int{}, heldMap: map[string]uint64{}, maps: map[string]uint64{},
+		lead: l, term: term, demand: group.NewDemand(shape),
+		shape: shape,
+		rules: group.ReplanRules{Fetches: fetches, Spare: e.Spare, Least: leastSaving, Stay: stayShare},
+		held:  map[string][][]int{}, heldMap: map[string]uint64{}, maps: map[string]uint64{},
 	}
 }
 
@@ -241,7 +248,7 @@
 		g.maps[name] = reply.LoadMap
 	}
 	if len(reply.Held) > 0 {
-		g.counts[name] = reply.Chosen
+		g.demand.Add(group.Sample{Counts: reply.Chosen, Unit: float64(reply.ChosenUnit)})
 		g.heldMap[name] = reply.LoadMap
 		g.held[name] = g.held[name][:0]
 		for _, set := range reply.Held {
@@ -261,9 +268,9 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := time.Now()
-	if now.Sub(g.countedAt) >= observeInterval {
+	if now.Sub(g.countedAt) >= observeEvery(g.shape.Ranks) {
 		g.countedAt = now
-		g.demand.Count(g.counts, g.shape, now)
+		g.demand.Mix(now)
 		g.pass.reached(l.Step(), now)
 	}
 	if l.Phase() != group.Steady {
--- a/internal/agent/rank/engine.go
+++ b/internal/agent/rank/engine.go
@@ -67,11 +67,10 @@
 	Plan    Plan     `json:"plan"`
 	LoadMap uint64   `json:"load-map"`
 	Tokens  []uint32 `json:"tokens"`
-	// Chosen has, by layer and expert, how often each was chosen since the rank
-	// started, modulo 2^32, and Held the experts of the rank by layer, where the
-	// engine counts by expert.
-	Chosen []uint32 `json:"-"`
-	Held   [][]int  `json:"-"`
+	// Chosen is what the rank's requests chose since it was last read, and Held
+	// the experts of the rank by layer, where the engine counts by expert.
+	Chosen group.Sample `json:"-"`
+	Held   [][]int      `json:"-"`
 }
 
 // Read implements Engine. The tokens are those counted since they were last read.
--- a/internal/agent/rank/ordered.go
+++ b/internal/agent/rank/ordered.go
@@ -80,6 +80,8 @@
 	// held are the experts of the map heldMap.
 	held    [][]int
 	heldMap uint64
+	// counts are those that were read last.
+	counts []uint32
 }
 
 // NewOrderedEngine returns the engine that takes single orders.
@@ -104,9 +106,11 @@
 	if !loads {
 		return s, nil
 	}
-	if s.Chosen, err = e.orders.Counts(ctx); err != nil {
+	counts, err := e.orders.Counts(ctx)
+	if err != nil {
 		return Status{}, err
 	}
+	s.Chosen, e.counts = group.NewSample(e.counts, counts), counts
 	if e.held == nil || e.heldMap != r.Map {
 		if e.held, err = e.orders.Held(ctx); err != nil {
 			return Status{}, err
--- a/internal/agent/rank/rank.go
+++ b/internal/agent/rank/rank.go
@@ -128,7 +128,7 @@
 	}
 	reply := orders.ReplyMessage(group.Reply{Accepted: accepted, State: next, Step: s.Step})
 	reply.LoadMap, reply.Loads = s.LoadMap, s.Tokens
-	reply.Chosen = s.Chosen
+	reply.Chosen, reply.ChosenUnit = s.Chosen.Counts, float32(s.Chosen.Unit)
 	for _, experts := range s.Held {
 		set := &peer.ExpertSet{}
 		for _, e := range experts {
--- a/internal/core/group/replan.go
+++ b/internal/core/group/replan.go
@@ -258,10 +258,41 @@
 	return slices.Contains(p.held[rank*p.shape.Slots:(rank+1)*p.shape.Slots], e)
 }
 
-// Demand estimates the loads of the next steps from counts that only rise.
+// Sample is how often each expert was chosen by one rank's requests in a short
+// time, by layer and expert in one list: Counts in units of Unit.
+type Sample struct {
+	Counts []uint8
+	Unit   float64
+}
+
+// NewSample returns what was chosen between two counts that only rise, modulo
+// 2^32. Counts that began anew, or of another length, make an empty sample.
+func NewSample(before, after []uint32) Sample {
+	if len(before) != len(after) {
+		return Sample{}
+	}
+	most := uint32(0)
+	for i := range after {
+		most = max(most, after[i]-before[i])
+	}
+	if most == 0 || most > math.MaxInt32 {
+		return Sample{}
+	}
+	// One byte a count is precise enough: what weighs little needs no place of
+	// its own.
+	s := Sample{Counts: make([]uint8, len(after)), Unit: float64(most) / math.MaxUint8}
+	for i := range after {
+		s.Counts[i] = uint8(math.Round(float64(after[i]-before[i]) / s.Unit))
+	}
+	return s
+}
+
+// Demand estimates the loads of the next steps from samples.
 type Demand struct {
-	// last are the latest counts of each rank, mixed what is expected.
-	last  map[string][]uint32
+	shape Shape
+	// fresh sums the samples since at, mixed is what is expected.
+	fresh Loads
+	seen  bool
 	at    time.Time
 	mixed Loads
 }
@@ -277,39 +308,42 @@
 )
 
 // NewDemand returns a demand that has seen nothing.
-func NewDemand() *Demand { return &Demand{last: map[string][]uint32{}} }
+func NewDemand(s Shape) *Demand {
+	d := &Demand{shape: s}
+	d.clear()
+	return d
+}
 
-// Count takes in the counts of all ranks at now, by layer and expert in one
-// list. A rank whose counts began anew counts from the next time on.
-func (d *Demand) Count(counts map[string][]uint32, s Shape, now time.Time) {
-	fresh := make(Loads, s.Layers)
-	for l := range fresh {
-		fresh[l] = make([]float64, s.Experts)
+func (d *Demand) clear() {
+	d.fresh, d.seen = make(Loads, d.shape.Layers), false
+	for l := range d.fresh {
+		d.fresh[l] = make([]float64, d.shape.Experts)
 	}
-	sum := 0.0
-	for rank, c := range counts {
-		last := d.last[rank]
-		d.last[rank] = c
-		if len(c) != s.Layers*s.Experts || len(last) != len(c) {
-			continue
-		}
-		for i := range c {
-			// Counts may pass the range of the type; a fall of more is a new start.
-			if n := c[i] - last[i]; n < 1<<31 {
-				fresh[i/s.Experts][i%s.Experts] += float64(n)
-				sum += float64(n)
-			}
-		}
+}
+
+// Add takes in a rank's sample. One of another shape is left out.
+func (d *Demand) Add(s Sample) {
+	if len(s.Counts) != d.shape.Layers*d.shape.Experts {
+		return
+	}
+	d.seen = true
+	for i, n := range s.Counts {
+		d.fresh[i/d.shape.Experts][i%d.shape.Experts] += float64(n) * s.Unit
 	}
+}
+
+// Mix brings the samples added since the last call into what is expected.
+func (d *Demand) Mix(now time.Time) {
 	age := now.Sub(d.at)
 	d.at = now
 	switch {
-	case sum == 0:
-	case d.mixed == nil || distance(d.mixed, fresh) > shiftDistance:
-		d.mixed = fresh
+	case !d.seen:
+	case d.mixed == nil || distance(d.mixed, d.fresh) > shiftDistance:
+		d.mixed = d.fresh
 	default:
-		d.mixed = average(d.mixed, fresh, float64(age)/float64(age+demandTime))
+		d.mixed = average(d.mixed, d.fresh, float64(age)/float64(age+demandTime))
 	}
+	d.clear()
 }
 
 // Expected returns the loads that are expected, false before any are known.
