--- a/internal/agent/direct/lead.go
+++ b/internal/agent/direct/lead.go
@@ -65,7 +65,7 @@
 	// leastSaving is the share of a rank's mean load in a layer that must be saved
 	// for each expert that its busiest rank fetches, while steps take longPass of
 	// the longest pause allowed between events; shorter steps ask for more.
-	leastSaving = 0.08
+	leastSaving = 0.35
 	longPass    = 0.75
 	// passGain is the weight of the latest steps in the mean time of a step.
 	passGain = 0.4
--- a/internal/process/directory/directory.go
+++ b/internal/process/directory/directory.go
@@ -59,7 +59,9 @@
 
 // Times of the calls to store and peers.
 const (
-	callTimeout = 2 * time.Second
+	// listTimeout bounds a list of many pages, each of which is bounded by the
+	// store's client: thousands of entries, read by all processes at a start.
+	listTimeout = 15 * time.Second
 	// watchWait is how long a watch waits at the store; each one is a call.
 	watchWait = 25 * time.Second
 	// watchMargin is the time beyond that after which a watch is taken for lost.
@@ -219,7 +221,7 @@
 	d.stats.StoreCalls++
 	d.mu.Unlock()
 	if anew || revision == 0 {
-		ctx, cancel := context.WithTimeout(ctx, callTimeout)
+		ctx, cancel := context.WithTimeout(ctx, listTimeout)
 		defer cancel()
 		return d.store.List(ctx, k)
 	}
@@ -466,7 +468,7 @@
 	if skip {
 		return
 	}
-	limited, cancel := context.WithTimeout(ctx, callTimeout)
+	limited, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
 	u, err := d.store.List(limited, k)
 	if err != nil {
