--- a/internal/process/directory/directory.go
+++ b/internal/process/directory/directory.go
@@ -68,7 +68,7 @@
 	watchMargin = 2 * time.Second
 	// gather is the pause after a change of the upstreams, so that a series of
 	// them, as at a start, takes few calls.
-	gather = 150 * time.Millisecond
+	gather = 350 * time.Millisecond
 	// minPause and maxPause bound the pause after a failed call.
 	minPause = 200 * time.Millisecond
 	maxPause = time.Second
