--- a/internal/entry/upstream/events.go
+++ b/internal/entry/upstream/events.go
@@ -15,6 +15,10 @@
 func (e *Events) Add(p []byte) []byte {
 	e.pending = append(e.pending, p...)
 	end := endOfEvents(e.pending)
+	// Blank lines after an event belong to none.
+	if blank := bytes.TrimLeft(e.pending[end:], "\r\n"); len(blank) == 0 {
+		end = len(e.pending)
+	}
 	if end == 0 {
 		return nil
 	}
