--- a/internal/agent/direct/agent.go
+++ b/internal/agent/direct/agent.go
@@ -61,7 +61,7 @@
 	a.pool = dial.NewPool(files.Peers(), &a.traffic)
 	a.roster = &roster{
 		lister: d.Lister, reader: d.Reader, engine: c.Upstream.Address, port: c.PeerListen.Port(), pool: a.pool, log: logger.Part("roster"),
-		orders: d.Orders, fencing: c.Direct.Fencing,
+		orders: d.Orders, fencing: c.Direct.Fencing, asked: make(chan struct{}, 1),
 	}
 	a.lead = &lead{self: c.Name, roster: a.roster, leases: d.Leases, log: logger.Part("lead")}
 	engine := rank.NewOrderedEngine(d.Orders(c.Upstream.Address), logger.Part("engine"))
--- a/internal/agent/direct/direct_test.go
+++ b/internal/agent/direct/direct_test.go
@@ -79,11 +79,18 @@
 	return &roster{lister: l, reader: l, engine: engine, port: port, pool: dial.NewPool(nil, &dial.Traffic{}), log: logr.Discard()}
 }
 
+func read(t *testing.T, r *roster) {
+	t.Helper()
+	workers, err := r.read(t.Context())
+	is.New(t).NoErr(err)
+	is.New(t).Equal(workers, 2)
+}
+
 func TestRosterFindsTheGroupOfTheOwnEngine(t *testing.T) {
 	is := is.New(t)
 	r := newRoster(engineAddress(1), 7100)
 	is.True(!r.Stepping()) // nothing is known yet
-	is.NoErr(r.read(t.Context()))
+	read(t, r)
 	is.Equal(r.Name(), "g0")
 	is.Equal(r.Self(), "1")
 	is.Equal(r.Ranks(), []string{"0", "1"})
@@ -95,7 +102,7 @@
 func TestRosterKnowsNoGroupWithoutTheOwnEngine(t *testing.T) {
 	is := is.New(t)
 	r := newRoster(engineAddress(9), 7100)
-	is.NoErr(r.read(t.Context()))
+	read(t, r)
 	is.True(!r.Stepping())
 	_, err := r.Call(t.Context(), "0", &peer.GrantOrder{})
 	is.True(err != nil)
@@ -128,7 +135,7 @@
 func TestEachClaimTakesTheNextTerm(t *testing.T) {
 	is := is.New(t)
 	r := newRoster(engineAddress(0), 7100)
-	is.NoErr(r.read(t.Context()))
+	read(t, r)
 	s := &leases{}
 	for term := uint64(1); term <= 3; term++ {
 		got, err := (&lead{self: "a", roster: r, leases: s, log: logr.Discard()}).claim(t.Context())
@@ -161,7 +168,7 @@
 	now := time.Unix(1000, 0)
 	due := func(n int, after time.Duration) bool {
 		r := newRoster(engineAddress(n), 7100)
-		is.NoErr(r.read(t.Context()))
+		read(t, r)
 		l := &lead{roster: r, rank: rank.New(r, rank.NewOrderedEngine(&still{}, logr.Discard()), logr.Discard()), begun: now}
 		return l.due(now.Add(after))
 	}
@@ -190,10 +197,11 @@
 func TestALeaderActsForAnAgentThatIsAbsent(t *testing.T) {
 	is := is.New(t)
 	r := newRoster(engineAddress(1), 7100)
-	is.NoErr(r.read(t.Context()))
+	read(t, r)
 	beside, instead := &still{}, &still{}
 	address, server := serverOf(t, rank.New(r, rank.NewOrderedEngine(beside, logr.Discard()), logr.Discard()))
-	c := &colleague{name: "0", address: address, pool: r.pool, log: logr.Discard()}
+	lost := 0
+	c := &colleague{name: "0", address: address, pool: r.pool, log: logr.Discard(), lost: func() { lost++ }}
 	c.standIn = rank.New(r, rank.NewOrderedEngine(instead, logr.Discard()), logr.Discard())
 	ask := func() (*peer.GrantReply, error) {
 		m := orders.Message("g0", group.Collect{Ballot: group.Ballot{Term: 1}})
@@ -216,12 +224,13 @@
 	is.True(reply.Accepted)
 	is.Equal(len(reply.Held), 0) // counts are not read from afar
 	is.True(instead.reports > 0)
+	is.Equal(lost, 1)
 }
 
 func TestNobodyActsForAnAgentWhereEnginesTakeOldOrders(t *testing.T) {
 	is := is.New(t)
 	r := newRoster(engineAddress(1), 1) // nobody listens there
-	is.NoErr(r.read(t.Context()))
+	read(t, r)
 	c := r.colleague("0", engineAddress(0))
 	is.True(c.standIn == nil)
 	r.fencing, r.colleagues = true, nil
--- a/internal/agent/direct/roster.go
+++ b/internal/agent/direct/roster.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/netip"
 	"strconv"
 	"sync"
@@ -21,12 +22,19 @@
 
 // Times of the roster.
 const (
-	// rosterInterval is how often the roster is read; the read may be seconds old
-	// anyway, and a rank that moves is missed at the next order at the latest.
-	rosterInterval = 3 * time.Second
-	// rosterRetry is the same until the own engine is found and after failures.
-	rosterRetry   = 500 * time.Millisecond
-	rosterTimeout = 2 * time.Second
+	// rosterInterval is how often the roster is read, rosterPerWorker what each
+	// worker of the list adds: every agent reads the whole list.
+	rosterInterval  = 5 * time.Second
+	rosterPerWorker = 10 * time.Millisecond
+	// rosterAsked is how soon it is read again when a rank cannot be reached.
+	rosterAsked = time.Second
+	// rosterRetry is the first pause until the own engine is found and after a
+	// failure; it doubles up to rosterRetryMost, so that many agents that start
+	// together do not keep the store from serving any.
+	rosterRetry     = 500 * time.Millisecond
+	rosterRetryMost = 8 * time.Second
+	// rosterTimeout bounds a list of many pages.
+	rosterTimeout = 15 * time.Second
 )
 
 // Lister reads what may be some seconds old.
@@ -62,6 +70,8 @@
 	fencing bool
 
 	current atomic.Pointer[members]
+	// asked is written when the roster is to be read soon.
+	asked chan struct{}
 
 	mu         sync.Mutex
 	colleagues map[netip.AddrPort]*colleague
@@ -117,7 +127,7 @@
 	defer r.mu.Unlock()
 	c := r.colleagues[engine]
 	if c == nil || c.name != name {
-		c = &colleague{name: name, address: netip.AddrPortFrom(engine.Addr(), r.port), pool: r.pool, log: r.log}
+		c = &colleague{name: name, address: netip.AddrPortFrom(engine.Addr(), r.port), pool: r.pool, log: r.log, lost: r.ask}
 		if r.fencing {
 			c.standIn = rank.New(r, rank.NewOrderedEngine(r.orders(engine), r.log.WithValues("for-rank", name)), r.log)
 		}
@@ -131,25 +141,53 @@
 
 // run keeps the roster up to date until ctx ends.
 func (r *roster) run(ctx context.Context) {
+	retry := rosterRetry
 	for ctx.Err() == nil {
-		pause := rosterInterval
-		if err := r.read(ctx); err != nil {
-			pause = rosterRetry
+		workers, err := r.read(ctx)
+		pause := rosterInterval + time.Duration(workers)*rosterPerWorker
+		switch {
+		case err != nil:
 			r.log.V(1).Info("the roster cannot be read", "reason", err.Error())
-		} else if r.current.Load() == nil {
-			pause = rosterRetry
+			fallthrough
+		case r.current.Load() == nil:
+			pause = retry/2 + rand.N(retry)
+			retry = min(2*retry, rosterRetryMost)
+		default:
+			retry = rosterRetry
 		}
-		clock.Sleep(ctx, pause)
+		r.wait(ctx, pause)
 	}
 }
 
-// read reads the list of workers, and the shape of the experts once.
-func (r *roster) read(ctx context.Context) error {
+// wait waits for a pause, or until the roster is asked for, but not less than
+// rosterAsked.
+func (r *roster) wait(ctx context.Context, pause time.Duration) {
+	clock.Sleep(ctx, min(pause, rosterAsked))
+	timer := time.NewTimer(max(pause-rosterAsked, 0))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-r.asked:
+	case <-ctx.Done():
+	}
+}
+
+// ask makes the roster be read soon.
+func (r *roster) ask() {
+	select {
+	case r.asked <- struct{}{}:
+	default:
+	}
+}
+
+// read reads the list of workers, and the shape of the experts once. It returns
+// the number of workers.
+func (r *roster) read(ctx context.Context) (int, error) {
 	ctx, cancel := context.WithTimeout(ctx, rosterTimeout)
 	defer cancel()
 	list, err := r.lister.ListCached(ctx, directory.Upstreams)
 	if err != nil {
-		return err
+		return 0, err
 	}
 	var all []service.Upstream
 	var own *service.Upstream
@@ -164,7 +202,7 @@
 		}
 	}
 	if own == nil {
-		return nil
+		return len(all), nil
 	}
 	next := &members{self: *own.Membership, service: own.Service, engines: map[string]netip.AddrPort{}}
 	for _, u := range all {
@@ -175,10 +213,10 @@
 	if before := r.current.Load(); before != nil && before.service == next.service && before.experts != nil {
 		next.experts, next.gap = before.experts, before.gap
 	} else if err := r.readService(ctx, next); err != nil {
-		return err
+		return len(all), err
 	}
 	r.current.Store(next)
-	return nil
+	return len(all), nil
 }
 
 // readService reads what the desired state says of the group's service.
--- a/internal/agent/direct/standby.go
+++ b/internal/agent/direct/standby.go
@@ -38,6 +38,8 @@
 	log     logr.Logger
 	// standIn acts on the engine; nil where engines do not refuse old orders.
 	standIn *rank.Rank
+	// lost is called when the agent falls silent: the rank may have moved.
+	lost func()
 
 	mu              sync.Mutex
 	heardAt, tryAt  time.Time
@@ -115,6 +117,7 @@
 	absent := now.Sub(c.heardAt) > absentAfter
 	if absent && !c.actsForItsAgent {
 		c.actsForItsAgent = true
+		c.lost()
 		c.log.Info("acting for the agent of a rank", "rank", c.name, "address", c.address, "silent-ms", now.Sub(c.heardAt).Milliseconds())
 	}
 	return absent
