--- a/internal/core/group/replan.go
+++ b/internal/core/group/replan.go
@@ -187,7 +187,7 @@
 
 // usefulReplicas is how many replicas an expert gets for each mean rank's load
 // that it carries: parts well below a rank's share can be balanced.
-const usefulReplicas = 4
+const usefulReplicas = 2
 
 // placement is a layer while it is placed.
 type placement struct {
--- /dev/null
+++ b/internal/process/directory/directory_test.go
@@ -0,0 +1,216 @@
+package directory
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/netip"
+	"sync"
+	"testing"
+	"time"
+
+	"bramleydeal/internal/core/store"
+	"bramleydeal/internal/core/upstream"
+	"bramleydeal/internal/wire/dial"
+	"bramleydeal/internal/wire/peer"
+	"bramleydeal/internal/world/fleet"
+	"bramleydeal/internal/world/service"
+	"github.com/matryer/is"
+)
+
+// fake is a store whose lists are given. Its watches hear nothing.
+type fake struct {
+	mu     sync.Mutex
+	lists  map[Kind]store.Update
+	failed error
+}
+
+func (f *fake) set(k Kind, revision uint64, objects ...store.Object) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for i := range objects {
+		objects[i].Version = revision
+	}
+	f.lists[k] = store.Update{Revision: revision, Objects: objects}
+}
+
+func (f *fake) fail(err error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.failed = err
+}
+
+func (f *fake) List(_ context.Context, k Kind) (store.Update, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.lists[k], f.failed
+}
+
+func (f *fake) Watch(ctx context.Context, _ Kind, _ uint64, _ time.Duration) (store.Update, error) {
+	<-ctx.Done()
+	return store.Update{}, ctx.Err()
+}
+
+func (f *fake) Create(context.Context, Kind, string, []byte) (store.Object, error) {
+	return store.Object{}, errors.New("not used")
+}
+
+func (f *fake) Replace(context.Context, Kind, string, []byte, uint64) (store.Object, error) {
+	return store.Object{}, errors.New("not used")
+}
+
+// plain reads objects that are written as the types themselves.
+type plain struct{}
+
+func (plain) Desired(value []byte) (*service.Desired, error) {
+	var d service.Desired
+	err := json.Unmarshal(value, &d)
+	return &d, err
+}
+
+func (plain) Upstream(_ string, value []byte) (service.Upstream, error) {
+	var u service.Upstream
+	err := json.Unmarshal(value, &u)
+	return u, err
+}
+
+func object(name string, v any) store.Object {
+	value, err := json.Marshal(v)
+	if err != nil {
+		panic(err) // tests write what can be written
+	}
+	return store.Object{Name: name, Value: value}
+}
+
+func desired(version uint64) store.Object { return object("main", service.Desired{Version: version}) }
+
+func newDirectory(name string) (*Directory, *fake) {
+	f := &fake{lists: map[Kind]store.Update{}}
+	rules := upstream.PresenceRules{Linger: time.Second, Return: 2 * time.Second}
+	return New(name, f, plain{}, dial.NewPool(nil, &dial.Traffic{}), rules), f
+}
+
+// learn lists a kind, as a process does at its start.
+func learn(t *testing.T, d *Directory, k Kind) {
+	t.Helper()
+	u, err := d.ask(t.Context(), k, true)
+	if err != nil {
+		t.Fatal(err)
+	}
+	d.apply(k, u, "store")
+}
+
+func version(d *Directory) uint64 {
+	if d.View().Desired == nil {
+		return 0
+	}
+	return d.View().Desired.Version
+}
+
+func TestTheDesiredStateNeverFalls(t *testing.T) {
+	is := is.New(t)
+	d, f := newDirectory("e1")
+	is.Equal(version(d), uint64(0))
+	f.set(DesiredState, 10, desired(7))
+	learn(t, d, DesiredState)
+	is.Equal(version(d), uint64(7))
+	f.set(DesiredState, 9, desired(6)) // an old list
+	learn(t, d, DesiredState)
+	is.Equal(version(d), uint64(7))
+	f.set(DesiredState, 12, desired(5)) // a new object with an old version
+	learn(t, d, DesiredState)
+	is.Equal(version(d), uint64(7))
+	f.set(DesiredState, 13, store.Object{Name: "main", Value: []byte("[]")}) // one that cannot be read
+	learn(t, d, DesiredState)
+	is.Equal(version(d), uint64(7))
+	f.set(DesiredState, 14, desired(8))
+	learn(t, d, DesiredState)
+	is.Equal(version(d), uint64(8))
+}
+
+func TestAReadInTurnFindsWhatTheWatchMissed(t *testing.T) {
+	is := is.New(t)
+	d, f := newDirectory("e1")
+	f.set(DesiredState, 10, desired(7))
+	learn(t, d, DesiredState)
+	f.set(DesiredState, 11, desired(8))
+	d.check(t.Context(), DesiredState)
+	is.Equal(version(d), uint64(8))
+}
+
+func TestAReadInTurnThatFailsMakesPeersBeAsked(t *testing.T) {
+	is := is.New(t)
+	d, f := newDirectory("e1")
+	f.set(DesiredState, 10, desired(7))
+	learn(t, d, DesiredState)
+	is.Equal(len(d.missing()), 0)
+	f.fail(store.ErrRefused)
+	d.check(t.Context(), DesiredState)
+	is.Equal(d.missing(), []Kind{DesiredState})
+	d.answered(DesiredState)
+	is.Equal(len(d.missing()), 0)
+}
+
+func TestAPeerBringsWhatItKnows(t *testing.T) {
+	is := is.New(t)
+	ahead, f := newDirectory("e1")
+	f.set(DesiredState, 10, desired(7))
+	learn(t, ahead, DesiredState)
+	reply, err := ahead.Compare(t.Context(), &peer.CompareRequest{Instance: "e2", Kind: string(DesiredState)})
+	is.NoErr(err)
+	behind, _ := newDirectory("e2")
+	behind.take(DesiredState, peer.Update(reply.From, reply.Revision, reply.Objects), reply.Instance)
+	is.Equal(version(behind), uint64(7))
+	// Pushed the other way round it changes nothing.
+	_, err = behind.Compare(t.Context(), &peer.CompareRequest{
+		Instance: "e1", Kind: string(DesiredState), Revision: 5, Objects: peer.Objects([]store.Object{{Name: "main", Version: 5, Value: []byte(`{"Version":3}`)}}),
+	})
+	is.NoErr(err)
+	is.Equal(version(behind), uint64(7))
+	// A kind that is not kept has no objects.
+	reply, err = ahead.Compare(t.Context(), &peer.CompareRequest{Kind: "other"})
+	is.NoErr(err)
+	is.Equal(reply.Revision, uint64(0))
+}
+
+func TestTurnsFollowEachOther(t *testing.T) {
+	is := is.New(t)
+	const entries = 5
+	var instances []store.Object
+	for i := range entries {
+		name := fmt.Sprint("e", i)
+		instances = append(instances, object(name, fleet.Instance{Name: name, Role: fleet.EntryRole, Address: netip.MustParseAddrPort("127.0.0.1:1")}))
+	}
+	start := time.Unix(0, 0)
+	turns := map[time.Duration]int{}
+	for i := range entries {
+		d, f := newDirectory(fmt.Sprint("e", i))
+		f.set(Instances, 1, instances...)
+		learn(t, d, Instances)
+		turns[d.untilSlot(start)]++
+	}
+	is.Equal(len(turns), entries)
+	for i := 1; i <= entries; i++ {
+		is.Equal(turns[time.Duration(i)*checkSlot], 1) // one entry, and each time
+	}
+}
+
+func TestLapsedUpstreamsStayUntilTheStoreIsBackForAWhile(t *testing.T) {
+	is := is.New(t)
+	d, f := newDirectory("e1")
+	entry := func(id string, n byte) store.Object {
+		return object(id, service.Upstream{ID: id, Service: "s", Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, n}), 80)})
+	}
+	f.set(Upstreams, 10, entry("u1", 1), entry("u2", 2), entry("u3", 3))
+	learn(t, d, Upstreams)
+	is.Equal(len(d.View().Upstreams), 3)
+	d.failed(Upstreams, store.ErrRefused)
+	f.set(Upstreams, 11, entry("u2", 2), entry("u3", 3))
+	learn(t, d, Upstreams)
+	u, there := d.View().Upstreams["u1"]
+	is.True(there && u.Lapsed)
+	f.set(Upstreams, 12, entry("u1", 1), entry("u2", 2), entry("u3", 3))
+	learn(t, d, Upstreams)
+	is.True(!d.View().Upstreams["u1"].Lapsed)
+}
