--- a/internal/agent/direct/direct_test.go
+++ b/internal/agent/direct/direct_test.go
@@ -30,8 +30,8 @@
 	return store.Update{Objects: l[k]}, nil
 }
 
-func (l lists) Desired(value []byte) (*service.Desired, error) {
-	var d service.Desired
+func (l lists) Configuration(value []byte) (*service.Configuration, error) {
+	var d service.Configuration
 	err := json.Unmarshal(value, &d)
 	return &d, err
 }
@@ -50,7 +50,7 @@
 	return store.Object{Name: name, Value: value}
 }
 
-// member is the worker of a rank.
+// member is the upstream of a rank.
 func member(name string, n int) store.Object {
 	return object(fmt.Sprint(name, n), service.Upstream{
 		ID: fmt.Sprint(name, n), Service: "quotes", Address: engineAddress(n),
@@ -67,7 +67,7 @@
 func newRoster(engine netip.AddrPort, port uint16) *roster {
 	l := lists{
 		directory.Upstreams: {member("g0", 0), member("g0", 1), {Name: "odd", Value: []byte(`7`)}},
-		directory.DesiredState: {object("main", service.Desired{
+		directory.Configuration: {object("main", service.Configuration{
 			Routes: []service.Route{
 				{MaxGap: 200 * time.Millisecond, Targets: []service.Target{{Service: "quotes"}}},
 				{MaxGap: 120 * time.Millisecond, Targets: []service.Target{{Service: "quotes"}}},
@@ -81,9 +81,9 @@
 
 func read(t *testing.T, r *roster) {
 	t.Helper()
-	workers, err := r.read(t.Context())
+	upstreams, err := r.read(t.Context())
 	is.New(t).NoErr(err)
-	is.New(t).Equal(workers, 2)
+	is.New(t).Equal(upstreams, 2)
 }
 
 func TestRosterFindsTheGroupOfTheOwnEngine(t *testing.T) {
--- a/internal/agent/direct/roster.go
+++ b/internal/agent/direct/roster.go
@@ -23,7 +23,7 @@
 // Times of the roster.
 const (
 	// rosterInterval is how often the roster is read, rosterPerWorker what each
-	// worker of the list adds: every agent reads the whole list.
+	// entry of the list adds: every agent reads the whole list.
 	rosterInterval  = 5 * time.Second
 	rosterPerWorker = 10 * time.Millisecond
 	// rosterAsked is how soon it is read again when a rank cannot be reached.
@@ -42,7 +42,7 @@
 	ListCached(ctx context.Context, k directory.Kind) (store.Update, error)
 }
 
-// members is a group as the workers' list shows it.
+// members is a group as the upstreams' list shows it.
 type members struct {
 	self    service.Membership
 	service string
@@ -143,8 +143,8 @@
 func (r *roster) run(ctx context.Context) {
 	retry := rosterRetry
 	for ctx.Err() == nil {
-		workers, err := r.read(ctx)
-		pause := rosterInterval + time.Duration(workers)*rosterPerWorker
+		upstreams, err := r.read(ctx)
+		pause := rosterInterval + time.Duration(upstreams)*rosterPerWorker
 		switch {
 		case err != nil:
 			r.log.V(1).Info("the roster cannot be read", "reason", err.Error())
@@ -180,8 +180,8 @@
 	}
 }
 
-// read reads the list of workers, and the shape of the experts once. It returns
-// the number of workers.
+// read reads the list of upstreams, and the shape of the experts once. It returns
+// the number of upstreams.
 func (r *roster) read(ctx context.Context) (int, error) {
 	ctx, cancel := context.WithTimeout(ctx, rosterTimeout)
 	defer cancel()
@@ -219,14 +219,14 @@
 	return len(all), nil
 }
 
-// readService reads what the desired state says of the group's service.
+// readService reads what the configuration says of the group's service.
 func (r *roster) readService(ctx context.Context, m *members) error {
-	list, err := r.lister.ListCached(ctx, directory.DesiredState)
+	list, err := r.lister.ListCached(ctx, directory.Configuration)
 	if err != nil {
 		return err
 	}
 	for _, o := range list.Objects {
-		d, err := r.reader.Desired(o.Value)
+		d, err := r.reader.Configuration(o.Value)
 		if err != nil {
 			return err
 		}
@@ -238,7 +238,7 @@
 	return nil
 }
 
-func shortestGap(d *service.Desired, name string) time.Duration {
+func shortestGap(d *service.Configuration, name string) time.Duration {
 	gap := time.Duration(0)
 	for _, r := range d.Routes {
 		for _, t := range r.Targets {
--- a/internal/entry/client/dialect.go
+++ b/internal/entry/client/dialect.go
@@ -49,11 +49,11 @@
 type AnswerInfo struct {
 	// ID is the id of the request that is answered.
 	ID string
-	// Signed tells whether the answer carries the worker's digest.
+	// Signed tells whether the answer carries the upstream's signature.
 	Signed bool
 	// NotRun is the upstream's promise that it did not and will not run the request.
 	NotRun bool
-	// GroupFault tells that another worker of the upstream's group is at fault.
+	// GroupFault tells that another rank of the upstream's group is at fault.
 	GroupFault bool
 	// Load is nil when the upstream does not tell.
 	Load *Load
--- a/internal/entry/client/forward.go
+++ b/internal/entry/client/forward.go
@@ -54,7 +54,7 @@
 // is refused.
 func (h *Handler) forward(w http.ResponseWriter, r *http.Request, c *call) {
 	f := &forwarding{call: c, handler: h, w: w, request: r}
-	f.chosen.Work = choice.Work(c.view.Desired.Services[c.service].Engine, choice.Size{
+	f.chosen.Work = choice.Work(c.view.Configuration.Services[c.service].Engine, choice.Size{
 		Prompt: c.info.PromptTokens, AnswerLimit: c.info.AnswerTokens, AnswerHint: c.info.LengthHint,
 	})
 	f.attempt = core.NewAttempt(core.AttemptRules{
@@ -92,7 +92,7 @@
 	if f.begun {
 		f.handler.count.ended(f.route, "cut")
 		f.handler.log.Info("stream cut", "request", f.info.ID, "route", f.route.Name, "last-event", f.events.LastID(), "tries", f.attempt.Sent(),
-			"why", f.attempt.Why(), "desired-version", f.version(), "took-ms", time.Since(f.arrived).Milliseconds())
+			"why", f.attempt.Why(), "configuration-version", f.version(), "took-ms", time.Since(f.arrived).Milliseconds())
 		panic(http.ErrAbortHandler)
 	}
 	switch n := next.(type) {
@@ -140,7 +140,7 @@
 	case info.NotRun:
 		return f.declined(u, began, x.Response.StatusCode, info)
 	case success(x.Response) && (!info.Signed || x.Response.Header.Get("Content-Encoding") != ""):
-		return f.broken(ctx, u, began, errors.New("the answer is not the worker's"))
+		return f.broken(ctx, u, began, errors.New("the answer is not the upstream's"))
 	case success(x.Response) && f.route.Kind == service.Stream:
 		return f.relay(ctx, limited, cancel, u, x, began)
 	default:
@@ -236,7 +236,7 @@
 	case info.GroupFault && u.Membership != nil:
 		outcome = choice.GroupStalled
 	case status == http.StatusMisdirectedRequest:
-		// Another worker has the address now.
+		// Another upstream has the address now.
 		outcome = choice.Unreachable
 	}
 	f.ended(u, outcome, 0)
@@ -352,7 +352,7 @@
 func (f *forwarding) log(status int, outcome string, more ...any) {
 	values := []any{
 		"request", f.info.ID, "route", f.route.Name, "service", f.service, "status", status,
-		"desired-version", f.version(), "tries", f.attempt.Sent() + 1, "took-ms", time.Since(f.arrived).Milliseconds(),
+		"configuration-version", f.version(), "tries", f.attempt.Sent() + 1, "took-ms", time.Since(f.arrived).Milliseconds(),
 	}
 	f.handler.log.Info(outcome, append(values, more...)...)
 }
--- a/internal/entry/client/handler.go
+++ b/internal/entry/client/handler.go
@@ -30,7 +30,7 @@
 	// answerMargin is the time before a caller's own timeout at which it is
 	// answered, so that the answer reaches it.
 	answerMargin = 30 * time.Millisecond
-	// defaultBodyBytes bounds a body where the desired state names no limit.
+	// defaultBodyBytes bounds a body where the configuration names no limit.
 	defaultBodyBytes = 4 << 20
 	// comeBack is when a caller may try again that found no upstream: an ejected
 	// one is tried again after about that time.
@@ -42,7 +42,7 @@
 	// or a failure domain that was lost takes some seconds to come back, and its
 	// group to open again.
 	comeBackOutage = 3 * time.Second
-	// comeBackStarting is the same for a process that knows no desired state yet.
+	// comeBackStarting is the same for a process that knows no configuration yet.
 	comeBackStarting = 300 * time.Millisecond
 	// comeBackElsewhere is the same for a process that leaves: others serve.
 	comeBackElsewhere = 50 * time.Millisecond
@@ -75,7 +75,7 @@
 
 // Config is what a Handler is made of.
 type Config struct {
-	// View returns what is known of the desired state and the upstreams.
+	// View returns what is known of the configuration and the upstreams.
 	View    func() *service.View
 	Pools   *upstream.Pools
 	Dialect Dialect
@@ -118,11 +118,11 @@
 // InFlight returns the number of requests that have no whole answer yet.
 func (h *Handler) InFlight() int64 { return h.inFlight.Load() }
 
-// Ready tells whether the entry can serve: it knows a desired state and the
+// Ready tells whether the entry can serve: it knows a configuration and the
 // upstreams, and does not leave.
 func (h *Handler) Ready() bool {
 	v := h.view()
-	return !h.leaving.Load() && v.Desired != nil && v.Listed
+	return !h.leaving.Load() && v.Configuration != nil && v.Listed
 }
 
 // ServeReady answers the question whether the entry takes callers.
@@ -162,8 +162,8 @@
 
 // understand finds the route, the client account and the body of a request.
 func (h *Handler) understand(w http.ResponseWriter, r *http.Request, c *call) *answer.Refusal {
-	if c.view.Desired == nil {
-		return answer.Refuse(answer.NoUpstream, "no desired state is known yet").After(comeBackStarting)
+	if c.view.Configuration == nil {
+		return answer.Refuse(answer.NoUpstream, "no configuration is known yet").After(comeBackStarting)
 	}
 	route, ok := c.view.Route(r.Host, r.URL.Path)
 	if !ok {
@@ -199,7 +199,7 @@
 
 // readBody reads the whole body, so that it can be sent more than once.
 func (h *Handler) readBody(w http.ResponseWriter, r *http.Request, c *call) *answer.Refusal {
-	limit := c.view.Desired.Limits.BodyBytes
+	limit := c.view.Configuration.Limits.BodyBytes
 	if limit <= 0 {
 		limit = defaultBodyBytes
 	}
@@ -242,7 +242,7 @@
 	_ = json.NewEncoder(w).Encode(map[string]string{"error": string(refusal.Kind), "detail": refusal.Detail})
 	h.count.refused(c.route, refusal.Kind)
 	h.log.Info("refused", "request", c.info.ID, "route", c.routeName(), "kind", refusal.Kind, "status", row.Status,
-		"detail", refusal.Detail, "desired-version", c.version(), "after-ms", time.Since(c.arrived).Milliseconds())
+		"detail", refusal.Detail, "configuration-version", c.version(), "after-ms", time.Since(c.arrived).Milliseconds())
 }
 
 func (c *call) routeName() string {
@@ -253,10 +253,10 @@
 }
 
 func (c *call) version() uint64 {
-	if c.view.Desired == nil {
+	if c.view.Configuration == nil {
 		return 0
 	}
-	return c.view.Desired.Version
+	return c.view.Configuration.Version
 }
 
 // close asks the caller to leave the connection while the entry leaves.
--- a/internal/entry/direct/entry.go
+++ b/internal/entry/direct/entry.go
@@ -51,7 +51,7 @@
 
 // Settings of the choice among upstreams and of their presence.
 const (
-	// ejectionTime is the first ejection; a worker that crashed needs seconds.
+	// ejectionTime is the first ejection; an upstream that crashed needs seconds.
 	ejectionTime     = time.Second
 	ejectionFailures = 3
 	// ejectionRate is well above the share of failures of a sound service.
@@ -125,8 +125,8 @@
 		}
 		return 0
 	})
-	gauge("bramleydeal_desired_version", func() float64 { return float64(e.directory.State().DesiredVersion) })
-	for _, k := range []directory.Kind{directory.DesiredState, directory.Upstreams, directory.Instances} {
+	gauge("bramleydeal_configuration_version", func() float64 { return float64(e.directory.State().ConfigurationVersion) })
+	for _, k := range []directory.Kind{directory.Configuration, directory.Upstreams, directory.Instances} {
 		gauge(fmt.Sprintf(`bramleydeal_store_answered_ago_seconds{kind=%q}`, k), func() float64 {
 			return e.directory.State().Kinds[string(k)].AnsweredAgo.Seconds()
 		})
--- a/internal/entry/upstream/pools.go
+++ b/internal/entry/upstream/pools.go
@@ -56,8 +56,8 @@
 	}
 	for name, s := range p.services {
 		rules := p.rules.Pool
-		if v.Desired != nil && v.Desired.Services[name].MaxConnections > 0 {
-			rules.Outstanding = max(v.Desired.Services[name].MaxConnections/p.rules.Quota.Processes, 1)
+		if v.Configuration != nil && v.Configuration.Services[name].MaxConnections > 0 {
+			rules.Outstanding = max(v.Configuration.Services[name].MaxConnections/p.rules.Quota.Processes, 1)
 		}
 		s.pool.Configure(members[name], rules)
 		s.quota.Configure(p.rules.Quota)
--- a/internal/process/directory/directory.go
+++ b/internal/process/directory/directory.go
@@ -1,4 +1,4 @@
-// Package directory keeps what a process knows of the desired state, of the
+// Package directory keeps what a process knows of the configuration, of the
 // upstreams and of the other instances: from the store by watches, and from its
 // peers while the store does not serve it. What may be used of a lagging list is
 // decided in core/upstream, what is newer in core/store.
@@ -30,9 +30,9 @@
 
 // The kinds that are kept.
 const (
-	// DesiredState has one object, the newest desired state.
-	DesiredState Kind = "desired-state"
-	// Upstreams has one object for each worker that registered itself.
+	// Configuration has one object, the newest configuration.
+	Configuration Kind = "configuration"
+	// Upstreams has one object for each upstream that registered itself.
 	Upstreams Kind = "upstreams"
 	// Instances has one object for each process of this system that serves others.
 	Instances Kind = "instances"
@@ -53,7 +53,7 @@
 
 // Reader turns objects into what they say.
 type Reader interface {
-	Desired(value []byte) (*service.Desired, error)
+	Configuration(value []byte) (*service.Configuration, error)
 	Upstream(name string, value []byte) (service.Upstream, error)
 }
 
@@ -162,7 +162,7 @@
 	return d
 }
 
-var kinds = []Kind{DesiredState, Upstreams, Instances}
+var kinds = []Kind{Configuration, Upstreams, Instances}
 
 // View returns what is known now.
 func (d *Directory) View() *service.View { return d.view.Load() }
@@ -276,8 +276,8 @@
 	}
 	d.log.V(1).Info("objects changed", "kind", k, "revision", u.Revision, "from", before, "source", source, "objects", len(u.Objects))
 	switch k {
-	case DesiredState:
-		d.readDesired(source)
+	case Configuration:
+		d.readConfiguration(source)
 	case Upstreams:
 		d.readUpstreams(source)
 	case Instances:
@@ -286,26 +286,26 @@
 	return true
 }
 
-// readDesired takes the newest desired state into force; d.mu is held.
-func (d *Directory) readDesired(source string) {
+// readConfiguration takes the newest configuration into force; d.mu is held.
+func (d *Directory) readConfiguration(source string) {
 	now := d.View()
-	for _, o := range d.replicas[DesiredState].List("") {
-		next, err := d.reader.Desired(o.Value)
+	for _, o := range d.replicas[Configuration].List("") {
+		next, err := d.reader.Configuration(o.Value)
 		if err != nil {
-			d.log.Error(err, "a desired state cannot be read, the one before stays in force", "object", o.Name, "revision", o.Version)
+			d.log.Error(err, "a configuration cannot be read, the one before stays in force", "object", o.Name, "revision", o.Version)
 			continue
 		}
-		if now.Desired != nil && next.Version <= now.Desired.Version {
+		if now.Configuration != nil && next.Version <= now.Configuration.Version {
 			continue
 		}
 		now = service.NewView(next, now.Upstreams, now.Listed)
-		d.log.Info("desired state in force", "version", next.Version, "revision", o.Version, "source", source,
+		d.log.Info("configuration in force", "version", next.Version, "revision", o.Version, "source", source,
 			"routes", len(next.Routes), "accounts", len(next.Accounts))
 	}
 	d.publish(now)
 }
 
-// readUpstreams takes in the list of workers; d.mu is held.
+// readUpstreams takes in the list of upstreams; d.mu is held.
 func (d *Directory) readUpstreams(source string) {
 	list := map[string]service.Upstream{}
 	for _, o := range d.replicas[Upstreams].List("") {
@@ -418,7 +418,7 @@
 		}
 		ask, count := d.missing(), peersAsked
 		if len(ask) == 0 && time.Since(compared) >= comparePeers {
-			ask, count = []Kind{DesiredState, Upstreams}, 1
+			ask, count = []Kind{Configuration, Upstreams}, 1
 			compared = time.Now()
 		}
 		if len(ask) == 0 {
@@ -437,7 +437,7 @@
 func (d *Directory) followSlots(ctx context.Context) {
 	for ctx.Err() == nil {
 		clock.Sleep(ctx, d.untilSlot(time.Now()))
-		for _, k := range []Kind{DesiredState, Upstreams} {
+		for _, k := range []Kind{Configuration, Upstreams} {
 			d.check(ctx, k)
 		}
 	}
@@ -583,10 +583,10 @@
 
 // State is the directory's part of the dump.
 type State struct {
-	DesiredVersion uint64               `json:"desired-version"`
-	Kinds          map[string]KindState `json:"kinds"`
-	Instances      int                  `json:"instances"`
-	Stats          Stats                `json:"stats"`
+	ConfigurationVersion uint64               `json:"configuration-version"`
+	Kinds                map[string]KindState `json:"kinds"`
+	Instances            int                  `json:"instances"`
+	Stats                Stats                `json:"stats"`
 }
 
 // KindState is what is known of one kind.
@@ -603,8 +603,8 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	out := State{Kinds: map[string]KindState{}, Instances: len(d.instances), Stats: d.stats}
-	if desired := d.View().Desired; desired != nil {
-		out.DesiredVersion = desired.Version
+	if configuration := d.View().Configuration; configuration != nil {
+		out.ConfigurationVersion = configuration.Version
 	}
 	for _, k := range kinds {
 		s := KindState{Revision: d.replicas[k].Revision(), StoreFailing: d.contact[k].failing}
--- a/internal/process/directory/directory_test.go
+++ b/internal/process/directory/directory_test.go
@@ -63,8 +63,8 @@
 // plain reads objects that are written as the types themselves.
 type plain struct{}
 
-func (plain) Desired(value []byte) (*service.Desired, error) {
-	var d service.Desired
+func (plain) Configuration(value []byte) (*service.Configuration, error) {
+	var d service.Configuration
 	err := json.Unmarshal(value, &d)
 	return &d, err
 }
@@ -83,7 +83,9 @@
 	return store.Object{Name: name, Value: value}
 }
 
-func desired(version uint64) store.Object { return object("main", service.Desired{Version: version}) }
+func configuration(version uint64) store.Object {
+	return object("main", service.Configuration{Version: version})
+}
 
 func newDirectory(name string) (*Directory, *fake) {
 	f := &fake{lists: map[Kind]store.Update{}}
@@ -102,69 +104,69 @@
 }
 
 func version(d *Directory) uint64 {
-	if d.View().Desired == nil {
+	if d.View().Configuration == nil {
 		return 0
 	}
-	return d.View().Desired.Version
+	return d.View().Configuration.Version
 }
 
-func TestTheDesiredStateNeverFalls(t *testing.T) {
+func TestTheConfigurationNeverFalls(t *testing.T) {
 	is := is.New(t)
 	d, f := newDirectory("e1")
 	is.Equal(version(d), uint64(0))
-	f.set(DesiredState, 10, desired(7))
-	learn(t, d, DesiredState)
+	f.set(Configuration, 10, configuration(7))
+	learn(t, d, Configuration)
 	is.Equal(version(d), uint64(7))
-	f.set(DesiredState, 9, desired(6)) // an old list
-	learn(t, d, DesiredState)
+	f.set(Configuration, 9, configuration(6)) // an old list
+	learn(t, d, Configuration)
 	is.Equal(version(d), uint64(7))
-	f.set(DesiredState, 12, desired(5)) // a new object with an old version
-	learn(t, d, DesiredState)
+	f.set(Configuration, 12, configuration(5)) // a new object with an old version
+	learn(t, d, Configuration)
 	is.Equal(version(d), uint64(7))
-	f.set(DesiredState, 13, store.Object{Name: "main", Value: []byte("[]")}) // one that cannot be read
-	learn(t, d, DesiredState)
+	f.set(Configuration, 13, store.Object{Name: "main", Value: []byte("[]")}) // one that cannot be read
+	learn(t, d, Configuration)
 	is.Equal(version(d), uint64(7))
-	f.set(DesiredState, 14, desired(8))
-	learn(t, d, DesiredState)
+	f.set(Configuration, 14, configuration(8))
+	learn(t, d, Configuration)
 	is.Equal(version(d), uint64(8))
 }
 
 func TestAReadInTurnFindsWhatTheWatchMissed(t *testing.T) {
 	is := is.New(t)
 	d, f := newDirectory("e1")
-	f.set(DesiredState, 10, desired(7))
-	learn(t, d, DesiredState)
-	f.set(DesiredState, 11, desired(8))
-	d.check(t.Context(), DesiredState)
+	f.set(Configuration, 10, configuration(7))
+	learn(t, d, Configuration)
+	f.set(Configuration, 11, configuration(8))
+	d.check(t.Context(), Configuration)
 	is.Equal(version(d), uint64(8))
 }
 
 func TestAReadInTurnThatFailsMakesPeersBeAsked(t *testing.T) {
 	is := is.New(t)
 	d, f := newDirectory("e1")
-	f.set(DesiredState, 10, desired(7))
-	learn(t, d, DesiredState)
+	f.set(Configuration, 10, configuration(7))
+	learn(t, d, Configuration)
 	is.Equal(len(d.missing()), 0)
 	f.fail(store.ErrRefused)
-	d.check(t.Context(), DesiredState)
-	is.Equal(d.missing(), []Kind{DesiredState})
-	d.answered(DesiredState)
+	d.check(t.Context(), Configuration)
+	is.Equal(d.missing(), []Kind{Configuration})
+	d.answered(Configuration)
 	is.Equal(len(d.missing()), 0)
 }
 
 func TestAPeerBringsWhatItKnows(t *testing.T) {
 	is := is.New(t)
 	ahead, f := newDirectory("e1")
-	f.set(DesiredState, 10, desired(7))
-	learn(t, ahead, DesiredState)
-	reply, err := ahead.Compare(t.Context(), &peer.CompareRequest{Instance: "e2", Kind: string(DesiredState)})
+	f.set(Configuration, 10, configuration(7))
+	learn(t, ahead, Configuration)
+	reply, err := ahead.Compare(t.Context(), &peer.CompareRequest{Instance: "e2", Kind: string(Configuration)})
 	is.NoErr(err)
 	behind, _ := newDirectory("e2")
-	behind.take(DesiredState, peer.Update(reply.From, reply.Revision, reply.Objects), reply.Instance)
+	behind.take(Configuration, peer.Update(reply.From, reply.Revision, reply.Objects), reply.Instance)
 	is.Equal(version(behind), uint64(7))
 	// Pushed the other way round it changes nothing.
 	_, err = behind.Compare(t.Context(), &peer.CompareRequest{
-		Instance: "e1", Kind: string(DesiredState), Revision: 5, Objects: peer.Objects([]store.Object{{Name: "main", Version: 5, Value: []byte(`{"Version":3}`)}}),
+		Instance: "e1", Kind: string(Configuration), Revision: 5, Objects: peer.Objects([]store.Object{{Name: "main", Version: 5, Value: []byte(`{"Version":3}`)}}),
 	})
 	is.NoErr(err)
 	is.Equal(version(behind), uint64(7))
--- a/internal/world/service/desired.go
+++ b/internal/world/service/configuration.go
@@ -31,8 +31,8 @@
 	}
 }
 
-// Desired is one version of what operators want. It is never changed once built.
-type Desired struct {
+// Configuration is one version of what operators want. It is never changed once built.
+type Configuration struct {
 	Version  uint64
 	Routes   []Route
 	Services map[string]Service
--- a/internal/world/service/upstream.go
+++ b/internal/world/service/upstream.go
@@ -7,9 +7,9 @@
 	"bramleydeal/internal/world/fleet"
 )
 
-// Upstream is one worker as it registered itself.
+// Upstream is a back end as it registered itself.
 type Upstream struct {
-	// ID names one incarnation, unless the worker came back under it: then Born
+	// ID names one incarnation, unless the upstream came back under it: then Born
 	// tells the incarnations apart.
 	ID            string
 	Born          time.Time
@@ -38,11 +38,11 @@
 	Broken bool
 }
 
-// Incarnation identifies one lifetime of a worker.
+// Incarnation identifies one run of an upstream.
 type Incarnation struct {
 	ID   string
 	Born time.Time
 }
 
-// Incarnation returns the lifetime that the entry speaks of.
+// Incarnation returns the incarnation that the entry speaks of.
 func (u *Upstream) Incarnation() Incarnation { return Incarnation{u.ID, u.Born} }
--- a/internal/world/service/view.go
+++ b/internal/world/service/view.go
@@ -5,11 +5,11 @@
 	"strings"
 )
 
-// View is the immutable picture that one process works by: the desired state and
+// View is the immutable picture that one process works by: the configuration and
 // the upstreams, with indexes over them.
 type View struct {
-	// Desired is nil until a desired state is known.
-	Desired *Desired
+	// Configuration is nil until a configuration is known.
+	Configuration *Configuration
 	// Upstreams are all that may be used, by ID.
 	Upstreams map[string]Upstream
 	// Listed tells whether the upstreams were ever listed.
@@ -19,9 +19,9 @@
 	keys  map[string]*Account
 }
 
-// NewView indexes a desired state, which may be nil.
-func NewView(d *Desired, upstreams map[string]Upstream, listed bool) *View {
-	v := &View{Desired: d, Upstreams: upstreams, Listed: listed, hosts: map[string][]*Route{}, keys: map[string]*Account{}}
+// NewView indexes a configuration, which may be nil.
+func NewView(d *Configuration, upstreams map[string]Upstream, listed bool) *View {
+	v := &View{Configuration: d, Upstreams: upstreams, Listed: listed, hosts: map[string][]*Route{}, keys: map[string]*Account{}}
 	if d == nil {
 		return v
 	}
@@ -38,7 +38,7 @@
 	return v
 }
 
-// WithUpstreams returns the view with other upstreams and the same desired state.
+// WithUpstreams returns the view with other upstreams and the same configuration.
 func (v *View) WithUpstreams(upstreams map[string]Upstream) *View {
 	next := *v
 	next.Upstreams, next.Listed = upstreams, true
@@ -67,7 +67,7 @@
 }
 
 // AsksForKeys tells whether routes that are not public ask for a key.
-func (v *View) AsksForKeys() bool { return v.Desired != nil && len(v.Desired.Accounts) > 0 }
+func (v *View) AsksForKeys() bool { return v.Configuration != nil && len(v.Configuration.Accounts) > 0 }
 
 // Pick returns the service for one request, by the weights of the route's
 // targets; draw is uniform in [0, 1).
