--- a/internal/agent/direct/lead.go
+++ b/internal/agent/direct/lead.go
@@ -59,6 +59,8 @@
 
 // Rules of the maps.
 const (
+	// counterBits is the room for the maps of one term in a map's version.
+	counterBits = 16
 	// fetchTime is how long one change may copy experts: much longer copies end
 	// after the demand that they were made for.
 	fetchTime = 450 * time.Millisecond
@@ -262,7 +264,7 @@
 	return reply, nil
 }
 
-// event is called after each event of the leader: it proposes a staged map and
+// event is called after each event of the leader: it proposes a staged map, or
 // begins the next plan.
 func (g *led) event(ctx context.Context, l *group.Leader) {
 	g.mu.Lock()
@@ -273,20 +275,22 @@
 		g.demand.Mix(now)
 		g.pass.reached(l.Step(), now)
 	}
-	if l.Phase() != group.Steady {
+	switch {
+	case l.Phase() != group.Steady:
 		g.keepAlive(ctx, l, now)
-		return
-	}
-	if g.staged != 0 {
+	case g.staged != 0:
 		if l.Propose(g.staged) {
 			g.lead.log.Info("map proposed", "map", g.staged, "term", g.term, "step", l.Step())
 			g.staged, g.planAt = 0, now
 		}
-		return
-	}
-	if g.staging || now.Sub(g.planAt) < minPlanGap {
-		return
+	case !g.staging && now.Sub(g.planAt) >= minPlanGap:
+		g.plan(ctx, l, now)
 	}
+}
+
+// plan begins to stage a better map, once all ranks use the latest one; g.mu is
+// held.
+func (g *led) plan(ctx context.Context, l *group.Leader, now time.Time) {
 	current, ok := g.current(l.Current().Map)
 	if !ok {
 		// The ranks have not switched yet, or not told so.
@@ -301,8 +305,9 @@
 	if !ok {
 		return
 	}
+	skew := group.Skew(current, loads, g.shape)
 	g.lead.numbers.version.Store(current.Version)
-	g.lead.numbers.skewMilli.Store(int64(1000 * group.Skew(current, loads, g.shape)))
+	g.lead.numbers.skewMilli.Store(int64(1000 * skew))
 	g.lead.numbers.step.Store(int64(g.pass.mean))
 	rules := g.rules
 	rules.Least = g.least()
@@ -311,12 +316,12 @@
 		return
 	}
 	g.counter++
-	next.Version = g.term<<16 | g.counter
+	next.Version = g.term<<counterBits | g.counter
 	g.staging = true
-	g.lead.log.Info("map planned", "map", next.Version, "from", current.Version, "moves", current.Moves(next),
-		"skew", group.Skew(current, loads, g.shape), "planned-skew", group.Skew(next, loads, g.shape),
-		"pass-ms", g.pass.mean.Milliseconds(), "least", rules.Least)
-	go g.stage(ctx, next, current.Moves(next), l.Ballot())
+	moves := current.Moves(next)
+	g.lead.log.Info("map planned", "map", next.Version, "from", current.Version, "moves", moves, "skew", skew,
+		"planned-skew", group.Skew(next, loads, g.shape), "step-ms", g.pass.mean.Milliseconds(), "least", rules.Least)
+	go g.stage(ctx, next, moves, l.Ballot())
 }
 
 // keepAlive lets all ranks hear from a leader that waits for some of them.
@@ -371,11 +376,24 @@
 // stage gives a map to all ranks at once and notes it when all have it.
 func (g *led) stage(ctx context.Context, m group.Map, moves int, b group.Ballot) {
 	began := time.Now()
-	content, err := json.Marshal(m)
+	err := g.stageAtAll(ctx, m, b)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.staging = false
 	if err != nil {
-		g.lead.log.Error(err, "a map cannot be written")
+		g.lead.log.Info("a map cannot be staged", "map", m.Version, "reason", err.Error())
 		return
 	}
+	g.staged, g.latest = m.Version, m
+	g.lead.numbers.moved.Add(uint64(moves))
+	g.lead.log.Info("map staged", "map", m.Version, "took-ms", time.Since(began).Milliseconds())
+}
+
+func (g *led) stageAtAll(ctx context.Context, m group.Map, b group.Ballot) error {
+	content, err := json.Marshal(m)
+	if err != nil {
+		return err
+	}
 	failed := make([]error, g.shape.Ranks)
 	var calls sync.WaitGroup
 	for i := range failed {
@@ -391,15 +409,5 @@
 		})
 	}
 	calls.Wait()
-	err = errors.Join(failed...)
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.staging = false
-	if err != nil {
-		g.lead.log.Info("a map cannot be staged", "map", m.Version, "reason", err.Error())
-		return
-	}
-	g.staged, g.latest = m.Version, m
-	g.lead.numbers.moved.Add(uint64(moves))
-	g.lead.log.Info("map staged", "map", m.Version, "took-ms", time.Since(began).Milliseconds())
+	return errors.Join(failed...)
 }
--- a/internal/core/upstream/presence_test.go
+++ b/internal/core/upstream/presence_test.go
@@ -38,17 +38,17 @@
 		at            time.Duration
 		want          []string
 	}{
-		"a removed upstream lingers for a short time":      {four, four[1:], -1, 700 * time.Millisecond, []string{"u0", "u1", "u2", "u3"}},
-		"a removed upstream is gone after that":            {four, four[1:], -1, 800 * time.Millisecond, []string{"u1", "u2", "u3"}},
-		"a leaving upstream that is removed is gone":       {append([]service.Upstream{leaving}, four[1:]...), four[1:], -1, 0, []string{"u1", "u2", "u3"}},
-		"entries that lapse while the store is away stay":  {four, four[1:], 0, 2100 * time.Millisecond, []string{"u0", "u1", "u2", "u3"}},
-		"lapsed entries are gone two seconds after it":     {four, four[1:], 0, 2200 * time.Millisecond, []string{"u1", "u2", "u3"}},
-		"the time since the return counts":                 {four, four[1:], 2 * time.Second, 300 * time.Millisecond, []string{"u1", "u2", "u3"}},
-		"many that go at once were lost by the list":       {four, four[3:], -1, 2 * time.Second, []string{"u0", "u1", "u2", "u3"}},
-		"an address used again belongs to its new upstream":  {four, append([]service.Upstream{reused}, four[1:]...), -1, 0, []string{"other", "u1", "u2", "u3"}},
-		"an entry that comes back is no longer lapsed":     {four, four, 0, time.Hour, []string{"u0", "u1", "u2", "u3"}},
-		"a store that was away long ago explains nothing":  {four, four[1:], time.Hour, 800 * time.Millisecond, []string{"u1", "u2", "u3"}},
-		"a list without any change changes nothing at all": {four, four, -1, 0, []string{"u0", "u1", "u2", "u3"}},
+		"a removed upstream lingers for a short time":       {four, four[1:], -1, 700 * time.Millisecond, []string{"u0", "u1", "u2", "u3"}},
+		"a removed upstream is gone after that":             {four, four[1:], -1, 800 * time.Millisecond, []string{"u1", "u2", "u3"}},
+		"a leaving upstream that is removed is gone":        {append([]service.Upstream{leaving}, four[1:]...), four[1:], -1, 0, []string{"u1", "u2", "u3"}},
+		"entries that lapse while the store is away stay":   {four, four[1:], 0, 2100 * time.Millisecond, []string{"u0", "u1", "u2", "u3"}},
+		"lapsed entries are gone two seconds after it":      {four, four[1:], 0, 2200 * time.Millisecond, []string{"u1", "u2", "u3"}},
+		"the time since the return counts":                  {four, four[1:], 2 * time.Second, 300 * time.Millisecond, []string{"u1", "u2", "u3"}},
+		"many that go at once were lost by the list":        {four, four[3:], -1, 2 * time.Second, []string{"u0", "u1", "u2", "u3"}},
+		"an address used again belongs to its new upstream": {four, append([]service.Upstream{reused}, four[1:]...), -1, 0, []string{"other", "u1", "u2", "u3"}},
+		"an entry that comes back is no longer lapsed":      {four, four, 0, time.Hour, []string{"u0", "u1", "u2", "u3"}},
+		"a store that was away long ago explains nothing":   {four, four[1:], time.Hour, 800 * time.Millisecond, []string{"u1", "u2", "u3"}},
+		"a list without any change changes nothing at all":  {four, four, -1, 0, []string{"u0", "u1", "u2", "u3"}},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
