Move a stream on that is silent before its first event; pass a refused form on

A worker that goes dark before it answers held a stream until its time was up; the bound of silence began with the answer's head. A 400 that did not run says what is wrong with the request and is now passed on as it is.

--- a/internal/entry/client/forward.go
+++ b/internal/entry/client/forward.go
@@ -125,6 +125,8 @@
 	began := time.Now()
 	limited, cancel := context.WithTimeout(ctx, f.limit(began))
 	defer cancel()
+	silence := f.watchSilence(cancel)
+	defer silence.Stop()
 	x, err := upstream.Send(limited, u.Address, f.outgoing(u, began))
 	if err != nil {
 		return f.broken(ctx, u, began, err)
@@ -137,17 +139,27 @@
 	switch {
 	case info.ID != "" && info.ID != f.info.ID:
 		return f.broken(ctx, u, began, errors.New("the answer belongs to another request"))
-	case info.NotRun:
+	case info.NotRun && x.Response.StatusCode != http.StatusBadRequest:
 		return f.declined(u, began, x.Response.StatusCode, info)
 	case success(x.Response) && (!info.Signed || x.Response.Header.Get("Content-Encoding") != ""):
 		return f.broken(ctx, u, began, errors.New("the answer is not the upstream's"))
 	case success(x.Response) && f.route.Kind == service.Stream:
-		return f.relay(ctx, limited, cancel, u, x, began)
+		return f.relay(ctx, limited, silence, u, x, began)
 	default:
 		return f.answer(ctx, u, x, began)
 	}
 }
 
+// watchSilence ends a try at a stream that falls silent, also before its first
+// event, where the stream can begin or go on elsewhere.
+func (f *forwarding) watchSilence(cancel func()) *time.Timer {
+	silence := time.AfterFunc(streamSilence, cancel)
+	if f.route.Kind != service.Stream || !f.route.Repeatable() {
+		silence.Stop()
+	}
+	return silence
+}
+
 func success(r *http.Response) bool { return r.StatusCode/100 == 2 }
 
 // limit is the longest time for a try. One that may be followed by another
@@ -210,6 +222,7 @@
 	switch {
 	case gone(f.request.Context()):
 		f.ended(u, choice.CallerLeft, 0)
+		f.handler.count.ended(f.route, "caller-left")
 		f.tried(u, began, "caller left", err)
 		return nil
 	case errors.Is(err, upstream.ErrUnsent) && ctx.Err() == nil:
--- a/internal/entry/client/stream.go
+++ b/internal/entry/client/stream.go
@@ -21,16 +21,16 @@
 
 // relay passes on a stream of events as they arrive, whole ones only. A stream
 // that breaks off can then go on elsewhere after its last event.
-func (f *forwarding) relay(ctx, limited context.Context, cancel func(), u service.Upstream, x *upstream.Exchange, began time.Time) core.Outcome {
+func (f *forwarding) relay(ctx, limited context.Context, silence *time.Timer, u service.Upstream, x *upstream.Exchange, began time.Time) core.Outcome {
 	control := http.NewResponseController(f.w)
-	silence := time.AfterFunc(streamSilence, cancel)
-	defer silence.Stop()
 	f.events.Discard()
 	buffer := make([]byte, 4<<10)
 	first := time.Duration(0)
 	for {
 		n, err := x.Read(buffer)
-		silence.Reset(streamSilence)
+		if f.route.Repeatable() {
+			silence.Reset(streamSilence)
+		}
 		if whole := f.events.Add(buffer[:n]); len(whole) > 0 {
 			if first == 0 {
 				first = time.Since(began)
