--- a/internal/agent/direct/direct_test.go
+++ b/internal/agent/direct/direct_test.go
@@ -172,9 +172,9 @@
 		l := &lead{roster: r, rank: rank.New(r, rank.NewOrderedEngine(&still{}, logr.Discard()), logr.Discard()), begun: now}
 		return l.due(now.Add(after))
 	}
-	is.True(due(0, firstSilence))
-	is.True(!due(1, firstSilence))
-	is.True(due(1, firstSilence+silence))
+	is.True(due(0, firstClaimDelay))
+	is.True(!due(1, firstClaimDelay))
+	is.True(due(1, firstClaimDelay+leaderTimeout))
 }
 
 // serverOf serves a rank's agent on loopback.
@@ -201,8 +201,8 @@
 	beside, instead := &still{}, &still{}
 	address, server := serverOf(t, rank.New(r, rank.NewOrderedEngine(beside, logr.Discard()), logr.Discard()))
 	lost := 0
-	c := &colleague{name: "0", address: address, pool: r.pool, log: logr.Discard(), lost: func() { lost++ }}
-	c.standIn = rank.New(r, rank.NewOrderedEngine(instead, logr.Discard()), logr.Discard())
+	c := &remoteAgent{name: "0", address: address, pool: r.pool, log: logr.Discard(), lost: func() { lost++ }}
+	c.takeover = rank.New(r, rank.NewOrderedEngine(instead, logr.Discard()), logr.Discard())
 	ask := func() (*peer.GrantReply, error) {
 		m := orders.Message("g0", group.Collect{Ballot: group.Ballot{Term: 1}})
 		m.Loads = true
@@ -231,9 +231,9 @@
 	is := is.New(t)
 	r := newRoster(engineAddress(1), 1) // nobody listens there
 	read(t, r)
-	c := r.colleague("0", engineAddress(0))
-	is.True(c.standIn == nil)
-	r.fencing, r.colleagues = true, nil
+	c := r.remoteAgent("0", engineAddress(0))
+	is.True(c.takeover == nil)
+	r.fencing, r.remotes = true, nil
 	r.orders = func(netip.AddrPort) rank.Orders { return &still{} }
-	is.True(r.colleague("0", engineAddress(0)).standIn != nil)
+	is.True(r.remoteAgent("0", engineAddress(0)).takeover != nil)
 }
--- a/internal/agent/direct/lead.go
+++ b/internal/agent/direct/lead.go
@@ -34,8 +34,8 @@
 	observePerRank  = 5 * time.Millisecond
 	// switchInterval is the same while the ranks are about to switch maps.
 	switchInterval = 40 * time.Millisecond
-	// keepAliveInterval is how often a leader that waits for some ranks lets the
-	// others hear from it.
+	// keepAliveInterval is how often a leader that waits for some ranks sends an
+	// order to all of them, so that none claims the next term.
 	keepAliveInterval = 500 * time.Millisecond
 	// resendInterval is when an order that was not answered is sent again.
 	resendInterval = 300 * time.Millisecond
@@ -44,14 +44,14 @@
 	// aheadSteps is the least distance to a change in steps, each some tens of
 	// milliseconds.
 	aheadSteps = 2
-	// silence is how long a rank hears nothing before it claims to lead; each
-	// rank waits silenceGap longer than the one before.
-	silence    = 1500 * time.Millisecond
-	silenceGap = 300 * time.Millisecond
-	// firstSilence is the same of the first rank for its first claim.
-	firstSilence = 300 * time.Millisecond
-	claimTimeout = time.Second
-	lookInterval = 100 * time.Millisecond
+	// leaderTimeout is how long a rank waits for an order before it claims to
+	// lead; each rank waits leaderTimeoutStep longer than the one before.
+	leaderTimeout     = 1500 * time.Millisecond
+	leaderTimeoutStep = 300 * time.Millisecond
+	// firstClaimDelay is the same for the first claim of the first rank.
+	firstClaimDelay = 300 * time.Millisecond
+	claimTimeout    = time.Second
+	lookInterval    = 100 * time.Millisecond
 	// minPlanGap is the least time between two changes, so that the counts under
 	// the new map are in.
 	minPlanGap = 150 * time.Millisecond
@@ -96,7 +96,7 @@
 	skewMilli, step atomic.Int64
 }
 
-// run claims to lead while no leader is heard, until ctx ends.
+// run claims to lead while no leader sends orders, until ctx ends.
 func (l *lead) run(ctx context.Context) {
 	l.begun = time.Now()
 	for ctx.Err() == nil {
@@ -107,25 +107,25 @@
 		term, err := l.claim(ctx)
 		if err != nil {
 			l.log.Info("the lead cannot be claimed", "group", l.roster.Name(), "reason", err.Error())
-			clock.Sleep(ctx, silence)
+			clock.Sleep(ctx, leaderTimeout)
 			continue
 		}
 		l.hold(ctx, term)
 	}
 }
 
-// due tells whether the leader was not heard for too long.
+// due tells whether no leader has sent an order for too long.
 func (l *lead) due(now time.Time) bool {
 	index := time.Duration(l.roster.current.Load().self.Rank)
 	heard, _ := l.rank.LastOrder()
 	if heard.IsZero() {
-		return now.Sub(l.begun) >= firstSilence+index*silence
+		return now.Sub(l.begun) >= firstClaimDelay+index*leaderTimeout
 	}
-	return now.Sub(heard) >= silence+index*silenceGap
+	return now.Sub(heard) >= leaderTimeout+index*leaderTimeoutStep
 }
 
-// lease is the value of a group's lease. It does not lapse: whoever hears no
-// leader takes the next term.
+// lease is the value of a group's lease. It does not lapse: whoever gets no
+// orders takes the next term.
 type lease struct {
 	Holder string `json:"holder"`
 	Term   uint64 `json:"term"`
@@ -324,7 +324,7 @@
 	go g.stage(ctx, next, moves, l.Ballot())
 }
 
-// keepAlive lets all ranks hear from a leader that waits for some of them.
+// keepAlive sends an order to all ranks while the leader waits for some of them.
 func (g *led) keepAlive(ctx context.Context, l *group.Leader, now time.Time) {
 	if now.Sub(g.keptAt) < keepAliveInterval {
 		return
--- a/internal/agent/direct/standby.go
+++ b/internal/agent/direct/remote.go
@@ -27,28 +27,28 @@
 	tryAgentEvery = 500 * time.Millisecond
 )
 
-// colleague is the agent of another rank as this one sees it. While that agent
+// remoteAgent is the agent of another rank as this one sees it. While that agent
 // does not answer, orders for its rank go straight to its engine, as if it had
-// been started again here: a group must not stand still for an agent that
+// been started again here: otherwise a group would wait for an agent that
 // stopped in the middle of a change.
-type colleague struct {
+type remoteAgent struct {
 	name    string
 	address netip.AddrPort
 	pool    *dial.Pool
 	log     logr.Logger
-	// standIn acts on the engine; nil where engines do not refuse old orders.
-	standIn *rank.Rank
+	// takeover acts on the engine; nil where engines do not refuse old orders.
+	takeover *rank.Rank
 	// lost is called when the agent falls silent: the rank may have moved.
 	lost func()
 
-	mu              sync.Mutex
-	heardAt, tryAt  time.Time
-	actsForItsAgent bool
-	engineSilent    bool
+	mu             sync.Mutex
+	heardAt, tryAt time.Time
+	takenOver      bool
+	engineSilent   bool
 }
 
 // call sends an order to the rank.
-func (c *colleague) call(ctx context.Context, m *peer.GrantOrder) (*peer.GrantReply, error) {
+func (c *remoteAgent) call(ctx context.Context, m *peer.GrantOrder) (*peer.GrantReply, error) {
 	var failed error
 	if c.due(time.Now()) {
 		timeout := agentTimeout
@@ -64,19 +64,19 @@
 		}
 		failed = err
 	}
-	if c.standIn == nil || !c.absent(time.Now()) {
+	if c.takeover == nil || !c.absent(time.Now()) {
 		return nil, oops.Code("unreachable").Wrapf(failed, "the agent of rank %s does not answer", c.name)
 	}
 	// Counts that are read from afar stop the group for a moment.
 	m.Loads = false
-	reply, err := c.standIn.Order(ctx, m)
+	reply, err := c.takeover.Order(ctx, m)
 	c.engineAnswered(err)
 	return reply, err
 }
 
 // engineAnswered logs when the engine of an absent agent falls silent and when it
 // answers again.
-func (c *colleague) engineAnswered(err error) {
+func (c *remoteAgent) engineAnswered(err error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	switch {
@@ -89,7 +89,7 @@
 }
 
 // due tells whether the agent itself is to be tried.
-func (c *colleague) due(now time.Time) bool {
+func (c *remoteAgent) due(now time.Time) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.heardAt.IsZero() {
@@ -102,23 +102,23 @@
 	return true
 }
 
-func (c *colleague) heard(now time.Time) {
+func (c *remoteAgent) heard(now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.actsForItsAgent {
-		c.log.Info("the agent of a rank is back", "rank", c.name, "address", c.address)
+	if c.takenOver {
+		c.log.Info("an unreachable agent is back", "rank", c.name, "address", c.address)
 	}
-	c.heardAt, c.actsForItsAgent = now, false
+	c.heardAt, c.takenOver = now, false
 }
 
-func (c *colleague) absent(now time.Time) bool {
+func (c *remoteAgent) absent(now time.Time) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	absent := now.Sub(c.heardAt) > absentAfter
-	if absent && !c.actsForItsAgent {
-		c.actsForItsAgent = true
+	if absent && !c.takenOver {
+		c.takenOver = true
 		c.lost()
-		c.log.Info("acting for the agent of a rank", "rank", c.name, "address", c.address, "silent-ms", now.Sub(c.heardAt).Milliseconds())
+		c.log.Info("driving the engine of an unreachable agent", "rank", c.name, "address", c.address, "silent-ms", now.Sub(c.heardAt).Milliseconds())
 	}
 	return absent
 }
--- a/internal/agent/direct/roster.go
+++ b/internal/agent/direct/roster.go
@@ -73,8 +73,8 @@
 	// asked is written when the roster is to be read soon.
 	asked chan struct{}
 
-	mu         sync.Mutex
-	colleagues map[netip.AddrPort]*colleague
+	mu      sync.Mutex
+	remotes map[netip.AddrPort]*remoteAgent
 }
 
 // Name implements rank.Group.
@@ -118,23 +118,23 @@
 	if now == nil || !now.engines[name].IsValid() {
 		return nil, oops.Code("unreachable").Errorf("no engine is known for rank %s", name)
 	}
-	return r.colleague(name, now.engines[name]).call(ctx, m)
+	return r.remoteAgent(name, now.engines[name]).call(ctx, m)
 }
 
-// colleague returns the agent beside another rank's engine.
-func (r *roster) colleague(name string, engine netip.AddrPort) *colleague {
+// remoteAgent returns the agent beside another rank's engine.
+func (r *roster) remoteAgent(name string, engine netip.AddrPort) *remoteAgent {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	c := r.colleagues[engine]
+	c := r.remotes[engine]
 	if c == nil || c.name != name {
-		c = &colleague{name: name, address: netip.AddrPortFrom(engine.Addr(), r.port), pool: r.pool, log: r.log, lost: r.ask}
+		c = &remoteAgent{name: name, address: netip.AddrPortFrom(engine.Addr(), r.port), pool: r.pool, log: r.log, lost: r.ask}
 		if r.fencing {
-			c.standIn = rank.New(r, rank.NewOrderedEngine(r.orders(engine), r.log.WithValues("for-rank", name)), r.log)
+			c.takeover = rank.New(r, rank.NewOrderedEngine(r.orders(engine), r.log.WithValues("for-rank", name)), r.log)
 		}
-		if r.colleagues == nil {
-			r.colleagues = map[netip.AddrPort]*colleague{}
+		if r.remotes == nil {
+			r.remotes = map[netip.AddrPort]*remoteAgent{}
 		}
-		r.colleagues[engine] = c
+		r.remotes[engine] = c
 	}
 	return c
 }
--- a/internal/core/upstream/pool.go
+++ b/internal/core/upstream/pool.go
@@ -32,9 +32,9 @@
 	// what they take.
 	outstanding int
 	work        time.Duration
-	// others is the load from other processes, as the upstream said at said.
-	others float64
-	said   time.Time
+	// others is the load from other processes, as the upstream reported at reportedAt.
+	others     float64
+	reportedAt time.Time
 	// errorRate is a moving average over the outcomes, 1 for a failure.
 	errorRate float64
 	samples   int
@@ -77,9 +77,9 @@
 	// requests that try it: a group opens again within some hundred milliseconds,
 	// and refuses at once until then.
 	groupPause = 250 * time.Millisecond
-	// saidLasts is how long an upstream's word about its load is worth anything;
+	// loadReportTTL is how long a reported load counts;
 	// a request takes a second or so.
-	saidLasts = time.Second
+	loadReportTTL = time.Second
 )
 
 // NewPool returns an empty pool of a process in a failure domain. Its choices
@@ -243,8 +243,8 @@
 		return m.work.Seconds()
 	}
 	load := float64(m.outstanding)
-	if age := now.Sub(m.said); age < saidLasts {
-		load += m.others * float64(saidLasts-age) / float64(saidLasts)
+	if age := now.Sub(m.reportedAt); age < loadReportTTL {
+		load += m.others * float64(loadReportTTL-age) / float64(loadReportTTL)
 	}
 	return load / float64(max(m.Slots, 1))
 }
@@ -256,11 +256,11 @@
 	return 1
 }
 
-// Said records an upstream's word about its load, which counts this process's
+// ReportLoad records the load that an upstream reports, which counts this process's
 // own requests too.
-func (p *Pool) Said(id string, running, waiting int, now time.Time) {
+func (p *Pool) ReportLoad(id string, running, waiting int, now time.Time) {
 	if m := p.byID[id]; m != nil {
-		m.others, m.said = float64(max(running+waiting-m.outstanding, 0)), now
+		m.others, m.reportedAt = float64(max(running+waiting-m.outstanding, 0)), now
 	}
 }
 
--- a/internal/entry/client/dialect.go
+++ b/internal/entry/client/dialect.go
@@ -59,5 +59,5 @@
 	Load *Load
 }
 
-// Load is an upstream's word about its load.
+// Load is the load that an upstream reports.
 type Load struct{ Running, Waiting, Slots int }
--- a/internal/entry/client/forward.go
+++ b/internal/entry/client/forward.go
@@ -134,7 +134,7 @@
 	defer x.Close()
 	info := f.handler.dialect.Answer(x.Response.Header)
 	if info.Load != nil {
-		f.handler.pools.Said(u, info.Load.Running, info.Load.Waiting, time.Now())
+		f.handler.pools.ReportLoad(u, info.Load.Running, info.Load.Waiting, time.Now())
 	}
 	switch {
 	case info.ID != "" && info.ID != f.info.ID:
@@ -241,7 +241,7 @@
 	}
 }
 
-// declined records an upstream's word that it does not run the request.
+// declined records that an upstream refused to run the request.
 func (f *forwarding) declined(u service.Upstream, began time.Time, status int, info AnswerInfo) core.Outcome {
 	f.exclude(u)
 	outcome := choice.TurnedAway
--- a/internal/entry/upstream/pools.go
+++ b/internal/entry/upstream/pools.go
@@ -99,11 +99,11 @@
 	p.of(u.Service).pool.Ended(u.ID, work, o, took, now)
 }
 
-// Said records an upstream's word about its load.
-func (p *Pools) Said(u service.Upstream, running, waiting int, now time.Time) {
+// ReportLoad records the load that an upstream reports.
+func (p *Pools) ReportLoad(u service.Upstream, running, waiting int, now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.of(u.Service).pool.Said(u.ID, running, waiting, now)
+	p.of(u.Service).pool.ReportLoad(u.ID, running, waiting, now)
 }
 
 // Outage is how long a service has had no sound upstream, 0 while it has one.
--- a/internal/process/directory/directory.go
+++ b/internal/process/directory/directory.go
@@ -66,23 +66,23 @@
 	watchWait = 25 * time.Second
 	// watchMargin is the time beyond that after which a watch is taken for lost.
 	watchMargin = 2 * time.Second
-	// gather is the pause after a change of the upstreams, so that a series of
+	// batchDelay is the pause after a change of the upstreams, so that a series of
 	// them, as at a start, takes few calls.
-	gather = 350 * time.Millisecond
+	batchDelay = 350 * time.Millisecond
 	// minPause and maxPause bound the pause after a failed call.
 	minPause = 200 * time.Millisecond
 	maxPause = time.Second
-	// askPeers is how often peers are asked while the store fails.
-	askPeers = 300 * time.Millisecond
-	// comparePeers is how often one peer is asked while it does not: a store that
+	// peerPollInterval is how often peers are asked while the store fails.
+	peerPollInterval = 300 * time.Millisecond
+	// peerCompareInterval is how often one peer is asked while it does not: a store that
 	// keeps silent to this process alone looks like one without news.
-	comparePeers = 900 * time.Millisecond
+	peerCompareInterval = 900 * time.Millisecond
 	// peersAsked is how many peers are asked at a time while the store fails.
 	peersAsked = 3
 	// maxPushed bounds the peers that a change is pushed to.
 	maxPushed = 64
 	// checkSlot is how often any of the entries reads the store anew: a watch may
-	// hear nothing of a change, at all processes at once. It leaves most of the
+	// deliver nothing of a change, at all processes at once. It leaves most of the
 	// time within which a change must be in force to the call and the push.
 	checkSlot = 800 * time.Millisecond
 	// peerTimeout bounds a call to a peer.
@@ -207,7 +207,7 @@
 			pause, anew = minPause, false
 			d.answered(k)
 			if d.apply(k, u, "store") && k == Upstreams {
-				clock.Sleep(ctx, gather)
+				clock.Sleep(ctx, batchDelay)
 			}
 		}
 	}
@@ -407,7 +407,7 @@
 
 // followPeers asks peers for what the store does not tell.
 func (d *Directory) followPeers(ctx context.Context) {
-	ticker := time.NewTicker(askPeers)
+	ticker := time.NewTicker(peerPollInterval)
 	defer ticker.Stop()
 	compared := time.Now()
 	for {
@@ -417,7 +417,7 @@
 			return
 		}
 		ask, count := d.missing(), peersAsked
-		if len(ask) == 0 && time.Since(compared) >= comparePeers {
+		if len(ask) == 0 && time.Since(compared) >= peerCompareInterval {
 			ask, count = []Kind{Configuration, Upstreams}, 1
 			compared = time.Now()
 		}
@@ -433,7 +433,7 @@
 }
 
 // followSlots reads the store anew in this process's turn, and pushes what no
-// watch has told to all peers.
+// watch has delivered to all peers.
 func (d *Directory) followSlots(ctx context.Context) {
 	for ctx.Err() == nil {
 		clock.Sleep(ctx, d.untilSlot(time.Now()))
@@ -550,7 +550,7 @@
 	d.take(k, peer.Update(reply.From, reply.Revision, reply.Objects), reply.Instance)
 }
 
-// take applies what a peer knows. A watch that missed it may hear nothing any
+// take applies what a peer knows. A watch that missed it may deliver nothing any
 // more.
 func (d *Directory) take(k Kind, u store.Update, source string) {
 	if d.apply(k, u, source) {
