--- a/internal/core/upstream/pool.go
+++ b/internal/core/upstream/pool.go
@@ -28,10 +28,8 @@
 type member struct {
 	service.Upstream
 	health health
-	// outstanding counts this process's requests that have not ended, work sums
-	// what they take.
+	// outstanding counts this process's requests that have not ended.
 	outstanding int
-	work        time.Duration
 	// others is the load from other processes, as the upstream reported at reportedAt.
 	others     float64
 	reportedAt time.Time
@@ -47,8 +45,8 @@
 	health health
 	epoch  uint64
 	size   int
-	// work is the sum over the group's members.
-	work time.Duration
+	// outstanding is the sum over the group's members.
+	outstanding int
 }
 
 // PoolRules are the settings of a pool.
@@ -111,7 +109,7 @@
 	slices.SortFunc(p.members, func(a, b *member) int { return cmp.Compare(a.ID, b.ID) })
 	for _, m := range p.members {
 		if m.group != nil {
-			m.group.work += m.work
+			m.group.outstanding += m.outstanding
 		}
 	}
 	p.byID, p.groups = kept, groups
@@ -132,7 +130,7 @@
 			// The group formed anew.
 			g.health, g.epoch = health{}, s.Epoch
 		}
-		g.work, g.size = 0, max(s.Size, 1)
+		g.outstanding, g.size = 0, max(s.Size, 1)
 		groups[s.Group] = g
 	}
 	return g
@@ -144,8 +142,6 @@
 	Exclude []string
 	// Groups names the groups that failed the request: others come first.
 	Groups []string
-	// Work is what the request takes, see Work.
-	Work time.Duration
 }
 
 // Choose returns the upstream for a request and counts it as begun. The groups
@@ -157,10 +153,9 @@
 		return service.Upstream{}, false
 	}
 	best.outstanding++
-	best.work += s.Work
 	best.health.begin(now)
 	if best.group != nil {
-		best.group.work += s.Work
+		best.group.outstanding++
 		best.group.health.begin(now)
 	}
 	return best.Upstream, true
@@ -234,16 +229,12 @@
 	)
 }
 
-func (g *poolGroup) load() float64 { return g.work.Seconds() / float64(g.size) }
+func (g *poolGroup) load() float64 { return float64(g.outstanding) / float64(g.size) }
 
-// load is the upstream's load: of a group's rank by the work that it was given,
-// else in shares of its slots.
+// load is the upstream's load in shares of its slots.
 func (m *member) load(now time.Time) float64 {
-	if m.group != nil {
-		return m.work.Seconds()
-	}
 	load := float64(m.outstanding)
-	if age := now.Sub(m.reportedAt); age < loadReportTTL {
+	if age := now.Sub(m.reportedAt); age < loadReportTTL && m.group == nil {
 		load += m.others * float64(loadReportTTL-age) / float64(loadReportTTL)
 	}
 	return load / float64(max(m.Slots, 1))
@@ -284,15 +275,15 @@
 	CallerLeft
 )
 
-// Ended records the end of a request of some work after took.
-func (p *Pool) Ended(id string, work time.Duration, o Outcome, took time.Duration, now time.Time) {
+// Ended records the end of a request after took.
+func (p *Pool) Ended(id string, o Outcome, took time.Duration, now time.Time) {
 	m := p.byID[id]
 	if m == nil {
 		return
 	}
-	m.outstanding, m.work = max(m.outstanding-1, 0), max(m.work-work, 0)
+	m.outstanding = max(m.outstanding-1, 0)
 	if m.group != nil {
-		m.group.work = max(m.group.work-work, 0)
+		m.group.outstanding = max(m.group.outstanding-1, 0)
 	}
 	if m.group != nil && o != GroupStalled {
 		m.group.health.probing = false
--- a/internal/core/upstream/pool_test.go
+++ b/internal/core/upstream/pool_test.go
@@ -67,7 +67,7 @@
 	perGroup := map[string]int{}
 	perRank := map[string]int{}
 	for range 16 {
-		u, ok := p.Choose(Selection{Work: unitWork}, testNow)
+		u, ok := p.Choose(Selection{}, testNow)
 		is.True(ok)
 		perGroup[u.Membership.Group]++
 		perRank[u.ID]++
@@ -102,13 +102,13 @@
 	is := is.New(t)
 	p := newTestPool(plain(3))
 	for range poolRules.EjectionFailures {
-		p.Ended("u0", 0, Faulty, 0, testNow)
+		p.Ended("u0", Faulty, 0, testNow)
 	}
 	is.True(choose(p, Selection{Exclude: []string{"u1"}}, testNow) == "u2") // u0 is ejected
 	later := testNow.Add(2 * poolRules.EjectionTime)
 	is.Equal(choose(p, Selection{Exclude: []string{"u1", "u2"}}, later), "u0")
 	is.True(choose(p, Selection{Exclude: []string{"u1"}}, later) == "u2") // one probe at a time
-	p.Ended("u0", 0, Answered, time.Millisecond, later)
+	p.Ended("u0", Answered, time.Millisecond, later)
 	is.Equal(choose(p, Selection{Exclude: []string{"u1", "u2"}}, later), "u0")
 }
 
@@ -120,7 +120,7 @@
 		if i%2 == 0 {
 			outcome = Faulty // half of the requests, never three in a row
 		}
-		p.Ended("u1", 0, outcome, 50*time.Millisecond, testNow)
+		p.Ended("u1", outcome, 50*time.Millisecond, testNow)
 	}
 	for range 6 {
 		is.True(choose(p, Selection{}, testNow) != "u1")
@@ -132,7 +132,7 @@
 	p := newTestPool(plain(3))
 	for _, id := range []string{"u0", "u1", "u2"} {
 		for range poolRules.EjectionFailures {
-			p.Ended(id, 0, Faulty, 0, testNow)
+			p.Ended(id, Faulty, 0, testNow)
 		}
 	}
 	out := 0
@@ -147,15 +147,15 @@
 func TestPoolLeavesAStoppedGroupAloneButForOneTry(t *testing.T) {
 	is := is.New(t)
 	p := newTestPool(grouped(2))
-	p.Ended("u2", 0, Answered, time.Millisecond, testNow)
-	p.Ended("u0", 0, GroupStalled, 0, testNow)
+	p.Ended("u2", Answered, time.Millisecond, testNow)
+	p.Ended("u0", GroupStalled, 0, testNow)
 	for range 4 {
 		u, ok := p.Choose(Selection{}, testNow)
 		is.True(ok)
 		is.Equal(u.Membership.Group, "g1")
 	}
 	is.Equal(p.Outage(testNow), time.Duration(0))
-	p.Ended("u2", 0, GroupStalled, 0, testNow)
+	p.Ended("u2", GroupStalled, 0, testNow)
 	is.Equal(choose(p, Selection{}, testNow), "")
 	soon := testNow.Add(groupPause)
 	first, ok := p.Choose(Selection{}, soon)
@@ -165,7 +165,7 @@
 	is.True(first.Membership.Group != second.Membership.Group) // one each
 	is.Equal(choose(p, Selection{}, soon), "")
 	is.Equal(p.Outage(soon), groupPause)
-	p.Ended(first.ID, 0, Answered, time.Millisecond, soon)
+	p.Ended(first.ID, Answered, time.Millisecond, soon)
 	is.True(choose(p, Selection{}, soon) != "")
 }
 
@@ -173,7 +173,7 @@
 	is := is.New(t)
 	members := grouped(2)[:2]
 	p := newTestPool(members)
-	p.Ended("u0", 0, GroupStalled, 0, testNow)
+	p.Ended("u0", GroupStalled, 0, testNow)
 	is.Equal(choose(p, Selection{}, testNow), "")
 	for i := range members {
 		formed := *members[i].Membership
@@ -188,7 +188,7 @@
 	is := is.New(t)
 	members := plain(2)
 	p := newTestPool(members)
-	p.Ended("u0", 0, Unreachable, 0, testNow)
+	p.Ended("u0", Unreachable, 0, testNow)
 	is.Equal(choose(p, Selection{}, testNow), "u1")
 	members[0].Born = testNow
 	p.Configure(members, poolRules)
@@ -199,9 +199,9 @@
 	is := is.New(t)
 	p := newTestPool(plain(3))
 	for range 30 {
-		p.Ended("u0", 0, Answered, 60*time.Millisecond, testNow)
-		p.Ended("u1", 0, Answered, 60*time.Millisecond, testNow)
-		p.Ended("u2", 0, Answered, 300*time.Millisecond, testNow)
+		p.Ended("u0", Answered, 60*time.Millisecond, testNow)
+		p.Ended("u1", Answered, 60*time.Millisecond, testNow)
+		p.Ended("u2", Answered, 300*time.Millisecond, testNow)
 	}
 	for range 6 {
 		is.True(choose(p, Selection{}, testNow) != "u2")
@@ -217,7 +217,7 @@
 	is.Equal(choose(p, Selection{}, testNow), "u0")
 	is.Equal(choose(p, Selection{}, testNow), "u0")
 	is.Equal(choose(p, Selection{}, testNow), "")
-	p.Ended("u0", 0, CallerLeft, 0, testNow)
+	p.Ended("u0", CallerLeft, 0, testNow)
 	is.Equal(choose(p, Selection{}, testNow), "u0")
 }
 
--- a/internal/entry/client/forward.go
+++ b/internal/entry/client/forward.go
@@ -54,9 +54,6 @@
 // is refused.
 func (h *Handler) forward(w http.ResponseWriter, r *http.Request, c *call) {
 	f := &forwarding{call: c, handler: h, w: w, request: r}
-	f.chosen.Work = choice.Work(c.view.Configuration.Services[c.service].Engine, choice.Size{
-		Prompt: c.info.PromptTokens, AnswerLimit: c.info.AnswerTokens, AnswerHint: c.info.LengthHint,
-	})
 	f.attempt = core.NewAttempt(core.AttemptRules{
 		Repeatable: c.route.Repeatable(), Limit: max(c.route.Attempts, 1), Until: c.until,
 	})
@@ -218,24 +215,25 @@
 
 // broken records a try without a whole answer.
 func (f *forwarding) broken(ctx context.Context, u service.Upstream, began time.Time, err error) core.Outcome {
+	now := time.Now()
 	f.exclude(u)
 	switch {
 	case gone(f.request.Context()):
-		f.ended(u, choice.CallerLeft, 0)
+		f.handler.pools.Ended(u, choice.CallerLeft, 0, now)
 		f.handler.count.ended(f.route, "caller-left")
 		f.tried(u, began, "caller left", err)
 		return nil
 	case errors.Is(err, upstream.ErrUnsent) && ctx.Err() == nil:
-		f.ended(u, choice.Unreachable, 0)
+		f.handler.pools.Ended(u, choice.Unreachable, 0, now)
 		f.tried(u, began, "not reached", err)
 		return core.Unsent{}
 	case ctx.Err() != nil:
-		f.ended(u, choice.Faulty, 0)
+		f.handler.pools.Ended(u, choice.Faulty, 0, now)
 		f.tried(u, began, "timed out", err)
 		f.end(f.attempt.TimedOut(!errors.Is(err, upstream.ErrUnsent)))
 		return nil
 	default:
-		f.ended(u, choice.Faulty, 0)
+		f.handler.pools.Ended(u, choice.Faulty, 0, now)
 		f.tried(u, began, "lost", err)
 		return core.Lost{}
 	}
@@ -252,16 +250,11 @@
 		// Another upstream has the address now.
 		outcome = choice.Unreachable
 	}
-	f.ended(u, outcome, 0)
+	f.handler.pools.Ended(u, outcome, 0, time.Now())
 	f.tried(u, began, "declined", nil, "status", status, "group-fault", info.GroupFault)
 	return core.Declined{}
 }
 
-// ended records how a try at an upstream ended after took.
-func (f *forwarding) ended(u service.Upstream, o choice.Outcome, took time.Duration) {
-	f.handler.pools.Ended(u, f.chosen.Work, o, took, time.Now())
-}
-
 // exclude keeps the request from an upstream that failed it, and as far as
 // possible from its group, which may have failed as a whole.
 func (f *forwarding) exclude(u service.Upstream) {
@@ -280,12 +273,12 @@
 	status := x.Response.StatusCode
 	if status >= http.StatusInternalServerError && !more {
 		f.exclude(u)
-		f.ended(u, choice.Faulty, 0)
+		f.handler.pools.Ended(u, choice.Faulty, 0, time.Now())
 		f.tried(u, began, "failed", nil, "status", status)
 		f.failed = &wholeFailure{x.Response, body}
 		return core.Failed{}
 	}
-	f.ended(u, choice.Answered, time.Since(began))
+	f.handler.pools.Ended(u, choice.Answered, time.Since(began), time.Now())
 	if f.begun {
 		// A stream that was begun cannot go on with another kind of answer.
 		f.end(core.RefuseWith{Kind: answer.UpstreamFailed})
--- a/internal/entry/client/stream.go
+++ b/internal/entry/client/stream.go
@@ -64,7 +64,7 @@
 	if !f.begun {
 		f.sendHead(x.Response)
 	}
-	f.ended(u, choice.Answered, first)
+	f.handler.pools.Ended(u, choice.Answered, first, time.Now())
 	f.handler.count.answered(f.route, "streamed", first)
 	f.logWell(x.Response.StatusCode, "streamed", "upstream", u.ID, "first-ms", first.Milliseconds(), "last-event", f.events.LastID())
 	return nil
@@ -72,7 +72,7 @@
 
 // left records that the caller can no longer be written to.
 func (f *forwarding) left(u service.Upstream, err error) core.Outcome {
-	f.ended(u, choice.CallerLeft, 0)
+	f.handler.pools.Ended(u, choice.CallerLeft, 0, time.Now())
 	f.handler.count.ended(f.route, "caller-left")
 	f.log(0, "caller left", "upstream", u.ID, "reason", err.Error())
 	return nil
--- a/internal/entry/upstream/pools.go
+++ b/internal/entry/upstream/pools.go
@@ -92,11 +92,11 @@
 	return p.of(name).pool.Choose(s, now)
 }
 
-// Ended records how a request of some work ended at an upstream.
-func (p *Pools) Ended(u service.Upstream, work time.Duration, o core.Outcome, took time.Duration, now time.Time) {
+// Ended records how a request ended at an upstream.
+func (p *Pools) Ended(u service.Upstream, o core.Outcome, took time.Duration, now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.of(u.Service).pool.Ended(u.ID, work, o, took, now)
+	p.of(u.Service).pool.Ended(u.ID, o, took, now)
 }
 
 // ReportLoad records the load that an upstream reports.
