Take the configuration's limits over; confirm what is known after a suspension

Header bytes, header time and idle time of a caller's connection were fixed constants. A server of generations now gives each connection the limits that were in force when it was opened; former generations go with their last connection. A process that was suspended (boot clock ahead of the monotonic one) used what it knew at once. It now asks the store and its peers first; a request waits up to 200 ms for it, and after 3 s without either it serves again.

--- a/internal/entry/client/handler.go
+++ b/internal/entry/client/handler.go
@@ -59,6 +59,7 @@
 // Handler serves the callers of one entry.
 type Handler struct {
 	view    func() *service.View
+	await   func(context.Context)
 	pools   *upstream.Pools
 	dialect Dialect
 	log     logr.Logger
@@ -76,7 +77,9 @@
 // Config is what a Handler is made of.
 type Config struct {
 	// View returns what is known of the configuration and the upstreams.
-	View    func() *service.View
+	View func() *service.View
+	// Await waits for a short time where View is about to return more.
+	Await   func(context.Context)
 	Pools   *upstream.Pools
 	Dialect Dialect
 	Log     logr.Logger
@@ -88,7 +91,7 @@
 // New returns a handler.
 func New(c Config) *Handler {
 	h := &Handler{
-		view: c.View, pools: c.Pools, dialect: c.Dialect, log: c.Log, rate: log.NewRate(requestLines), omit: c.Omit, count: counters{c.Metrics},
+		view: c.View, await: c.Await, pools: c.Pools, dialect: c.Dialect, log: c.Log, rate: log.NewRate(requestLines), omit: c.Omit, count: counters{c.Metrics},
 	}
 	c.Metrics.NewGauge("bramleydeal_requests_in_flight", func() float64 { return float64(h.InFlight()) })
 	return h
@@ -151,7 +154,9 @@
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	h.inFlight.Add(1)
 	defer h.inFlight.Add(-1)
-	c := &call{info: h.dialect.Request(r.Header), arrived: time.Now(), view: h.view()}
+	arrived := time.Now()
+	h.await(r.Context())
+	c := &call{info: h.dialect.Request(r.Header), arrived: arrived, view: h.view()}
 	if refusal := h.understand(w, r, c); refusal != nil {
 		h.refuse(w, c, refusal)
 		return
--- a/internal/entry/direct/entry.go
+++ b/internal/entry/direct/entry.go
@@ -33,13 +33,8 @@
 	"google.golang.org/grpc"
 )
 
-// Times and sizes of the caller side.
+// Times of a shutdown.
 const (
-	readHeaderTimeout = 10 * time.Second
-	// idleTimeout is longer than callers keep a connection that they do not use,
-	// so that the entry never closes one on which a request is under way.
-	idleTimeout    = 2 * time.Minute
-	maxHeaderBytes = 64 << 10
 	// rotationTime is how long callers may still be led here after the entry
 	// stopped being ready: two questions, a second apart, and the last callers.
 	rotationTime = 3200 * time.Millisecond
@@ -84,6 +79,7 @@
 	directory *directory.Directory
 	pools     *upstream.Pools
 	handler   *client.Handler
+	callers   *client.Server
 	metrics   *expvar.Map
 	numbers   *metrics.Set
 }
@@ -107,8 +103,9 @@
 		Quota: quotaRules(c.Direct),
 	}, logger.Part("pools"))
 	e.handler = client.New(client.Config{
-		View: e.directory.View, Pools: e.pools, Dialect: d.Dialect, Log: logger.Part("client"), Omit: logger.Omit, Metrics: e.numbers,
+		View: e.directory.View, Await: e.directory.Await, Pools: e.pools, Dialect: d.Dialect, Log: logger.Part("client"), Omit: logger.Omit, Metrics: e.numbers,
 	})
+	e.callers = client.NewServer(e.handler, logger)
 	e.publishNumbers()
 	e.metrics.Set("upstreams", expvar.Func(func() any { return e.pools.State(time.Now()) }))
 	e.metrics.Set("peers", expvar.Func(func() any { return e.traffic.State() }))
@@ -181,8 +178,7 @@
 	defer e.log.Flush()
 	defer e.pool.Close()
 	e.directory.Subscribe(e.changed)
-	callers, err := e.listen(ctx)
-	if err != nil {
+	if err := e.listen(ctx); err != nil {
 		return err
 	}
 	go e.directory.Run(ctx)
@@ -191,9 +187,9 @@
 	select {
 	case <-stop.Done():
 	case <-ctx.Done():
-		return callers.Close()
+		return e.callers.Close()
 	}
-	return e.shutDown(ctx, callers)
+	return e.shutDown(ctx)
 }
 
 func (e *Entry) changed(v *service.View, instances map[string]fleet.Instance) {
@@ -207,26 +203,25 @@
 		entries = usualEntries
 	}
 	e.pools.Update(v, entries)
+	if v.Configuration != nil {
+		e.callers.Configure(v.Configuration.Limits)
+	}
 }
 
 // listen opens the entry's listeners and serves them.
-func (e *Entry) listen(ctx context.Context) (*http.Server, error) {
+func (e *Entry) listen(ctx context.Context) error {
 	callerListener, err := net.Listen("tcp", e.config.Listen.String())
 	if err != nil {
-		return nil, oops.Code("listen").Wrapf(err, "listen: give another address, or end the process that holds it")
+		return oops.Code("listen").Wrapf(err, "listen: give another address, or end the process that holds it")
 	}
 	peerListener, err := e.traffic.Listen(e.config.PeerListen.String())
 	if err != nil {
-		return nil, errors.Join(err, callerListener.Close())
+		return errors.Join(err, callerListener.Close())
 	}
 	peers := grpc.NewServer(dial.ServerOptions(e.files.Peers())...)
 	peer.RegisterSpreadServer(peers, e.directory)
-	callers := &http.Server{
-		Handler: e.handler, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
-		ErrorLog: e.log.Standard("client"),
-	}
 	go e.report("peers", func() error { return peers.Serve(peerListener) })
-	go e.report("callers", func() error { return callers.Serve(callerListener) })
+	go e.report("callers", func() error { return e.callers.Serve(callerListener) })
 	if e.config.ReadyListen.IsValid() {
 		go e.report("ready", func() error { return e.serveReady(ctx) })
 	}
@@ -235,7 +230,7 @@
 			return debug.Serve(ctx, e.config.DebugListen, debug.Handler(e.metrics, func() any { return e.State() }, nil, debug.WithMetrics(e.numbers)))
 		})
 	}
-	return callers, nil
+	return nil
 }
 
 func (e *Entry) serveReady(ctx context.Context) error {
@@ -284,13 +279,13 @@
 
 // shutDown goes on serving until no caller is led here any more and every
 // request has its answer, or the grace is nearly over.
-func (e *Entry) shutDown(ctx context.Context, callers *http.Server) error {
+func (e *Entry) shutDown(ctx context.Context) error {
 	l := e.log.Part("entry")
 	began := time.Now()
 	end := began.Add(time.Duration(e.config.Direct.Grace) - exitMargin)
 	l.Info("leaving", "grace", time.Duration(e.config.Direct.Grace).String(), "in-flight", e.handler.InFlight())
 	e.handler.Leave(end)
-	callers.SetKeepAlivesEnabled(false)
+	e.callers.AskToLeave()
 	clock.Sleep(ctx, min(rotationTime, time.Until(end)))
 	for e.handler.InFlight() > 0 && time.Now().Before(end) && ctx.Err() == nil {
 		clock.Sleep(ctx, drainPoll)
@@ -298,8 +293,8 @@
 	l.Info("stopped", "in-flight", e.handler.InFlight(), "took-ms", time.Since(began).Milliseconds())
 	limited, cancel := context.WithDeadline(ctx, end)
 	defer cancel()
-	if err := callers.Shutdown(limited); err != nil {
-		return oops.Wrap(callers.Close())
+	if err := e.callers.Shutdown(limited); err != nil {
+		return oops.Wrap(e.callers.Close())
 	}
 	return nil
 }
--- a/internal/process/directory/directory.go
+++ b/internal/process/directory/directory.go
@@ -100,7 +100,8 @@
 	pool   *dial.Pool
 	log    logr.Logger
 
-	view atomic.Pointer[service.View]
+	view       atomic.Pointer[service.View]
+	suspension *suspension
 
 	// mu guards all below.
 	mu          sync.Mutex
@@ -158,21 +159,21 @@
 	for _, o := range options {
 		o(d)
 	}
+	if d.suspension == nil {
+		d.suspension = newSuspension(clock.Suspended)
+	}
 	d.view.Store(service.NewView(nil, nil, false))
 	return d
 }
 
 var kinds = []Kind{Configuration, Upstreams, Instances}
 
-// View returns what is known now.
-func (d *Directory) View() *service.View { return d.view.Load() }
-
 // Subscribe calls f now and after each change, one call at a time.
 func (d *Directory) Subscribe(f func(*service.View, map[string]fleet.Instance)) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.subscribers = append(d.subscribers, f)
-	f(d.View(), d.instances)
+	f(d.view.Load(), d.instances)
 }
 
 // Run keeps the directory up to date until ctx ends.
@@ -191,6 +192,7 @@
 	pause := minPause
 	anew := true
 	for ctx.Err() == nil {
+		suspensions := d.suspension.suspensions()
 		u, err := d.ask(ctx, k, anew)
 		switch {
 		case errors.Is(err, store.ErrHistoryGone):
@@ -204,10 +206,16 @@
 			clock.Sleep(ctx, pause/2+rand.N(pause))
 			pause = min(2*pause, maxPause)
 		default:
-			pause, anew = minPause, false
+			pause, anew = minPause, suspensions != d.suspension.suspensions()
 			d.answered(k)
-			if d.apply(k, u, "store") && k == Upstreams {
+			changed := d.apply(k, u, "store")
+			d.suspension.confirm(k, suspensions)
+			switch {
+			case changed && k == Upstreams:
 				clock.Sleep(ctx, batchDelay)
+			case u.Revision == 0:
+				// Nothing was ever written; a watch needs a revision.
+				clock.Sleep(ctx, minPause)
 			}
 		}
 	}
@@ -288,7 +296,7 @@
 
 // readConfiguration takes the newest configuration into force; d.mu is held.
 func (d *Directory) readConfiguration(source string) {
-	now := d.View()
+	now := d.view.Load()
 	for _, o := range d.replicas[Configuration].List("") {
 		next, err := d.reader.Configuration(o.Value)
 		if err != nil {
@@ -323,7 +331,7 @@
 
 // logChanges writes a line for each upstream that came, changed or went.
 func (d *Directory) logChanges(list map[string]service.Upstream, source string) {
-	before := d.View().Upstreams
+	before := d.view.Load().Upstreams
 	for id, u := range list {
 		old, known := before[id]
 		if !known || old.Leaving != u.Leaving || old.Incarnation() != u.Incarnation() || old.Lapsed {
@@ -365,7 +373,7 @@
 			d.publishUsable()
 		})
 	}
-	d.publish(d.View().WithUpstreams(usable))
+	d.publish(d.view.Load().WithUpstreams(usable))
 }
 
 // readInstances takes in the list of processes; d.mu is held.
@@ -380,7 +388,7 @@
 		instances[i.Name] = i
 	}
 	d.instances = instances
-	d.publish(d.View())
+	d.publish(d.view.Load())
 }
 
 // publish makes a view the current one; d.mu is held.
@@ -416,6 +424,7 @@
 		case <-ctx.Done():
 			return
 		}
+		d.noticeSuspension()
 		ask, count := d.missing(), peersAsked
 		if len(ask) == 0 && time.Since(compared) >= peerCompareInterval {
 			ask, count = []Kind{Configuration, Upstreams}, 1
@@ -468,6 +477,7 @@
 	if skip {
 		return
 	}
+	suspensions := d.suspension.suspensions()
 	limited, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
 	u, err := d.store.List(limited, k)
@@ -476,7 +486,9 @@
 		d.endWatch(k)
 		return
 	}
-	if d.apply(k, u, "check") {
+	changed := d.apply(k, u, "check")
+	d.suspension.confirm(k, suspensions)
+	if changed {
 		d.log.Info("the watch missed a change", "kind", k, "revision", u.Revision, "known", before)
 		d.endWatch(k)
 		d.push(ctx, k, before)
@@ -513,13 +525,14 @@
 	}
 }
 
-// missing returns the kinds that the store does not serve.
+// missing returns the kinds that the store does not serve, and those that await
+// confirmation.
 func (d *Directory) missing() []Kind {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	var out []Kind
 	for _, k := range kinds {
-		if d.contact[k].failing {
+		if d.contact[k].failing || d.suspension.awaits(k) {
 			out = append(out, k)
 		}
 	}
@@ -539,15 +552,18 @@
 	revision := d.replicas[k].Revision()
 	d.stats.PeerCalls++
 	d.mu.Unlock()
+	suspensions := d.suspension.suspensions()
 	reply, err := peer.NewSpreadClient(connection).Compare(ctx, &peer.CompareRequest{Instance: d.self, Kind: string(k), Revision: revision})
 	if err != nil {
 		d.log.V(1).Info("a peer did not answer", "peer", a, "reason", err.Error())
 		return
 	}
-	if reply.Revision <= revision {
-		return
+	if reply.Revision > revision {
+		d.take(k, peer.Update(reply.From, reply.Revision, reply.Objects), reply.Instance)
+	}
+	if reply.Revision > 0 {
+		d.suspension.confirm(k, suspensions)
 	}
-	d.take(k, peer.Update(reply.From, reply.Revision, reply.Objects), reply.Instance)
 }
 
 // take applies what a peer knows. A watch that missed it may deliver nothing any
@@ -570,7 +586,8 @@
 	defer d.mu.Unlock()
 	reply := &peer.CompareReply{Instance: d.self}
 	r := d.replicas[Kind(request.Kind)]
-	if r == nil {
+	if r == nil || d.suspension.awaits(Kind(request.Kind)) {
+		// What awaits confirmation must not confirm what another process knows.
 		return reply, nil
 	}
 	reply.Revision = r.Revision()
@@ -602,9 +619,9 @@
 func (d *Directory) State() State {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	out := State{Kinds: map[string]KindState{}, Instances: len(d.instances), Stats: d.stats}
-	if configuration := d.View().Configuration; configuration != nil {
-		out.ConfigurationVersion = configuration.Version
+	out := State{
+		ConfigurationVersion: configurationVersion(d.view.Load()),
+		Kinds:                map[string]KindState{}, Instances: len(d.instances), Stats: d.stats,
 	}
 	for _, k := range kinds {
 		s := KindState{Revision: d.replicas[k].Revision(), StoreFailing: d.contact[k].failing}
--- a/internal/process/directory/directory_test.go
+++ b/internal/process/directory/directory_test.go
@@ -26,6 +26,8 @@
 	failed error
 }
 
+func newFake() *fake { return &fake{lists: map[Kind]store.Update{}} }
+
 func (f *fake) set(k Kind, revision uint64, objects ...store.Object) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -88,7 +90,7 @@
 }
 
 func newDirectory(name string) (*Directory, *fake) {
-	f := &fake{lists: map[Kind]store.Update{}}
+	f := newFake()
 	rules := upstream.PresenceRules{Linger: time.Second, Return: 2 * time.Second}
 	return New(name, f, plain{}, dial.NewPool(nil, &dial.Traffic{}), rules), f
 }
--- /dev/null
+++ b/internal/process/directory/suspension_test.go
@@ -0,0 +1,130 @@
+package directory
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"bramleydeal/internal/core/upstream"
+	"bramleydeal/internal/wire/dial"
+	"bramleydeal/internal/wire/peer"
+	"github.com/matryer/is"
+)
+
+// suspendable returns a directory that knows a configuration and the upstreams,
+// and a function that suspends its machine.
+func suspendable(t *testing.T) (*Directory, *fake, func(time.Duration)) {
+	t.Helper()
+	var ahead time.Duration
+	f := newFake()
+	d := New("e1", f, plain{}, dial.NewPool(nil, &dial.Traffic{}), upstream.PresenceRules{Linger: time.Second, Return: 2 * time.Second},
+		WithSuspended(func() (time.Duration, error) { return ahead, nil }))
+	f.set(Configuration, 10, configuration(7))
+	f.set(Upstreams, 10)
+	f.set(Instances, 10)
+	learn(t, d, Configuration)
+	learn(t, d, Upstreams)
+	return d, f, func(d time.Duration) { ahead += d }
+}
+
+func TestAfterASuspensionNothingIsServedBeforeItIsConfirmed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		d, _, suspend := suspendable(t)
+		d.noticeSuspension()
+		is.Equal(version(d), uint64(7))
+
+		before := d.suspension.suspensions()
+		suspend(4 * time.Second)
+		d.noticeSuspension()
+		is.Equal(version(d), uint64(0))
+		is.Equal(d.missing(), []Kind{Configuration, Upstreams}) // peers are asked too
+
+		d.suspension.confirm(Configuration, before) // the answer to a question from before
+		d.suspension.confirm(Upstreams, before)
+		is.Equal(version(d), uint64(0))
+
+		now := d.suspension.suspensions()
+		d.suspension.confirm(Configuration, now)
+		is.Equal(version(d), uint64(0)) // the upstreams may have gone
+		d.suspension.confirm(Upstreams, now)
+		is.Equal(version(d), uint64(7))
+		is.Equal(len(d.missing()), 0)
+	})
+}
+
+func TestAPeerThatWasSuspendedConfirmsNothing(t *testing.T) {
+	is := is.New(t)
+	d, _, suspend := suspendable(t)
+	suspend(time.Second)
+	d.noticeSuspension()
+	reply, err := d.Compare(t.Context(), &peer.CompareRequest{Instance: "e2", Kind: string(Configuration)})
+	is.NoErr(err)
+	is.Equal(reply.Revision, uint64(0))
+	d.suspension.confirm(Configuration, d.suspension.suspensions())
+	reply, err = d.Compare(t.Context(), &peer.CompareRequest{Instance: "e2", Kind: string(Configuration)})
+	is.NoErr(err)
+	is.Equal(reply.Revision, uint64(10))
+}
+
+func TestAShortSuspensionChangesNothing(t *testing.T) {
+	is := is.New(t)
+	d, _, suspend := suspendable(t)
+	suspend(minSuspension - time.Millisecond)
+	d.noticeSuspension()
+	is.Equal(version(d), uint64(7))
+}
+
+func TestWithoutStoreAndPeersASuspendedProcessServesAgainAfterTheLimit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		d, _, suspend := suspendable(t)
+		suspend(time.Minute)
+		d.noticeSuspension()
+		time.Sleep(unconfirmedLimit - time.Millisecond)
+		is.Equal(version(d), uint64(0))
+		time.Sleep(time.Millisecond)
+		is.Equal(version(d), uint64(7))
+	})
+}
+
+func TestARequestWaitsShortlyForTheConfirmation(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		d, _, suspend := suspendable(t)
+		suspend(time.Second)
+		began := time.Now()
+		d.Await(t.Context())
+		is.Equal(time.Since(began), confirmationWait)
+		is.Equal(version(d), uint64(0))
+
+		go func() {
+			time.Sleep(time.Millisecond)
+			for _, k := range []Kind{Configuration, Upstreams} {
+				d.suspension.confirm(k, d.suspension.suspensions())
+			}
+		}()
+		began = time.Now()
+		d.Await(t.Context())
+		is.Equal(time.Since(began), time.Millisecond)
+		is.Equal(version(d), uint64(7))
+	})
+}
+
+func TestAfterASuspensionTheStoreIsListedAnew(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		d, f, suspend := suspendable(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		for _, k := range kinds {
+			go d.follow(ctx, k)
+		}
+		synctest.Wait() // all watches wait
+		f.set(Configuration, 12, configuration(9))
+		suspend(time.Second)
+		d.Await(ctx)
+		is.Equal(version(d), uint64(9))
+	})
+}
