status, settings get and explain on the prepared platform's store

They read the product's own object API alone. With -prepared they list the platform's store through the one client of platform/; defaults that an entry applies moved to world/service, so that explain prints what is in force. Golden files hold the outputs; keys never appear in them.

--- a/internal/entry/client/handler.go
+++ b/internal/entry/client/handler.go
@@ -25,13 +25,9 @@
 
 // Times and sizes of the caller side.
 const (
-	// defaultTimeout bounds a request whose route and caller name no time.
-	defaultTimeout = time.Minute
 	// answerMargin is the time before a caller's own timeout at which it is
 	// answered, so that the answer reaches it.
 	answerMargin = 30 * time.Millisecond
-	// defaultBodyBytes bounds a body where the configuration names no limit.
-	defaultBodyBytes = 4 << 20
 	// comeBack is when a caller may try again that found no upstream: an ejected
 	// one is tried again after about that time.
 	comeBack = 500 * time.Millisecond
@@ -190,10 +186,7 @@
 
 // setTimes derives when the request must be answered.
 func (c *call) setTimes() {
-	c.until = c.arrived.Add(defaultTimeout)
-	if c.route.Timeout > 0 {
-		c.until = c.arrived.Add(c.route.Timeout)
-	}
+	c.until = c.arrived.Add(c.route.EffectiveTimeout())
 	if c.info.TimeLeft > 0 {
 		c.leaves = c.arrived.Add(c.info.TimeLeft)
 		if early := c.leaves.Add(-answerMargin); early.Before(c.until) {
@@ -204,10 +197,7 @@
 
 // readBody reads the whole body, so that it can be sent more than once.
 func (h *Handler) readBody(w http.ResponseWriter, r *http.Request, c *call) *answer.Refusal {
-	limit := c.view.Configuration.Limits.BodyBytes
-	if limit <= 0 {
-		limit = defaultBodyBytes
-	}
+	limit := c.view.Configuration.Limits.Effective().BodyBytes
 	if r.ContentLength == 0 {
 		return nil
 	}
--- a/internal/entry/client/server.go
+++ b/internal/entry/client/server.go
@@ -14,15 +14,6 @@
 	"github.com/samber/oops"
 )
 
-// Bounds of a caller's connection where the configuration names none.
-const (
-	defaultHeaderTimeout = 10 * time.Second
-	// defaultIdleTime is longer than callers keep a connection that they do not
-	// use, so that the entry closes none on which a request is under way.
-	defaultIdleTime    = 2 * time.Minute
-	defaultHeaderBytes = 64 << 10
-)
-
 // Server accepts callers' connections. A connection keeps the limits that were in
 // force when it was opened.
 type Server struct {
@@ -80,12 +71,13 @@
 
 // begin starts serving connections under limits; s.mu is held once s is in use.
 func (s *Server) begin(l service.Limits) *generation {
+	l = l.Effective()
 	g := &generation{incoming: make(chan net.Conn), ended: make(chan struct{})}
 	g.server = &http.Server{
 		Handler:           s.handler,
-		ReadHeaderTimeout: orDefault(l.HeaderTimeout, defaultHeaderTimeout),
-		IdleTimeout:       orDefault(l.Idle, defaultIdleTime),
-		MaxHeaderBytes:    int(orDefault(l.HeaderBytes, defaultHeaderBytes)),
+		ReadHeaderTimeout: l.HeaderTimeout,
+		IdleTimeout:       l.Idle,
+		MaxHeaderBytes:    int(l.HeaderBytes),
 		ErrorLog:          s.log.Standard("client"),
 	}
 	g.server.ConnState = func(_ net.Conn, state http.ConnState) {
@@ -101,13 +93,6 @@
 	return g
 }
 
-func orDefault[T int64 | time.Duration](v, fallback T) T {
-	if v <= 0 {
-		return fallback
-	}
-	return v
-}
-
 // Configure takes limits into force for the connections that are opened from now
 // on.
 func (s *Server) Configure(l service.Limits) {
--- a/internal/operator/command/command.go
+++ b/internal/operator/command/command.go
@@ -52,7 +52,7 @@
 		return ExitConflict
 	case store.CodeNotFound:
 		return ExitNotFound
-	case store.CodePlatform, "platform-call", "unreachable":
+	case store.CodePlatform, "platform-call", "unreachable", "store-unreachable", "store-call":
 		return ExitUnreachable
 	case store.CodeInvalid:
 		return ExitInvalid
@@ -104,6 +104,8 @@
 // answers are printed.
 type console struct {
 	platform string
+	// prepared tells that platform is the store of the prepared platform.
+	prepared bool
 	output   string
 	out      io.Writer
 }
@@ -123,6 +125,7 @@
 		fallback = "127.0.0.1:7000"
 	}
 	f.StringVar(&c.platform, "platform", fallback, "address of the platform's object API; $"+environmentPlatform+" sets it too")
+	f.BoolVar(&c.prepared, "prepared", os.Getenv(environmentPrepared) != "", "-platform is the store of the prepared platform; $"+environmentPrepared+" sets it too")
 	f.StringVar(&c.output, "output", outputText, "text or json")
 }
 
@@ -136,6 +139,9 @@
 }
 
 func (c *console) operator() (*store.Operator, error) {
+	if c.prepared {
+		return nil, oops.Code(codeUsage).Errorf("-prepared: works with status, settings get and settings explain; the platform's own operators change its configuration")
+	}
 	client, err := c.client()
 	if err != nil {
 		return nil, err
--- a/internal/operator/command/fleet.go
+++ b/internal/operator/command/fleet.go
@@ -5,9 +5,11 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
 	"net/netip"
 	"os"
+	"slices"
 	"sort"
 	"sync"
 	"text/tabwriter"
@@ -56,6 +58,7 @@
 	Revision      uint64              `json:"revision"`
 	Behind        bool                `json:"behind"`
 	Leaving       bool                `json:"leaving"`
+	Unready       bool                `json:"unready"`
 	Busy          int64               `json:"busy"`
 	Waiting       int64               `json:"waiting"`
 }
@@ -81,8 +84,8 @@
 }
 
 func statusCommand() *command {
-	return withOperator("status", "show instances with their load and settings in force, groups and leases",
-		"status\n\nExample:\n  bramleydeal status -output json",
+	return withPrepared(preparedStatus, "status", "show instances with their load and settings in force, groups and leases",
+		"status [-prepared]\n\nExample:\n  bramleydeal status -output json",
 		func(ctx context.Context, c *console, o *store.Operator, _ []string) error {
 			now, err := o.Snapshot(ctx)
 			if err != nil {
@@ -97,23 +100,31 @@
 }
 
 func collectStatus(ctx context.Context, now *snapshot.Snapshot) fleetStatus {
+	s := fleetStatus{}
+	s.Instances, s.Groups = askInstances(ctx, slices.Collect(maps.Values(now.Instances)))
+	markBehind(s.Instances)
+	return s
+}
+
+// askInstances asks each instance for its state, and those that lead for their
+// groups; both are returned in the order of names.
+func askInstances(ctx context.Context, instances []fleet.Instance) ([]instanceStatus, []groupStatus) {
 	var mu sync.Mutex
 	var calls sync.WaitGroup
-	s := fleetStatus{Groups: []groupStatus{}}
-	for _, i := range now.Instances {
+	rows, groups := []instanceStatus{}, []groupStatus{}
+	for _, i := range instances {
 		calls.Go(func() {
-			row, groups := statusOf(ctx, i)
+			row, led := statusOf(ctx, i)
 			mu.Lock()
 			defer mu.Unlock()
-			s.Instances = append(s.Instances, row)
-			s.Groups = append(s.Groups, groups...)
+			rows = append(rows, row)
+			groups = append(groups, led...)
 		})
 	}
 	calls.Wait()
-	markBehind(s.Instances)
-	sort.Slice(s.Instances, func(i, j int) bool { return s.Instances[i].Name < s.Instances[j].Name })
-	sort.Slice(s.Groups, func(i, j int) bool { return s.Groups[i].Group < s.Groups[j].Group })
-	return s
+	sort.Slice(rows, func(i, j int) bool { return rows[i].Name < rows[j].Name })
+	sort.Slice(groups, func(i, j int) bool { return groups[i].Group < groups[j].Group })
+	return rows, groups
 }
 
 // markBehind marks the instances below the highest revision that any reports.
@@ -130,7 +141,13 @@
 // processState is what status reads of a dump.
 type processState struct {
 	Revision uint64 `json:"revision"`
-	Caller   struct {
+	// InFlight, Ready and Directory are those of an entry on the prepared platform.
+	InFlight  int64 `json:"in-flight"`
+	Ready     *bool `json:"ready"`
+	Directory struct {
+		ConfigurationVersion uint64 `json:"configuration-version"`
+	} `json:"directory"`
+	Caller struct {
 		InFlight int64 `json:"in-flight"`
 		Draining bool  `json:"draining"`
 	} `json:"caller"`
@@ -157,9 +174,10 @@
 	if json.Unmarshal(body, &s) != nil {
 		return row, nil
 	}
-	row.Answers, row.Revision = true, s.Revision
+	row.Answers, row.Revision = true, max(s.Revision, s.Directory.ConfigurationVersion)
 	row.Leaving = row.Leaving || s.Caller.Draining || s.Door.Leaving
-	row.Busy, row.Waiting = s.Caller.InFlight+s.Door.Running, s.Door.Waiting
+	row.Unready = s.Ready != nil && !*s.Ready
+	row.Busy, row.Waiting = s.Caller.InFlight+s.Door.Running+s.InFlight, s.Door.Waiting
 	var groups []groupStatus
 	for _, d := range s.Duties {
 		for _, g := range d.Leading {
@@ -172,19 +190,7 @@
 
 func printStatus(w io.Writer, s fleetStatus) {
 	t := tabwriter.NewWriter(w, 0, 4, 2, ' ', 0)
-	fmt.Fprintln(t, "INSTANCE\tROLE\tFAILURE DOMAIN\tREVISION\tBUSY\tWAITING\tNOTES")
-	for _, r := range s.Instances {
-		notes := ""
-		switch {
-		case !r.Answers:
-			notes = "does not answer"
-		case r.Leaving:
-			notes = "leaving"
-		case r.Behind:
-			notes = "behind"
-		}
-		fmt.Fprintf(t, "%s\t%s\t%s\t%d\t%d\t%d\t%s\n", r.Name, r.Role, r.FailureDomain, r.Revision, r.Busy, r.Waiting, notes)
-	}
+	printInstances(t, "REVISION", s.Instances)
 	if len(s.Groups) > 0 {
 		fmt.Fprintln(t, "\nGROUP\tLEADER\tPHASE\tSTEP\tMAP\tSKEW")
 	}
@@ -201,6 +207,26 @@
 	_ = t.Flush()
 }
 
+// printInstances writes a row for each instance; revision heads the column of what
+// an instance has taken into force.
+func printInstances(t io.Writer, revision string, rows []instanceStatus) {
+	fmt.Fprintf(t, "INSTANCE\tROLE\tFAILURE DOMAIN\t%s\tBUSY\tWAITING\tNOTES\n", revision)
+	for _, r := range rows {
+		notes := ""
+		switch {
+		case !r.Answers:
+			notes = "does not answer"
+		case r.Leaving:
+			notes = "leaving"
+		case r.Unready:
+			notes = "not ready"
+		case r.Behind:
+			notes = "behind"
+		}
+		fmt.Fprintf(t, "%s\t%s\t%s\t%d\t%d\t%d\t%s\n", r.Name, r.Role, r.FailureDomain, r.Revision, r.Busy, r.Waiting, notes)
+	}
+}
+
 // addressed makes a command whose argument is a debug address.
 func addressed(name, synopsis, usage string, run func(ctx context.Context, a netip.AddrPort) error) *command {
 	return &command{
--- /dev/null
+++ b/internal/operator/command/prepared_test.go
@@ -0,0 +1,112 @@
+package command
+
+import (
+	"flag"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"bramleydeal/platform/standin"
+	"github.com/google/subcommands"
+	"github.com/matryer/is"
+)
+
+var update = flag.Bool("update", false, "write the golden files anew")
+
+// preparedStore serves a store that lists a small deployment with one entry, whose
+// debug page answers as an entry's does.
+func preparedStore(t *testing.T) string {
+	t.Helper()
+	entry := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		// A test that cannot be answered fails by its output.
+		_, _ = w.Write([]byte(`{"ready":false,"in-flight":3,"directory":{"configuration-version":6}}`))
+	}))
+	t.Cleanup(entry.Close)
+	s := standin.NewStore()
+	server := httptest.NewServer(s)
+	t.Cleanup(server.Close)
+	s.Put("config", "main", map[string]any{
+		"version": 7,
+		"routes": []map[string]any{
+			{"name": "confirm", "host": "books.example", "pathPrefix": "/confirm/", "kind": "non_idempotent", "timeoutMs": 4000, "attempts": 2, "priority": 1, "service": "stock"},
+			{
+				"name": "draft", "host": "books.example", "pathPrefix": "/draft/", "kind": "stream", "resumable": true, "attempts": 3,
+				"trafficSplit": []map[string]any{{"service": "stock", "weight": 3}, {"service": "spare", "weight": 1}},
+			},
+		},
+		"services": []map[string]any{{"name": "stock", "maxConns": 100}},
+		"limits":   map[string]any{"maxHeaderBytes": 16384, "headerTimeoutMs": 3000},
+		"tenants":  []map[string]any{{"name": "planner", "apiKeys": []string{"k-secret"}}},
+	})
+	s.Put("bramleydeal-instances", "front-1", map[string]any{
+		"name": "front-1", "role": "entry", "failure-domain": "north", "address": "127.0.0.1:7340",
+		"debug-address": strings.TrimPrefix(entry.URL, "http://"),
+	})
+	s.Put("servers", "i-1", map[string]any{"id": "i-1", "service": "stock", "address": "10.1.0.9:8400", "zone": "north", "state": "ready", "slots": 6, "born": 1700000000000})
+	s.Put("servers", "i-2", map[string]any{"id": "i-2", "service": "stock", "address": "10.1.0.8:8400", "zone": "north", "state": "draining", "slots": 6, "born": 1700000000000})
+	s.Put("servers", "odd", map[string]any{"id": 5})
+	return strings.TrimPrefix(server.URL, "http://")
+}
+
+// runPrepared runs a command on the prepared platform and returns what it printed.
+// A command writes to the standard output of the moment at which it is made.
+func runPrepared(t *testing.T, address string, create func() *command, args []string) (string, subcommands.ExitStatus) {
+	t.Helper()
+	file, err := os.Create(filepath.Join(t.TempDir(), "stdout"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	stdout := os.Stdout
+	os.Stdout = file
+	c := create()
+	os.Stdout = stdout
+	f := flag.NewFlagSet(c.name, flag.ContinueOnError)
+	c.SetFlags(f)
+	if err := f.Parse(append([]string{"-prepared", "-platform", address}, args...)); err != nil {
+		t.Fatal(err)
+	}
+	status := c.Execute(t.Context(), f)
+	out, err := os.ReadFile(file.Name())
+	if err != nil {
+		t.Fatal(err)
+	}
+	return string(out), status
+}
+
+func TestCommandsOnThePreparedPlatform(t *testing.T) {
+	address := preparedStore(t)
+	for _, c := range []struct {
+		golden  string
+		command func() *command
+		args    []string
+		status  subcommands.ExitStatus
+	}{
+		{"status", statusCommand, nil, ExitSuccess},
+		{"status-json", statusCommand, []string{"-output", "json"}, ExitSuccess},
+		{"explain-all", explainCommand, nil, ExitSuccess},
+		{"explain-route", explainCommand, []string{"route/draft"}, ExitSuccess},
+		{"explain-unknown", explainCommand, []string{"route/none"}, ExitNotFound},
+		{"get-limits", getCommand, []string{"limits"}, ExitSuccess},
+		{"get-one", getCommand, []string{"route/confirm", "timeout"}, ExitSuccess},
+		{"get-default", getCommand, []string{"limits", "idle-time"}, ExitNotFound},
+		{"set", setCommand, []string{"route/confirm", "timeout", "2s"}, ExitUsage},
+	} {
+		t.Run(c.golden, func(t *testing.T) {
+			is := is.New(t)
+			out, status := runPrepared(t, address, c.command, c.args)
+			is.Equal(status, c.status)
+			is.True(!strings.Contains(out, "k-secret"))
+			path := filepath.Join("testdata", c.golden+".golden")
+			if *update {
+				is.NoErr(os.MkdirAll("testdata", 0o755))
+				is.NoErr(os.WriteFile(path, []byte(out), 0o644))
+			}
+			golden, err := os.ReadFile(path)
+			is.NoErr(err)
+			is.Equal(out, string(golden))
+		})
+	}
+}
--- a/internal/operator/command/settings.go
+++ b/internal/operator/command/settings.go
@@ -6,8 +6,9 @@
 	"flag"
 	"fmt"
 	"io"
+	"maps"
 	"os"
-	"sort"
+	"slices"
 	"strings"
 	"text/tabwriter"
 	"time"
@@ -77,18 +78,33 @@
 	}
 }
 
+// operatorCommand does the work of a command on the object API.
+type operatorCommand func(ctx context.Context, c *console, o *store.Operator, args []string) error
+
+// preparedCommand does the work of a command on the prepared platform.
+type preparedCommand func(ctx context.Context, c *console, args []string) error
+
 // withOperator wraps a command that reads or changes the tree.
-func withOperator(name, synopsis, usage string, run func(ctx context.Context, c *console, o *store.Operator, args []string) error) *command {
+func withOperator(name, synopsis, usage string, run operatorCommand) *command {
+	return withPrepared(nil, name, synopsis, usage, run)
+}
+
+// withPrepared wraps a command that also works on the prepared platform, unless
+// prepared is nil.
+func withPrepared(prepared preparedCommand, name, synopsis, usage string, run operatorCommand) *command {
 	c := &console{out: os.Stdout}
 	return &command{
 		name: name, synopsis: synopsis, usage: usage, flags: c.setFlags,
 		run: func(ctx context.Context, args []string) error {
+			ctx, cancel := context.WithTimeout(ctx, callTimeout)
+			defer cancel()
+			if c.prepared && prepared != nil {
+				return prepared(ctx, c, args)
+			}
 			o, err := c.operator()
 			if err != nil {
 				return err
 			}
-			ctx, cancel := context.WithTimeout(ctx, callTimeout)
-			defer cancel()
 			return run(ctx, c, o, args)
 		},
 	}
@@ -116,7 +132,7 @@
 }
 
 func getCommand() *command {
-	return withOperator("get", "print a level, or one setting of it",
+	return withPrepared(preparedGet, "get", "print a level, or one setting of it",
 		"get PATH [SETTING]\n\nExample:\n  bramleydeal settings get service/stock",
 		func(ctx context.Context, c *console, o *store.Operator, args []string) error {
 			if len(args) != 1 && len(args) != 2 {
@@ -134,18 +150,15 @@
 			}
 			return c.print(map[string]any{"path": args[0], "version": v.Version, "settings": v.Level.Settings}, func(w io.Writer) {
 				fmt.Fprintf(w, "%s at version %d\n", args[0], v.Version)
-				names := make([]string, 0, len(v.Level.Settings))
-				for name := range v.Level.Settings {
-					names = append(names, name)
-				}
-				sort.Strings(names)
-				for _, name := range names {
+				for _, name := range sortedKeys(v.Level.Settings) {
 					fmt.Fprintf(w, "  %s = %s\n", name, v.Level.Settings[name])
 				}
 			})
 		})
 }
 
+func sortedKeys[V any](m map[string]V) []string { return slices.Sorted(maps.Keys(m)) }
+
 func printSetting(c *console, v store.Versioned, name string) error {
 	value, ok := v.Level.Settings[name]
 	if !ok {
@@ -216,7 +229,7 @@
 }
 
 func explainCommand() *command {
-	return withOperator("explain", "print each effective value and the level it comes from",
+	return withPrepared(preparedExplain, "explain", "print each effective value and the level it comes from",
 		"explain PATH...\n\nSeveral paths are levels that apply together.\n\nExample:\n  bramleydeal settings explain failure-domain/viseu service/stock client-account/planners",
 		func(ctx context.Context, c *console, o *store.Operator, args []string) error {
 			scope, err := scopeOf(args)
