A fault soak: real entries as processes, overlapping faults, promises checked

cmd/soak plays seeds: faults of entries by signals, of links by toxiproxy, of workers and store by the stand-ins, and checks the promises on what callers and workers saw.

--- /dev/null
+++ b/cmd/soak/main.go
@@ -0,0 +1,134 @@
+// Command soak runs the real programs on one machine under random faults and checks
+// the promises, seed by seed. docs/SOAK.md tells how to read what it prints.
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"os/exec"
+	"os/signal"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"bramleydeal/internal/soak/run"
+	"bramleydeal/internal/soak/schedule"
+	"github.com/samber/oops"
+)
+
+// flags are those of the command line.
+type flags struct {
+	seed             uint64
+	seeds, parallel  int
+	entries, workers int
+	length           time.Duration
+	program, logs    string
+	only             string
+}
+
+func main() {
+	var f flags
+	flag.Uint64Var(&f.seed, "seed", 0, "the first seed, 0 for one drawn now")
+	flag.IntVar(&f.seeds, "seeds", 1, "number of seeds")
+	flag.IntVar(&f.parallel, "parallel", 1, "seeds that run at once")
+	flag.IntVar(&f.entries, "entries", run.Entries, "entries of a run")
+	flag.IntVar(&f.workers, "workers", run.Workers, "workers of a run")
+	flag.DurationVar(&f.length, "length", run.Length, "time with faults of a run")
+	flag.StringVar(&f.program, "program", "", "path of bramleydeal; built when not given")
+	flag.StringVar(&f.logs, "logs", "", "folder for settings and logs, a temporary one when not given")
+	flag.StringVar(&f.only, "only", "", "kinds of faults to keep, separated by commas; all when not given")
+	flag.Parse()
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	violated, err := f.play(ctx)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "soak:", err)
+	}
+	if err != nil || violated > 0 {
+		os.Exit(1)
+	}
+}
+
+// play runs all seeds and returns how many broke a promise.
+func (f *flags) play(ctx context.Context) (violated int, err error) {
+	if f.seed == 0 {
+		f.seed = rand.Uint64N(1 << 32)
+	}
+	if f.logs == "" {
+		if f.logs, err = os.MkdirTemp("", "bramleydeal-soak-"); err != nil {
+			return 0, oops.Wrap(err)
+		}
+	}
+	if f.program == "" {
+		f.program = filepath.Join(f.logs, "bramleydeal")
+		if out, err := exec.CommandContext(ctx, "go", "build", "-o", f.program, "./cmd/bramleydeal").CombinedOutput(); err != nil {
+			return 0, oops.Wrapf(err, "build bramleydeal, in the repository's root: %s", out)
+		}
+	}
+	fmt.Printf("%d seeds from %d, %d entries, %d workers, logs in %s\n", f.seeds, f.seed, f.entries, f.workers, f.logs)
+	var mu sync.Mutex
+	var running sync.WaitGroup
+	slots := make(chan struct{}, max(f.parallel, 1))
+	for n := range f.seeds {
+		running.Go(func() {
+			slots <- struct{}{}
+			defer func() { <-slots }()
+			if ctx.Err() != nil {
+				return
+			}
+			report, failed := f.playSeed(ctx, f.seed+uint64(n))
+			mu.Lock()
+			defer mu.Unlock()
+			if failed != nil {
+				err = failed
+				return
+			}
+			print(report)
+			if len(report.Violations) > 0 {
+				violated++
+			}
+		})
+	}
+	running.Wait()
+	fmt.Printf("%d of %d seeds broke a promise\n", violated, f.seeds)
+	return violated, err
+}
+
+func (f *flags) playSeed(ctx context.Context, seed uint64) (*run.Report, error) {
+	folder := filepath.Join(f.logs, fmt.Sprint(seed))
+	if err := os.MkdirAll(folder, 0o755); err != nil {
+		return nil, oops.Wrap(err)
+	}
+	options := []run.Option{run.WithSize(f.entries, f.workers), run.WithLength(f.length)}
+	if f.only != "" {
+		var only []schedule.Fault
+		for _, name := range strings.Split(f.only, ",") {
+			only = append(only, schedule.Fault(name))
+		}
+		options = append(options, run.WithFaults(only...))
+	}
+	report, err := run.New(seed, f.program, folder, options...).Run(ctx)
+	if err != nil {
+		return nil, oops.Wrapf(err, "seed %d", seed)
+	}
+	return report, oops.Wrap(os.WriteFile(filepath.Join(folder, "schedule.txt"), []byte(schedule.Print(report.Steps)), 0o644))
+}
+
+// violationsPrinted bounds those of one seed; the others are counted.
+const violationsPrinted = 10
+
+func print(r *run.Report) {
+	fmt.Printf("seed %d: %d faults, requests %v, %d violations\n", r.Seed, len(r.Steps), r.Counts, len(r.Violations))
+	for i, v := range r.Violations {
+		if i == violationsPrinted {
+			fmt.Printf("  and %d more\n", len(r.Violations)-i)
+			break
+		}
+		fmt.Printf("  %v\n", v)
+	}
+}
--- /dev/null
+++ b/test/soak/soak_test.go
@@ -0,0 +1,59 @@
+// Package soak plays a short run of the fault soak and the seeds that once failed.
+package soak
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"bramleydeal/internal/process/config"
+	"bramleydeal/internal/soak/run"
+	"github.com/matryer/is"
+	"github.com/tailscale/hujson"
+)
+
+// seed is one run of seeds.jsonc.
+type seed struct {
+	Seed    uint64          `json:"seed"`
+	Entries int             `json:"entries"`
+	Workers int             `json:"workers"`
+	Length  config.Duration `json:"length"`
+	Cause   string          `json:"cause"`
+}
+
+func readSeeds(t *testing.T) []seed {
+	t.Helper()
+	is := is.New(t)
+	text, err := os.ReadFile("seeds.jsonc")
+	is.NoErr(err)
+	text, err = hujson.Standardize(text)
+	is.NoErr(err)
+	var seeds []seed
+	is.NoErr(json.Unmarshal(text, &seeds))
+	return seeds
+}
+
+func TestPromisesHoldUnderFaults(t *testing.T) {
+	folder := t.TempDir()
+	program := filepath.Join(folder, "bramleydeal")
+	if out, err := exec.CommandContext(t.Context(), "go", "build", "-o", program, "bramleydeal/cmd/bramleydeal").CombinedOutput(); err != nil {
+		t.Fatalf("build bramleydeal: %v\n%s", err, out)
+	}
+	for _, s := range readSeeds(t) {
+		t.Run(fmt.Sprint(s.Seed), func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			is.True(s.Cause != "") // each seed says why it is kept
+			report, err := run.New(s.Seed, program, t.TempDir(), run.WithSize(s.Entries, s.Workers), run.WithLength(time.Duration(s.Length))).Run(t.Context())
+			is.NoErr(err)
+			for _, v := range report.Violations {
+				t.Error(v)
+			}
+			t.Logf("%d faults, requests %v", len(report.Steps), report.Counts)
+		})
+	}
+}
