--- a/internal/soak/run/run.go
+++ b/internal/soak/run/run.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"net"
@@ -14,6 +15,7 @@
 	"net/netip"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 
 	"bramleydeal/internal/soak/caller"
@@ -42,6 +44,8 @@
 	// startLimit bounds the wait for all entries to be ready at first.
 	startLimit = 20 * time.Second
 	startPoll  = 50 * time.Millisecond
+	// addressLimit bounds the wait for a worker's address to be free again.
+	addressLimit = 2 * time.Second
 	// domains is the number of failure domains.
 	domains = 2
 )
@@ -258,6 +262,11 @@
 		s.ledger.Arrived(a.ID, ledger.Arrival{Worker: a.Worker, At: a.At, Runs: a.Runs})
 	}))
 	link, err := s.proxies.Link(id, p.at, w.Address())
+	for end := time.Now().Add(addressLimit); errors.Is(err, syscall.EADDRINUSE) && time.Now().Before(end); {
+		// The former link's listener is closed by a goroutine of its own.
+		time.Sleep(startPoll)
+		link, err = s.proxies.Link(id, p.at, w.Address())
+	}
 	if err != nil {
 		w.Close()
 		return err
