--- a/internal/entry/direct/entry.go
+++ b/internal/entry/direct/entry.go
@@ -101,7 +101,7 @@
 			EjectionTime: ejectionTime, EjectionFailures: ejectionFailures, EjectionRate: ejectionRate, SlowFactor: slowFactor,
 		},
 		Quota: quotaRules(c.Direct),
-	}, logger.Part("pools"))
+	}, e.numbers, logger.Part("pools"))
 	e.handler = client.New(client.Config{
 		View: e.directory.View, Await: e.directory.Await, Pools: e.pools, Dialect: d.Dialect, Log: logger.Part("client"), Omit: logger.Omit, Metrics: e.numbers,
 	})
--- /dev/null
+++ b/internal/entry/upstream/metrics_test.go
@@ -0,0 +1,48 @@
+package upstream
+
+import (
+	"bytes"
+	"testing"
+	"time"
+
+	core "bramleydeal/internal/core/upstream"
+	"bramleydeal/internal/world/service"
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/go-logr/logr"
+	"github.com/matryer/is"
+)
+
+func TestNumbersOfAnUpstreamGoWithIt(t *testing.T) {
+	is := is.New(t)
+	set := metrics.NewSet()
+	p := NewPools(1, "north", Rules{}, set, logr.Discard())
+	one := service.Upstream{ID: "i-1", Service: "stock", FailureDomain: "north"}
+	two := service.Upstream{ID: "i-2", Service: "stock", FailureDomain: "south"}
+	both := map[string]service.Upstream{"i-1": one, "i-2": two}
+	p.Update(service.NewView(nil, both, true), 1)
+	now := time.Now()
+	p.Ended(one, core.Answered, 500*time.Millisecond, now)
+	p.Ended(one, core.Answered, 250*time.Millisecond, now)
+	p.Ended(one, core.Faulty, time.Second, now)
+	p.Ended(two, core.TurnedAway, 0, now)
+	written := func() string {
+		var b bytes.Buffer
+		set.WritePrometheus(&b)
+		return b.String()
+	}
+	is.Equal(written(), `bramleydeal_upstream_answered_seconds_total{service="stock",upstream="i-1",domain="north"} 0.75
+bramleydeal_upstream_answered_seconds_total{service="stock",upstream="i-2",domain="south"} 0
+bramleydeal_upstream_tries_total{service="stock",upstream="i-1",domain="north",outcome="answered"} 2
+bramleydeal_upstream_tries_total{service="stock",upstream="i-1",domain="north",outcome="faulty"} 1
+bramleydeal_upstream_tries_total{service="stock",upstream="i-2",domain="south",outcome="turned-away"} 1
+`)
+	delete(both, "i-1")
+	p.Update(service.NewView(nil, both, true), 1)
+	is.Equal(written(), `bramleydeal_upstream_answered_seconds_total{service="stock",upstream="i-2",domain="south"} 0
+bramleydeal_upstream_tries_total{service="stock",upstream="i-2",domain="south",outcome="turned-away"} 1
+`)
+	// A request that ends at an upstream after it went leaves nothing behind.
+	p.Ended(one, core.Answered, time.Second, now)
+	p.Update(service.NewView(nil, both, true), 1)
+	is.Equal(len(p.series.byUpstream), 1)
+}
--- a/internal/entry/upstream/pools.go
+++ b/internal/entry/upstream/pools.go
@@ -8,6 +8,7 @@
 	core "bramleydeal/internal/core/upstream"
 	"bramleydeal/internal/world/fleet"
 	"bramleydeal/internal/world/service"
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/go-logr/logr"
 )
 
@@ -29,6 +30,7 @@
 	started  time.Time
 	rules    Rules
 	services map[string]*pooled
+	series   series
 }
 
 type pooled struct {
@@ -36,9 +38,12 @@
 	quota *core.Quota
 }
 
-// NewPools returns pools that hold no service.
-func NewPools(seed uint64, domain fleet.FailureDomain, rules Rules, log logr.Logger) *Pools {
-	return &Pools{domain: domain, seed: seed, log: log, started: time.Now(), rules: rules, services: map[string]*pooled{}}
+// NewPools returns pools that hold no service. What they count is added to numbers.
+func NewPools(seed uint64, domain fleet.FailureDomain, rules Rules, numbers *metrics.Set, log logr.Logger) *Pools {
+	return &Pools{
+		domain: domain, seed: seed, log: log, started: time.Now(), rules: rules, services: map[string]*pooled{},
+		series: series{set: numbers, byUpstream: map[string]*upstreamSeries{}},
+	}
 }
 
 // Update takes in a new view. processes is the number of entries that share the
@@ -51,6 +56,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.rules.Quota.Processes = max(processes, 1)
+	p.series.keep(v.Upstreams)
 	for name := range members {
 		p.of(name)
 	}
@@ -97,6 +103,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.of(u.Service).pool.Ended(u.ID, o, took, now)
+	p.series.ended(u, o, took)
 }
 
 // ReportLoad records the load that an upstream reports.
