The replanner as a pure part of the core; a model of groups to compare its rules

What decided when a map changes stood in the leader's driver. core/group.Replanner holds it now, with time passed in. It expects longer steps at once when the skew rises after a shift of the demand; the measured mean of steps lags behind and asked for larger savings.

--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -163,7 +163,7 @@
 
 func main() {
 	subcommands.Register(subcommands.HelpCommand(), "")
-	for _, c := range []*standin{platformCommand(), engineCommand(), serviceCommand(), ranksCommand(), loadCommand()} {
+	for _, c := range []*standin{platformCommand(), engineCommand(), serviceCommand(), ranksCommand(), loadCommand(), experimentCommand()} {
 		subcommands.Register(c, "")
 	}
 	flag.Parse()
--- a/internal/agent/direct/lead.go
+++ b/internal/agent/direct/lead.go
@@ -61,18 +61,18 @@
 const (
 	// counterBits is the room for the maps of one term in a map's version.
 	counterBits = 16
-	// fetchTime is how long one change may copy experts: much longer copies end
+	// maxFetchTime is how long one change may copy experts: much longer copies end
 	// after the demand that they were made for.
-	fetchTime = 450 * time.Millisecond
-	// leastSaving is the share of a rank's mean load in a layer that must be saved
-	// for each expert that its busiest rank fetches, while steps take longPass of
-	// the longest pause allowed between events; shorter steps ask for more.
+	maxFetchTime = 450 * time.Millisecond
+	// maxLongFetchTime is the same for what saves longSaving of a rank's mean load a
+	// second.
+	maxLongFetchTime = 900 * time.Millisecond
+	longSaving       = 9.5
+	// leastSaving, longStep and stayShare, like longSaving, are those of
+	// group.ReplannerRules, found by comparing days (docs/BENCHMARKS.md).
 	leastSaving = 0.35
-	longPass    = 0.75
-	// passGain is the weight of the latest steps in the mean time of a step.
-	passGain = 0.4
-	// stayShare is the share of a rank's load that an expert in place is worth.
-	stayShare = 0.03
+	longStep    = 0.75
+	stayShare   = 0.03
 )
 
 // lead leads the rank's group whenever it must.
@@ -158,11 +158,9 @@
 
 // led is a group while this agent leads it.
 type led struct {
-	lead   *lead
-	term   uint64
-	shape  group.Shape
-	rules  group.ReplanRules
-	demand *group.Demand
+	lead  *lead
+	term  uint64
+	shape group.Shape
 
 	mu                                   sync.Mutex
 	held                                 map[string][][]int
@@ -174,25 +172,7 @@
 	// latest is the map that was staged last.
 	latest  group.Map
 	counter uint64
-	pass    passTime
-}
-
-// passTime is the mean time of a step.
-type passTime struct {
-	step uint64
-	at   time.Time
-	mean time.Duration
-}
-
-// reached takes in the step that a group has reached at now.
-func (p *passTime) reached(step uint64, now time.Time) {
-	if !p.at.IsZero() && step > p.step {
-		took := now.Sub(p.at) / time.Duration(step-p.step)
-		p.mean += time.Duration(passGain * float64(took-p.mean))
-	}
-	if step != p.step {
-		p.step, p.at = step, now
-	}
+	planner *group.Replanner
 }
 
 // hold leads the group under a term until another one does.
@@ -224,15 +204,14 @@
 
 func newLed(l *lead, term uint64, e *service.Experts, ranks int) *led {
 	shape := group.Shape{Ranks: ranks, Experts: e.Count, Layers: e.Sets, Slots: e.Places}
-	fetches := 1
-	if e.FetchTime > 0 {
-		fetches = max(int(fetchTime/e.FetchTime), 1)
-	}
 	return &led{
-		lead: l, term: term, demand: group.NewDemand(shape),
-		shape: shape,
-		rules: group.ReplanRules{Fetches: fetches, Spare: e.Spare, Least: leastSaving, Stay: stayShare},
-		held:  map[string][][]int{}, heldMap: map[string]uint64{}, maps: map[string]uint64{},
+		lead: l, term: term, shape: shape,
+		planner: group.NewReplanner(shape, group.ReplannerRules{
+			FetchTime: e.FetchTime, Spare: e.Spare, ExpertShare: e.Share, MaxFetchTime: maxFetchTime,
+			MaxLongFetchTime: maxLongFetchTime, LongSaving: longSaving,
+			LeastSaving: leastSaving, LongStep: longStep, Stay: stayShare,
+		}),
+		held: map[string][][]int{}, heldMap: map[string]uint64{}, maps: map[string]uint64{},
 	}
 }
 
@@ -250,7 +229,7 @@
 		g.maps[name] = reply.LoadMap
 	}
 	if len(reply.Held) > 0 {
-		g.demand.Add(group.Sample{Counts: reply.Chosen, Unit: float64(reply.ChosenUnit)})
+		g.planner.Add(group.Sample{Counts: reply.Chosen, Unit: float64(reply.ChosenUnit)})
 		g.heldMap[name] = reply.LoadMap
 		g.held[name] = g.held[name][:0]
 		for _, set := range reply.Held {
@@ -272,8 +251,7 @@
 	now := time.Now()
 	if now.Sub(g.countedAt) >= observeEvery(g.shape.Ranks) {
 		g.countedAt = now
-		g.demand.Mix(now)
-		g.pass.reached(l.Step(), now)
+		g.planner.Observe(l.Step(), now)
 	}
 	switch {
 	case l.Phase() != group.Steady:
@@ -301,27 +279,20 @@
 		return
 	}
 	g.planAt = now
-	loads, ok := g.demand.Expected()
-	if !ok {
-		return
-	}
-	skew := group.Skew(current, loads, g.shape)
+	next, worthwhile := g.planner.Plan(current, g.lead.roster.maxGap())
 	g.lead.numbers.version.Store(current.Version)
-	g.lead.numbers.skewMilli.Store(int64(1000 * skew))
-	g.lead.numbers.step.Store(int64(g.pass.mean))
-	rules := g.rules
-	rules.Least = g.least()
-	next, changed := group.Replan(current, loads, g.shape, rules)
-	if !changed {
+	g.lead.numbers.skewMilli.Store(int64(1000 * next.Skew))
+	g.lead.numbers.step.Store(int64(g.planner.StepTime()))
+	if !worthwhile {
 		return
 	}
 	g.counter++
-	next.Version = g.term<<counterBits | g.counter
+	next.Map.Version = g.term<<counterBits | g.counter
 	g.staging = true
-	moves := current.Moves(next)
-	g.lead.log.Info("map planned", "map", next.Version, "from", current.Version, "moves", moves, "skew", skew,
-		"planned-skew", group.Skew(next, loads, g.shape), "step-ms", g.pass.mean.Milliseconds(), "least", rules.Least)
-	go g.stage(ctx, next, moves, l.Ballot())
+	moves := current.Moves(next.Map)
+	g.lead.log.Info("map planned", "map", next.Map.Version, "from", current.Version, "moves", moves, "skew", next.Skew,
+		"planned-skew", next.PlannedSkew, "step-ms", g.planner.StepTime().Milliseconds(), "expected-step-ms", next.Step.Milliseconds(), "least", next.Least)
+	go g.stage(ctx, next.Map, moves, l.Ballot())
 }
 
 // keepAlive sends an order to all ranks while the leader waits for some of them.
@@ -337,17 +308,6 @@
 	}
 }
 
-// least is what a change must save. Steps well below the longest pause that
-// callers take for on time need no better map.
-func (g *led) least() float64 {
-	maxGap := g.lead.roster.maxGap()
-	if maxGap <= 0 || g.pass.mean <= 0 {
-		return leastSaving
-	}
-	slack := max(longPass*float64(maxGap)/float64(g.pass.mean), 1)
-	return leastSaving * slack * slack * slack
-}
-
 // current returns the map in use, once all ranks have told what they hold of it.
 func (g *led) current(version uint64) (group.Map, bool) {
 	byRank := make([][][]int, g.shape.Ranks)
