--- a/cmd/standin/experiment.go
+++ b/cmd/standin/experiment.go
@@ -66,7 +66,7 @@
 		return err
 	}
 	t := tabwriter.NewWriter(os.Stdout, 0, 4, 2, ' ', 0)
-	fmt.Fprintln(t, "COPYING\tSAVING\tLATE\tLONG STEPS\tSKEW\tCHANGES\tCOPIES")
+	fmt.Fprintln(t, "COPYING\tSAVING\tLATE\tLONG STEPS\tSKEW\tBOUND\tCHANGES\tCOPIES")
 	for _, o.Rules.MaxFetchTime = range most {
 		for _, o.Rules.LeastSaving = range least {
 			var sum ranks.Report
@@ -76,12 +76,13 @@
 				sum.Late += r.Late
 				sum.Long += r.Long
 				sum.Skew += r.Skew
+				sum.Bound += r.Bound
 				sum.Changes += r.Changes
 				sum.Copies += r.Copies
 			}
 			n := float64(seeds)
-			fmt.Fprintf(t, "%v\t%g\t%.3f\t%.3f\t%.2f\t%.1f\t%.0f\n", o.Rules.MaxFetchTime, o.Rules.LeastSaving,
-				sum.Late/n, sum.Long/n, sum.Skew/n, float64(sum.Changes)/n, float64(sum.Copies)/n)
+			fmt.Fprintf(t, "%v\t%g\t%.3f\t%.3f\t%.2f\t%.2f\t%.1f\t%.0f\n", o.Rules.MaxFetchTime, o.Rules.LeastSaving,
+				sum.Late/n, sum.Long/n, sum.Skew/n, sum.Bound/n, float64(sum.Changes)/n, float64(sum.Copies)/n)
 		}
 	}
 	return t.Flush()
--- a/internal/model/ranks/ranks.go
+++ b/internal/model/ranks/ranks.go
@@ -46,8 +46,10 @@
 	Late float64
 	// Long is the share of the time spent in such steps.
 	Long float64
-	// Skew is the mean over all steps.
-	Skew float64
+	// Skew is the mean over all steps. Bound is that of maps made afresh for the very
+	// counts that they are measured by, at each observation: no change of maps does
+	// much better.
+	Skew, Bound float64
 	// Changes is the number of maps, Copies that of experts copied by all ranks.
 	Changes, Copies int
 }
@@ -80,6 +82,7 @@
 
 	report          Report
 	ended, lateOnes int
+	observations    int
 	long            time.Duration
 }
 
@@ -100,6 +103,7 @@
 		m.lead()
 	}
 	m.report.Skew /= float64(m.step)
+	m.report.Bound /= float64(max(m.observations, 1))
 	m.report.Late = float64(m.lateOnes) / float64(max(m.ended, 1))
 	m.report.Long = float64(m.long) / float64(o.Length)
 	return m.report
@@ -210,6 +214,7 @@
 		return
 	}
 	m.observed = m.now
+	m.bound()
 	m.planner.Add(sample(m.counted))
 	clear(m.counted)
 	m.planner.Observe(m.step, m.now)
@@ -228,6 +233,16 @@
 	}
 }
 
+// bound measures a map made for the counts since the last observation.
+func (m *model) bound() {
+	loads := make(group.Loads, m.Shape.Layers)
+	for l := range loads {
+		loads[l] = m.counted[l*m.Shape.Experts : (l+1)*m.Shape.Experts]
+	}
+	m.report.Bound += group.Skew(group.Greedy(loads, m.Shape), loads, m.Shape)
+	m.observations++
+}
+
 // sample is what a rank would tell of so many choices.
 func sample(counted []float64) group.Sample {
 	after := make([]uint32, len(counted))
--- a/internal/model/ranks/ranks_test.go
+++ b/internal/model/ranks/ranks_test.go
@@ -38,6 +38,7 @@
 		is.Equal(never.Changes, 0)
 		is.True(changing.Skew < never.Skew)
 		is.True(changing.Long < never.Long)
+		is.True(changing.Bound >= 1 && changing.Bound < changing.Skew)
 		changingLate += changing.Late
 		neverLate += never.Late
 	}
--- a/internal/process/directory/suspension.go
+++ b/internal/process/directory/suspension.go
@@ -8,11 +8,16 @@
 	"bramleydeal/internal/world/service"
 )
 
-// Times after a suspension of the machine.
+// Times around a suspension.
 const (
-	// minSuspension is the shortest suspension that counts: a change must be in
-	// force within seconds, and the clocks are read some milliseconds apart.
+	// minSuspension is the shortest suspension of the machine that counts: a change
+	// must be in force within seconds, and the clocks are read some milliseconds
+	// apart.
 	minSuspension = 200 * time.Millisecond
+	// minStandstill is the shortest time for which a process that was stopped, or got
+	// no processor, counts as suspended, beyond the interval of the ticks. A busy
+	// machine holds a process up for some tenths of a second.
+	minStandstill = 700 * time.Millisecond
 	// unconfirmedLimit is how long a process that reaches neither the store nor a
 	// peer serves nothing after a suspension. A loss of the store must not keep
 	// the whole system from serving.
@@ -22,14 +27,17 @@
 	confirmationWait = 200 * time.Millisecond
 )
 
-// suspension follows whether the machine was suspended. What a process knew
-// before is used again when the store or a peer has confirmed it.
+// suspension follows whether the machine was suspended or the process stood still.
+// What a process knew before is used again when the store or a peer has confirmed
+// it.
 type suspension struct {
 	// read returns how far the clock that counts suspension is ahead.
 	read func() (time.Duration, error)
 
 	mu    sync.Mutex
 	ahead time.Duration
+	// noticed is when the clocks were read last, zero before the first time.
+	noticed time.Time
 	// count is the number of suspensions. An answer to a call confirms only what was
 	// asked after the last one.
 	count       uint64
@@ -47,29 +55,35 @@
 	return s
 }
 
-// notice reads the clocks. It returns the length of a suspension that was not
-// noticed before, or 0.
-func (s *suspension) notice() (time.Duration, error) {
+// notice reads the clocks; it is called at least every peerPollInterval. It returns
+// the length of a suspension that was not noticed before, or 0.
+func (s *suspension) notice(now time.Time) (time.Duration, error) {
 	ahead, err := s.read()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	slept := ahead - s.ahead
-	if err != nil || slept <= 0 {
-		return 0, err
+	slept := time.Duration(0)
+	if still := now.Sub(s.noticed) - peerPollInterval; !s.noticed.IsZero() && still >= minStandstill {
+		slept = still
+	}
+	s.noticed = now
+	if err == nil && ahead > s.ahead {
+		if ahead-s.ahead >= minSuspension {
+			slept = max(slept, ahead-s.ahead)
+		}
+		s.ahead = ahead
 	}
-	s.ahead = ahead
-	if slept < minSuspension {
-		return 0, nil
+	if slept == 0 {
+		return 0, err
 	}
 	s.count++
-	s.woke = time.Now()
+	s.woke = now
 	if len(s.unconfirmed) == 0 {
 		s.confirmed = make(chan struct{})
 	}
 	for _, k := range []Kind{Configuration, Upstreams} {
 		s.unconfirmed[k] = true
 	}
-	return slept, nil
+	return slept, err
 }
 
 // suspensions returns the number of suspensions so far.
@@ -116,16 +130,17 @@
 // noticeSuspension asks anew for everything after a suspension: connections may
 // have ended unnoticed, and changes are missed.
 func (d *Directory) noticeSuspension() {
-	slept, err := d.suspension.notice()
-	switch {
-	case err != nil:
+	slept, err := d.suspension.notice(time.Now())
+	if err != nil {
 		d.log.Error(err, "a suspension of the machine would not be noticed")
-	case slept > 0:
-		d.log.Info("the machine was suspended, what is known awaits confirmation", "suspended-ms", slept.Milliseconds(),
-			"configuration-version", configurationVersion(d.view.Load()))
-		for _, k := range kinds {
-			d.endWatch(k)
-		}
+	}
+	if slept == 0 {
+		return
+	}
+	d.log.Info("the process stood still, what is known awaits confirmation", "for-ms", slept.Milliseconds(),
+		"configuration-version", configurationVersion(d.view.Load()))
+	for _, k := range kinds {
+		d.endWatch(k)
 	}
 }
 
--- a/internal/process/directory/suspension_test.go
+++ b/internal/process/directory/suspension_test.go
@@ -76,6 +76,27 @@
 	is.Equal(version(d), uint64(7))
 }
 
+func TestAProcessThatStoodStillCountsAsSuspended(t *testing.T) {
+	for name, c := range map[string]struct {
+		still time.Duration
+		known uint64
+	}{
+		"a busy machine":    {peerPollInterval + minStandstill - time.Millisecond, 7},
+		"a stopped process": {peerPollInterval + minStandstill, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				d, _, _ := suspendable(t)
+				d.noticeSuspension()
+				time.Sleep(c.still)
+				d.noticeSuspension()
+				is.Equal(version(d), c.known)
+			})
+		})
+	}
+}
+
 func TestWithoutStoreAndPeersASuspendedProcessServesAgainAfterTheLimit(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
