Try a failure domain that is cut off once a second

After three silent connections in a row, with nothing back from any upstream of the domain, one request a second tries it. A refused connection or an answer ends that at once.

Ruled out: ejection of the single upstreams, which lasts a second while 43 of them are tried in turn.

--- a/internal/core/upstream/pool.go
+++ b/internal/core/upstream/pool.go
@@ -22,6 +22,8 @@
 	random  *rand.Rand
 	// goodAt is when a request last ended well.
 	goodAt time.Time
+	// reach is by failure domain.
+	reach map[fleet.FailureDomain]*reach
 }
 
 // member is one upstream of a pool.
@@ -85,6 +87,7 @@
 func NewPool(seed uint64, domain fleet.FailureDomain, rules PoolRules) *Pool {
 	return &Pool{
 		rules: rules, domain: domain, byID: map[string]*member{}, groups: map[string]*poolGroup{},
+		reach: map[fleet.FailureDomain]*reach{},
 		random: rand.New(rand.NewPCG(seed, seed^0x9e3779b97f4a7c15)),
 	}
 }
@@ -154,6 +157,7 @@
 	}
 	best.outstanding++
 	best.health.begin(now)
+	p.reachOf(best).begin(now)
 	if best.group != nil {
 		best.group.outstanding++
 		best.group.health.begin(now)
@@ -204,6 +208,8 @@
 		return unusable
 	case p.rules.Outstanding > 0 && m.outstanding >= p.rules.Outstanding:
 		return unusable
+	case p.reachOf(m).cut(now):
+		return unusable
 	case m.group != nil && m.group.health.out(now):
 		// Whatever rank is asked, the group runs nothing.
 		return unusable
@@ -267,8 +273,10 @@
 	Faulty
 	// TurnedAway means that the upstream did not run the request.
 	TurnedAway
-	// Unreachable means that no connection was made.
+	// Unreachable means that no connection was made: nobody listens there.
 	Unreachable
+	// Silent means that no connection was made in time: nothing came back.
+	Silent
 	// GroupStalled means that the upstream stopped because of its group.
 	GroupStalled
 	// CallerLeft means that the caller went away.
@@ -288,12 +296,13 @@
 	if m.group != nil && o != GroupStalled {
 		m.group.health.probing = false
 	}
+	p.reachOf(m).ended(o, now)
 	switch o {
 	case Answered:
 		p.good(m, took, now)
 	case Faulty:
 		p.bad(m, now)
-	case Unreachable:
+	case Unreachable, Silent:
 		// Nobody listens there: whether the others can bear it is no question.
 		m.health.eject(p.rules.EjectionTime, now)
 	case GroupStalled:
--- a/internal/entry/client/forward.go
+++ b/internal/entry/client/forward.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net"
 	"net/http"
 	"net/textproto"
 	"strings"
@@ -224,7 +225,11 @@
 		f.tried(u, began, "caller left", err)
 		return nil
 	case errors.Is(err, upstream.ErrUnsent) && ctx.Err() == nil:
-		f.handler.pools.Ended(u, choice.Unreachable, 0, now)
+		outcome := choice.Unreachable
+		if timeout := net.Error(nil); errors.As(err, &timeout) && timeout.Timeout() {
+			outcome = choice.Silent
+		}
+		f.handler.pools.Ended(u, outcome, 0, now)
 		f.tried(u, began, "not reached", err)
 		return core.Unsent{}
 	case ctx.Err() != nil:
