--- a/internal/process/directory/directory.go
+++ b/internal/process/directory/directory.go
@@ -561,7 +561,7 @@
 	if reply.Revision > revision {
 		d.take(k, peer.Update(reply.From, reply.Revision, reply.Objects), reply.Instance)
 	}
-	if reply.Revision > 0 {
+	if reply.Revision > 0 && reply.Revision >= revision {
 		d.suspension.confirm(k, suspensions)
 	}
 }
--- a/internal/process/directory/suspension_test.go
+++ b/internal/process/directory/suspension_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"net"
+	"net/netip"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -10,6 +12,7 @@
 	"bramleydeal/internal/wire/dial"
 	"bramleydeal/internal/wire/peer"
 	"github.com/matryer/is"
+	"google.golang.org/grpc"
 )
 
 // suspendable returns a directory that knows a configuration and the upstreams,
@@ -149,3 +152,48 @@
 		is.Equal(version(d), uint64(9))
 	})
 }
+
+func TestAPeerConfirmsWhatItKnowsAtLeastAsFar(t *testing.T) {
+	for name, c := range map[string]struct {
+		revision uint64
+		known    uint64
+	}{
+		"a peer at the same revision": {10, 7},
+		"a peer that is ahead":        {12, 7},
+		"a peer that is behind":       {9, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			d, _, suspend := suspendable(t)
+			other, f := newDirectory("e2")
+			f.set(Configuration, c.revision, configuration(7))
+			f.set(Upstreams, c.revision)
+			learn(t, other, Configuration)
+			learn(t, other, Upstreams)
+			address := serve(t, other)
+			suspend(time.Second)
+			d.noticeSuspension()
+			for _, k := range []Kind{Configuration, Upstreams} {
+				d.compare(t.Context(), k, address)
+			}
+			is.Equal(version(d), c.known)
+		})
+	}
+}
+
+// serve serves a directory to its peers on loopback.
+func serve(t *testing.T, d *Directory) netip.AddrPort {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := grpc.NewServer()
+	peer.RegisterSpreadServer(server, d)
+	go func() {
+		// It ends with Stop, without an error.
+		_ = server.Serve(l)
+	}()
+	t.Cleanup(server.Stop)
+	return netip.MustParseAddrPort(l.Addr().String())
+}
