Soak: a worker closes with requests that hang, too

Two runs of the soak hung at their end: httptest's Close waits for a handler whose connection was accepted after the connections were closed.

--- a/internal/soak/run/faults.go
+++ b/internal/soak/run/faults.go
@@ -117,8 +117,8 @@
 	defer p.changes.Unlock()
 	id := p.worker.ID
 	defer s.trouble(id, step, false)()
-	p.worker.Close()
 	p.link.Close()
+	p.worker.Close()
 	time.AfterFunc(lapseTime, func() { s.store.Remove("servers", id) })
 	time.Sleep(step.For)
 	s.fail(s.enter(p))
