--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -44,7 +44,8 @@
 	flag.StringVar(&f.only, "only", "", "kinds of faults to keep, separated by commas; all when not given")
 	flag.Parse()
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
-	defer stop()
+	// A second signal ends the run at once.
+	context.AfterFunc(ctx, stop)
 	violated, err := f.play(ctx)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "soak:", err)
