--- a/internal/soak/run/faults.go
+++ b/internal/soak/run/faults.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"sync"
 	"syscall"
 	"time"
 
@@ -30,7 +31,14 @@
 	p := s.places[step.Target%len(s.places)]
 	switch step.Fault {
 	case schedule.EntryKill:
-		s.restart(n, step, func(e *program.Entry) { e.Signal(killSignal); e.AwaitEnd(program.Grace) })
+		s.restart(n, step, kill)
+	case schedule.EntryKillAll:
+		s.change()
+		var all sync.WaitGroup
+		for n := range s.fleet {
+			all.Go(func() { s.restart(n, step, kill) })
+		}
+		all.Wait()
 	case schedule.EntryStop:
 		s.restart(n, step, s.stop)
 	case schedule.EntryPause:
@@ -68,6 +76,11 @@
 	}
 }
 
+func kill(e *program.Entry) {
+	e.Signal(killSignal)
+	e.AwaitEnd(program.Grace)
+}
+
 // trouble records the beginning of a step; the result records its end.
 func (s *Soak) trouble(target string, step schedule.Step, planned bool) func() {
 	return s.ledger.Begin(ledger.Trouble{Target: target, What: string(step.Fault), Planned: planned})
--- a/internal/soak/schedule/schedule.go
+++ b/internal/soak/schedule/schedule.go
@@ -20,6 +20,9 @@
 	EntryStop   Fault = "entry-stop"
 	EntryPause  Fault = "entry-pause"
 	EntryReload Fault = "entry-reload"
+	// EntryKillAll kills all entries right after a change of the configuration was
+	// acknowledged.
+	EntryKillAll Fault = "entry-kill-all"
 	// StoreLink harms an entry's way to the store, WorkerLink the way to a worker.
 	StoreLink  Fault = "store-link"
 	WorkerLink Fault = "worker-link"
@@ -39,7 +42,7 @@
 	fault  Fault
 	weight int
 }{
-	{EntryKill, 2}, {EntryStop, 3}, {EntryPause, 2}, {EntryReload, 2}, {StoreLink, 2}, {WorkerLink, 4},
+	{EntryKill, 2}, {EntryKillAll, 1}, {EntryStop, 3}, {EntryPause, 2}, {EntryReload, 2}, {StoreLink, 2}, {WorkerLink, 4},
 	{WorkerCrash, 2}, {WorkerLeave, 3}, {WorkerFault, 4}, {StoreFault, 3}, {Change, 4},
 }
 
