--- a/internal/soak/run/faults.go
+++ b/internal/soak/run/faults.go
@@ -132,7 +132,7 @@
 	defer s.trouble(id, step, false)()
 	p.link.Close()
 	p.worker.Close()
-	time.AfterFunc(lapseTime, func() { s.store.Remove("servers", id) })
+	time.AfterFunc(lapseTime, func() { s.store.Drop(id) })
 	time.Sleep(step.For)
 	s.fail(s.enter(p))
 }
@@ -143,10 +143,10 @@
 	p.changes.Lock()
 	defer p.changes.Unlock()
 	w := p.worker
-	s.store.Put("servers", w.ID, w.EntryAt("stock", "draining", p.zone, p.at))
+	s.store.Leave(w, standin.Service, p.domain, p.at)
 	s.ledger.Leave(w.ID)
 	time.Sleep(program.DrainTime + lapseTime)
-	s.store.Remove("servers", w.ID)
+	s.store.Drop(w.ID)
 	end := s.ledger.Begin(ledger.Trouble{Target: w.ID, What: "gone"})
 	defer end()
 	p.link.Close()
--- a/internal/soak/run/run.go
+++ b/internal/soak/run/run.go
@@ -88,7 +88,7 @@
 	worker  *standin.Worker
 	link    *proxy.Link
 	at      netip.AddrPort
-	zone    string
+	domain  string
 	changes sync.Mutex
 }
 
@@ -147,7 +147,7 @@
 	}
 	s.change()
 	for n := range s.workers {
-		p := &place{zone: zone(n), at: netip.AddrPortFrom(s.number(100+n), linkPort)}
+		p := &place{domain: domain(n), at: netip.AddrPortFrom(s.number(100+n), linkPort)}
 		s.places = append(s.places, p)
 		if err := s.enter(p); err != nil {
 			return nil, err
@@ -170,7 +170,7 @@
 	return report, ctx.Err()
 }
 
-func zone(n int) string { return fmt.Sprintf("domain-%d", n%domains) }
+func domain(n int) string { return fmt.Sprintf("domain-%d", n%domains) }
 
 // play sends requests while the steps are carried out, and goes on until the
 // system has had time to recover.
@@ -218,7 +218,7 @@
 		}
 		s.storeLinks = append(s.storeLinks, link)
 		e := program.New(s.program, s.folder, program.Settings{
-			Name: fmt.Sprintf("entry-%d", n), FailureDomain: zone(n), Seeds: seeds, RetrySlack: retrySlack,
+			Name: fmt.Sprintf("entry-%d", n), FailureDomain: domain(n), Seeds: seeds, RetrySlack: retrySlack,
 			Callers: netip.AddrPortFrom(at, callerPort), Ready: netip.AddrPortFrom(at, readyPort),
 			Peers: netip.AddrPortFrom(at, peerPort), Store: netip.AddrPortFrom(at, linkPort),
 		})
@@ -272,7 +272,7 @@
 		return err
 	}
 	p.worker, p.link = w, link
-	s.store.Put("servers", id, w.EntryAt("stock", "ready", p.zone, p.at))
+	s.store.Enter(w, standin.Service, p.domain, p.at)
 	return nil
 }
 
@@ -287,7 +287,7 @@
 	if v > 1 {
 		keys = append(keys, caller.KeyName(v-1))
 	}
-	s.ledger.Write(v, func() { s.store.Put("config", "main", standin.Desired(v, keys, standin.Routes(caller.Host))) })
+	s.ledger.Write(v, func() { s.store.Configure(standin.Desired(v, keys, standin.Routes(caller.Host))) })
 }
 
 // keys implements what the callers ask for: the key before the newest one is
