--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -23,12 +23,12 @@
 
 // flags are those of the command line.
 type flags struct {
-	seed             uint64
-	seeds, parallel  int
-	entries, workers int
-	length           time.Duration
-	program, logs    string
-	only             string
+	seed               uint64
+	seeds, parallel    int
+	entries, upstreams int
+	length             time.Duration
+	program, logs      string
+	only               string
 }
 
 func main() {
@@ -37,7 +37,7 @@
 	flag.IntVar(&f.seeds, "seeds", 1, "number of seeds")
 	flag.IntVar(&f.parallel, "parallel", 1, "seeds that run at once")
 	flag.IntVar(&f.entries, "entries", run.Entries, "entries of a run")
-	flag.IntVar(&f.workers, "workers", run.Workers, "workers of a run")
+	flag.IntVar(&f.upstreams, "upstreams", run.Upstreams, "upstreams of a run")
 	flag.DurationVar(&f.length, "length", run.Length, "time with faults of a run")
 	flag.StringVar(&f.program, "program", "", "path of bramleydeal; built when not given")
 	flag.StringVar(&f.logs, "logs", "", "folder for settings and logs, a temporary one when not given")
@@ -71,7 +71,7 @@
 			return 0, oops.Wrapf(err, "build bramleydeal, in the repository's root: %s", out)
 		}
 	}
-	fmt.Printf("%d seeds from %d, %d entries, %d workers, logs in %s\n", f.seeds, f.seed, f.entries, f.workers, f.logs)
+	fmt.Printf("%d seeds from %d, %d entries, %d upstreams, logs in %s\n", f.seeds, f.seed, f.entries, f.upstreams, f.logs)
 	var mu sync.Mutex
 	var running sync.WaitGroup
 	slots := make(chan struct{}, max(f.parallel, 1))
@@ -105,7 +105,7 @@
 	if err := os.MkdirAll(folder, 0o755); err != nil {
 		return nil, oops.Wrap(err)
 	}
-	options := []run.Option{run.WithSize(f.entries, f.workers), run.WithLength(f.length)}
+	options := []run.Option{run.WithSize(f.entries, f.upstreams), run.WithLength(f.length)}
 	if f.only != "" {
 		var only []schedule.Fault
 		for _, name := range strings.Split(f.only, ",") {
--- a/internal/soak/caller/caller.go
+++ b/internal/soak/caller/caller.go
@@ -169,13 +169,13 @@
 	}
 }
 
-// judge reads an answer and compares it with what a worker would have sent.
+// judge reads an answer and compares it with what an upstream would have sent.
 func (c *Callers) judge(r *ledger.Request, call standin.Call, answer *http.Response) {
 	defer answer.Body.Close()
 	text, err := io.ReadAll(answer.Body)
 	body := string(text)
 	r.Status = answer.StatusCode
-	worker := standin.SignedBy(answer.Header)
+	upstream := standin.SignedBy(answer.Header)
 	switch {
 	case errors.Is(err, context.DeadlineExceeded):
 		r.Outcome = ledger.Abandoned
@@ -188,18 +188,18 @@
 	case r.Status == http.StatusTooManyRequests, r.Status == http.StatusServiceUnavailable,
 		r.Status == http.StatusRequestTimeout, r.Status == http.StatusMisdirectedRequest:
 		r.Outcome, r.Detail = ledger.Refused, strings.TrimSpace(body)
-		if worker != "" {
-			r.Outcome, r.Detail = ledger.Wrong, "a refusal bears the signature of "+worker
+		if upstream != "" {
+			r.Outcome, r.Detail = ledger.Wrong, "a refusal bears the signature of "+upstream
 		}
 	case r.Status != http.StatusOK:
 		r.Outcome, r.Detail = ledger.Failed, strings.TrimSpace(body)
-	case worker == "":
+	case upstream == "":
 		r.Outcome, r.Detail = ledger.Wrong, "a success without a signature"
 	case r.Kind == ledger.Draft && body != c.Events:
 		r.Outcome, r.Detail = ledger.Wrong, fmt.Sprintf("events %q", body)
-	case r.Kind != ledger.Draft && body != standin.Answer(worker, call.Method, call.Path, call.Body):
-		r.Outcome, r.Detail = ledger.Wrong, fmt.Sprintf("body %q of %s", body, worker)
+	case r.Kind != ledger.Draft && body != standin.Answer(upstream, call.Method, call.Path, call.Body):
+		r.Outcome, r.Detail = ledger.Wrong, fmt.Sprintf("body %q of %s", body, upstream)
 	default:
-		r.Outcome, r.Detail = ledger.Answered, worker
+		r.Outcome, r.Detail = ledger.Answered, upstream
 	}
 }
--- a/internal/soak/ledger/check.go
+++ b/internal/soak/ledger/check.go
@@ -112,7 +112,7 @@
 		c.violated("not run is true", "ran %d times: %v at %v", n, r, c.arrivals[r.ID])
 	}
 	if r.Outcome == Answered && n == 0 {
-		c.violated("the whole answer to the caller's own request", "no worker ran it: %v", r)
+		c.violated("the whole answer to the caller's own request", "no upstream ran it: %v", r)
 	}
 }
 
@@ -125,7 +125,7 @@
 	ran := false
 	for _, a := range c.arrivals[r.ID] {
 		ran = true
-		if !c.calmAt(a.Worker, a.At.Add(-Touch), r.Ended, false) {
+		if !c.calmAt(a.Upstream, a.At.Add(-Touch), r.Ended, false) {
 			return
 		}
 	}
@@ -181,19 +181,19 @@
 	}
 }
 
-// leaving checks that leaving workers get no new work.
+// leaving checks that leaving upstreams get no new work.
 func (c *check) leaving() {
 	for id, arrivals := range c.arrivals {
 		r := c.byID[id]
 		for _, a := range arrivals {
-			left, ok := c.left[a.Worker]
+			left, ok := c.left[a.Upstream]
 			if !ok || !a.Runs || r == nil || !a.At.After(left.Add(program.DrainTime)) {
 				continue
 			}
 			if c.inTouch(r) && c.calmAt(r.Entry, left.Add(-Touch), a.At, true) && c.calmAt(Store, left.Add(-Touch), a.At, true) &&
-				c.calmAt(a.Worker, left, a.At, false) {
+				c.calmAt(a.Upstream, left, a.At, false) {
 				c.violated("a leaving upstream gets no new work", "%s left at %s, arrival at %s: %v",
-					a.Worker, left.Format("15:04:05.000"), a.At.Format("15:04:05.000"), r)
+					a.Upstream, left.Format("15:04:05.000"), a.At.Format("15:04:05.000"), r)
 			}
 		}
 	}
--- a/internal/soak/ledger/ledger.go
+++ b/internal/soak/ledger/ledger.go
@@ -23,7 +23,7 @@
 
 // The outcomes of a request.
 const (
-	// Answered requests have the whole answer of a worker.
+	// Answered requests have the whole answer of an upstream.
 	Answered Outcome = "answered"
 	// Refused requests were told that they have not run and will not.
 	Refused Outcome = "refused"
@@ -59,14 +59,14 @@
 	Detail  string
 }
 
-// Arrival is a request that reached a worker.
+// Arrival is a request that reached an upstream.
 type Arrival struct {
-	Worker string
-	At     time.Time
-	Runs   bool
+	Upstream string
+	At       time.Time
+	Runs     bool
 }
 
-// Trouble is what was done to an entry, a worker or the store. To is zero while it
+// Trouble is what was done to an entry, an upstream or the store. To is zero while it
 // lasts.
 type Trouble struct {
 	Target, What string
@@ -89,7 +89,7 @@
 	troubles []*Trouble
 	// versions are by number, from 1; version n knows the keys n and n-1.
 	versions map[int]Version
-	// left is when the store acknowledged that a worker leaves.
+	// left is when the store acknowledged that an upstream leaves.
 	left map[string]time.Time
 	// calmFrom is when the last trouble had ended and the time to recover was over.
 	calmFrom time.Time
@@ -100,7 +100,7 @@
 	return &Ledger{arrivals: map[string][]Arrival{}, versions: map[int]Version{}, left: map[string]time.Time{}}
 }
 
-// Arrived records a request at a worker.
+// Arrived records a request at an upstream.
 func (l *Ledger) Arrived(id string, a Arrival) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -151,11 +151,11 @@
 	l.versions[version] = Version{Sent: sent, Acked: time.Now()}
 }
 
-// Leave records that the store acknowledged a worker's leaving.
-func (l *Ledger) Leave(worker string) {
+// Leave records that the store acknowledged an upstream's leaving.
+func (l *Ledger) Leave(upstream string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.left[worker] = time.Now()
+	l.left[upstream] = time.Now()
 }
 
 // Calm records that the time to recover after all trouble is over.
--- a/internal/soak/ledger/ledger_test.go
+++ b/internal/soak/ledger/ledger_test.go
@@ -18,7 +18,7 @@
 }
 
 func TestCheckFindsEachBrokenPromise(t *testing.T) {
-	runs := func(s float64) Arrival { return Arrival{Worker: "w", At: at(s), Runs: true} }
+	runs := func(s float64) Arrival { return Arrival{Upstream: "w", At: at(s), Runs: true} }
 	first := Version{Sent: at(-10), Acked: at(-10)}
 	for name, c := range map[string]struct {
 		requests []Request
@@ -43,8 +43,8 @@
 			requests: []Request{sent(10, 11, Confirm, Refused)}, arrivals: []Arrival{runs(14)},
 			promise: "not run is true",
 		},
-		"refused after the worker declined": {
-			requests: []Request{sent(10, 11, Confirm, Refused)}, arrivals: []Arrival{{Worker: "w", At: at(10.5)}},
+		"refused after the upstream declined": {
+			requests: []Request{sent(10, 11, Confirm, Refused)}, arrivals: []Arrival{{Upstream: "w", At: at(10.5)}},
 		},
 		"an answer of no run": {
 			requests: []Request{sent(10, 11, Check, Answered)},
@@ -78,7 +78,7 @@
 			requests: []Request{sent(10, 10.5, Check, Broken)},
 			troubles: []*Trouble{{Target: "e", From: at(10.4)}},
 		},
-		"broken off by the worker": {
+		"broken off by the upstream": {
 			requests: []Request{sent(10, 10.5, Draft, Broken)}, arrivals: []Arrival{runs(10.1)},
 			troubles: []*Trouble{{Target: "w", From: at(10), To: at(12)}},
 		},
@@ -107,7 +107,7 @@
 			troubles: []*Trouble{{Target: Store, From: at(1)}}, // no excuse
 			promise:  "a configuration never reverts",
 		},
-		"new work at a leaving worker": {
+		"new work at a leaving upstream": {
 			requests: []Request{sent(14, 14.1, Check, Answered)}, arrivals: []Arrival{runs(14)},
 			left: 11.9, promise: "a leaving upstream gets no new work",
 		},
@@ -160,10 +160,10 @@
 				r := sent(10+float64(n)/10, 10.1+float64(n)/10, Check, Answered)
 				r.ID = string(rune('a' + n))
 				l.requests = append(l.requests, r)
-				l.arrivals[r.ID] = []Arrival{{Worker: "w", At: r.Sent, Runs: true}}
+				l.arrivals[r.ID] = []Arrival{{Upstream: "w", At: r.Sent, Runs: true}}
 				for m := range c.repeats {
 					if m%requests == n {
-						l.arrivals[r.ID] = append(l.arrivals[r.ID], Arrival{Worker: "w", At: r.Sent.Add(time.Millisecond), Runs: true})
+						l.arrivals[r.ID] = append(l.arrivals[r.ID], Arrival{Upstream: "w", At: r.Sent.Add(time.Millisecond), Runs: true})
 					}
 				}
 			}
--- a/internal/soak/run/faults.go
+++ b/internal/soak/run/faults.go
@@ -19,7 +19,7 @@
 const (
 	// restartPause is the time until an entry's process is started again.
 	restartPause = 300 * time.Millisecond
-	// lapseTime is the time after which the store drops a worker that crashed.
+	// lapseTime is the time after which the store drops an upstream that crashed.
 	lapseTime = 3 * time.Second
 	// exitSlack is added to the grace for a machine that runs many processes.
 	exitSlack = 500 * time.Millisecond
@@ -53,22 +53,22 @@
 	case schedule.StoreLink:
 		defer s.trouble(s.fleet[n].Settings.Name, step, false)()
 		s.harm(s.storeLinks[n], step)
-	case schedule.WorkerLink:
+	case schedule.UpstreamLink:
 		p.changes.Lock()
 		defer p.changes.Unlock()
-		defer s.trouble(p.worker.ID, step, false)()
+		defer s.trouble(p.upstream.ID, step, false)()
 		s.harm(p.link, step)
-	case schedule.WorkerCrash:
+	case schedule.UpstreamCrash:
 		s.crash(p, step)
-	case schedule.WorkerLeave:
+	case schedule.UpstreamLeave:
 		s.leave(p)
-	case schedule.WorkerFault:
+	case schedule.UpstreamFault:
 		p.changes.Lock()
 		defer p.changes.Unlock()
-		defer s.trouble(p.worker.ID, step, false)()
-		p.worker.Behave(behaviours[step.Variant%len(behaviours)])
+		defer s.trouble(p.upstream.ID, step, false)()
+		p.upstream.Behave(behaviours[step.Variant%len(behaviours)])
 		time.Sleep(step.For)
-		p.worker.Behave(standin.Serve)
+		p.upstream.Behave(standin.Serve)
 	case schedule.StoreFault:
 		s.storeFault(step)
 	case schedule.Change:
@@ -123,26 +123,26 @@
 	l.Heal()
 }
 
-// crash ends a worker at once. Another one comes at the same address after a
+// crash ends an upstream at once. Another one comes at the same address after a
 // while, before or after the store drops the entry of the former one.
 func (s *Soak) crash(p *place, step schedule.Step) {
 	p.changes.Lock()
 	defer p.changes.Unlock()
-	id := p.worker.ID
+	id := p.upstream.ID
 	defer s.trouble(id, step, false)()
 	p.link.Close()
-	p.worker.Close()
+	p.upstream.Close()
 	time.AfterFunc(lapseTime, func() { s.store.Drop(id) })
 	time.Sleep(step.For)
 	s.fail(s.enter(p))
 }
 
-// leave takes a worker out as planned: it takes no new work, ends what it has, and
+// leave takes an upstream out as planned: it takes no new work, ends what it has, and
 // goes. Another one comes at the same address.
 func (s *Soak) leave(p *place) {
 	p.changes.Lock()
 	defer p.changes.Unlock()
-	w := p.worker
+	w := p.upstream
 	s.store.Leave(w, standin.Service, p.domain, p.at)
 	s.ledger.Leave(w.ID)
 	time.Sleep(program.DrainTime + lapseTime)
@@ -154,7 +154,7 @@
 	s.fail(s.enter(p))
 }
 
-// behaviours are the faults of a worker.
+// behaviours are the faults of an upstream.
 var behaviours = []standin.Behaviour{
 	standin.Decline, standin.Fail, standin.Reset, standin.Truncate, standin.Hang, standin.Mix, standin.Unsigned, standin.Cut, standin.Stop,
 }
--- a/internal/soak/run/run.go
+++ b/internal/soak/run/run.go
@@ -1,7 +1,7 @@
-// Package run puts one soak run together: a store and workers that are stand-ins,
+// Package run puts one soak run together: a store and upstreams that are stand-ins,
 // links that can be harmed, entries that are real processes, callers, and the
 // faults of a seed. Entries are reached directly by their callers and each other;
-// their ways to the store and to the workers are links.
+// their ways to the store and to the upstreams are links.
 package run
 
 import (
@@ -9,11 +9,9 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
-	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -29,9 +27,9 @@
 
 // Sizes and times of a run.
 const (
-	// Entries and Workers are the usual size.
-	Entries = 4
-	Workers = 8
+	// Entries and Upstreams are the usual size.
+	Entries   = 4
+	Upstreams = 8
 	// Length is the time with faults; recovery and a calm time follow.
 	Length   = 20 * time.Second
 	calmTime = 3 * time.Second
@@ -44,7 +42,7 @@
 	// startLimit bounds the wait for all entries to be ready at first.
 	startLimit = 20 * time.Second
 	startPoll  = 50 * time.Millisecond
-	// addressLimit bounds the wait for a worker's address to be free again.
+	// addressLimit bounds the wait for an upstream's address to be free again.
 	addressLimit = 2 * time.Second
 	// domains is the number of failure domains.
 	domains = 2
@@ -60,11 +58,11 @@
 
 // Soak is one run.
 type Soak struct {
-	seed             uint64
-	program, folder  string
-	entries, workers int
-	length           time.Duration
-	only             []schedule.Fault
+	seed               uint64
+	program, folder    string
+	entries, upstreams int
+	length             time.Duration
+	only               []schedule.Fault
 
 	ledger  *ledger.Ledger
 	proxies *proxy.Proxies
@@ -83,21 +81,21 @@
 	failed      []error
 }
 
-// place holds one worker at a time.
+// place holds one upstream at a time.
 type place struct {
-	worker  *standin.Worker
-	link    *proxy.Link
-	at      netip.AddrPort
-	domain  string
-	changes sync.Mutex
+	upstream *standin.Worker
+	link     *proxy.Link
+	at       netip.AddrPort
+	domain   string
+	changes  sync.Mutex
 }
 
 // Option configures a Soak.
 type Option func(*Soak)
 
-// WithSize sets the number of entries and workers.
-func WithSize(entries, workers int) Option {
-	return func(s *Soak) { s.entries, s.workers = entries, workers }
+// WithSize sets the number of entries and upstreams.
+func WithSize(entries, upstreams int) Option {
+	return func(s *Soak) { s.entries, s.upstreams = entries, upstreams }
 }
 
 // WithLength sets the time with faults.
@@ -110,7 +108,7 @@
 // settings and logs.
 func New(seed uint64, program, folder string, options ...Option) *Soak {
 	s := &Soak{
-		seed: seed, program: program, folder: folder, entries: Entries, workers: Workers, length: Length,
+		seed: seed, program: program, folder: folder, entries: Entries, upstreams: Upstreams, length: Length,
 		ledger: ledger.New(), proxies: proxy.New(), store: standin.NewStore(),
 	}
 	for _, o := range options {
@@ -146,7 +144,7 @@
 		return nil, oops.Wrap(err)
 	}
 	s.change()
-	for n := range s.workers {
+	for n := range s.upstreams {
 		p := &place{domain: domain(n), at: netip.AddrPortFrom(s.number(100+n), linkPort)}
 		s.places = append(s.places, p)
 		if err := s.enter(p); err != nil {
@@ -177,7 +175,7 @@
 func (s *Soak) play(ctx context.Context, steps []schedule.Step) {
 	calls, stop := context.WithCancel(ctx)
 	defer stop()
-	callers := &caller.Callers{Ledger: s.ledger, Entries: s.fleet, Keys: s.keys, Events: s.places[0].worker.Events()}
+	callers := &caller.Callers{Ledger: s.ledger, Entries: s.fleet, Keys: s.keys, Events: s.places[0].upstream.Events()}
 	var running sync.WaitGroup
 	running.Go(func() { callers.Run(calls, s.seed, callersPerEntry*len(s.fleet)) })
 	began := time.Now()
@@ -252,14 +250,14 @@
 	return nil
 }
 
-// enter starts a worker at a place, which is empty, and lists it.
+// enter starts an upstream at a place, which is empty, and lists it.
 func (s *Soak) enter(p *place) error {
 	s.mu.Lock()
 	s.started++
 	id := fmt.Sprintf("w-%d", s.started)
 	s.mu.Unlock()
 	w := standin.NewWorker(id, standin.WithWork(workTime), standin.WithObserver(func(a standin.Arrival) {
-		s.ledger.Arrived(a.ID, ledger.Arrival{Worker: a.Worker, At: a.At, Runs: a.Runs})
+		s.ledger.Arrived(a.ID, ledger.Arrival{Upstream: a.Worker, At: a.At, Runs: a.Runs})
 	}))
 	link, err := s.proxies.Link(id, p.at, w.Address())
 	for end := time.Now().Add(addressLimit); errors.Is(err, syscall.EADDRINUSE) && time.Now().Before(end); {
@@ -271,7 +269,7 @@
 		w.Close()
 		return err
 	}
-	p.worker, p.link = w, link
+	p.upstream, p.link = w, link
 	s.store.Enter(w, standin.Service, p.domain, p.at)
 	return nil
 }
@@ -310,16 +308,16 @@
 
 func (s *Soak) closePlaces() {
 	for _, p := range s.places {
-		if p.worker != nil {
+		if p.upstream != nil {
 			p.link.Close()
-			p.worker.Close()
+			p.upstream.Close()
 		}
 	}
 }
 
 // fail records that a fault could not be brought about.
 func (s *Soak) fail(err error) {
-	if err == nil || strings.Contains(err.Error(), net.ErrClosed.Error()) {
+	if err == nil {
 		return
 	}
 	s.mu.Lock()
--- a/internal/soak/schedule/schedule.go
+++ b/internal/soak/schedule/schedule.go
@@ -23,14 +23,14 @@
 	// EntryKillAll kills all entries right after a change of the configuration was
 	// acknowledged.
 	EntryKillAll Fault = "entry-kill-all"
-	// StoreLink harms an entry's way to the store, WorkerLink the way to a worker.
-	StoreLink  Fault = "store-link"
-	WorkerLink Fault = "worker-link"
-	// WorkerCrash ends a worker, another one takes its place; WorkerLeave does it
-	// after its requests; WorkerFault makes its answers wrong.
-	WorkerCrash Fault = "worker-crash"
-	WorkerLeave Fault = "worker-leave"
-	WorkerFault Fault = "worker-fault"
+	// StoreLink harms an entry's way to the store, UpstreamLink the way to an upstream.
+	StoreLink    Fault = "store-link"
+	UpstreamLink Fault = "upstream-link"
+	// UpstreamCrash ends an upstream, another one takes its place; UpstreamLeave does it
+	// after its requests; UpstreamFault makes its answers wrong.
+	UpstreamCrash Fault = "upstream-crash"
+	UpstreamLeave Fault = "upstream-leave"
+	UpstreamFault Fault = "upstream-fault"
 	// StoreFault makes the store refuse, delay, lose or forget.
 	StoreFault Fault = "store-fault"
 	// Change is a new version of the configuration.
@@ -42,15 +42,15 @@
 	fault  Fault
 	weight int
 }{
-	{EntryKill, 2}, {EntryKillAll, 1}, {EntryStop, 3}, {EntryPause, 2}, {EntryReload, 2}, {StoreLink, 2}, {WorkerLink, 4},
-	{WorkerCrash, 2}, {WorkerLeave, 3}, {WorkerFault, 4}, {StoreFault, 3}, {Change, 4},
+	{EntryKill, 2}, {EntryKillAll, 1}, {EntryStop, 3}, {EntryPause, 2}, {EntryReload, 2}, {StoreLink, 2}, {UpstreamLink, 4},
+	{UpstreamCrash, 2}, {UpstreamLeave, 3}, {UpstreamFault, 4}, {StoreFault, 3}, {Change, 4},
 }
 
 // Step is one fault of a run.
 type Step struct {
 	At    time.Duration
 	Fault Fault
-	// Target chooses among the entries or workers, Variant among what the fault may
+	// Target chooses among the entries or upstreams, Variant among what the fault may
 	// do; both are taken modulo the number of choices.
 	Target, Variant int
 	For             time.Duration
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -18,11 +18,11 @@
 
 // seed is one run of seeds.jsonc.
 type seed struct {
-	Seed    uint64          `json:"seed"`
-	Entries int             `json:"entries"`
-	Workers int             `json:"workers"`
-	Length  config.Duration `json:"length"`
-	Cause   string          `json:"cause"`
+	Seed      uint64          `json:"seed"`
+	Entries   int             `json:"entries"`
+	Upstreams int             `json:"upstreams"`
+	Length    config.Duration `json:"length"`
+	Cause     string          `json:"cause"`
 }
 
 func readSeeds(t *testing.T) []seed {
@@ -48,7 +48,7 @@
 			t.Parallel()
 			is := is.New(t)
 			is.True(s.Cause != "") // each seed says why it is kept
-			report, err := run.New(s.Seed, program, t.TempDir(), run.WithSize(s.Entries, s.Workers), run.WithLength(time.Duration(s.Length))).Run(t.Context())
+			report, err := run.New(s.Seed, program, t.TempDir(), run.WithSize(s.Entries, s.Upstreams), run.WithLength(time.Duration(s.Length))).Run(t.Context())
 			is.NoErr(err)
 			for _, v := range report.Violations {
 				t.Error(v)
