--- a/internal/soak/caller/caller.go
+++ b/internal/soak/caller/caller.go
@@ -75,14 +75,9 @@
 	for ; ctx.Err() == nil; time.Sleep(readyPoll) {
 		rotation := []*program.Entry{}
 		for i, e := range c.Entries {
-			answer, err := client.Get("http://" + e.Settings.Ready.String() + "/ready")
 			missed[i]++
-			if err == nil {
-				// Nothing is read of it.
-				_ = answer.Body.Close()
-				if answer.StatusCode == http.StatusOK {
-					missed[i] = 0
-				}
+			if e.Ready(client) {
+				missed[i] = 0
 			}
 			if missed[i] < 2 {
 				rotation = append(rotation, e)
--- a/internal/soak/program/program.go
+++ b/internal/soak/program/program.go
@@ -4,6 +4,7 @@
 
 import (
 	"encoding/json"
+	"net/http"
 	"net/netip"
 	"os"
 	"os/exec"
@@ -116,17 +117,32 @@
 
 // Runs tells whether the process has not ended.
 func (e *Entry) Runs() bool {
-	e.mu.Lock()
-	done := e.done
-	e.mu.Unlock()
 	select {
-	case <-done:
+	case <-e.ended():
 		return false
 	default:
 		return true
 	}
 }
 
+// ended returns a channel that is closed with the latest process's end.
+func (e *Entry) ended() <-chan struct{} {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.done
+}
+
+// Ready asks the entry whether it takes callers.
+func (e *Entry) Ready(c *http.Client) bool {
+	answer, err := c.Get("http://" + e.Settings.Ready.String() + "/ready")
+	if err != nil {
+		return false
+	}
+	// Nothing is read of the answer.
+	_ = answer.Body.Close()
+	return answer.StatusCode == http.StatusOK
+}
+
 // Signal sends a signal; one to a process that has ended does nothing.
 func (e *Entry) Signal(s syscall.Signal) {
 	e.mu.Lock()
@@ -137,9 +153,7 @@
 // AwaitEnd waits for the process's end and kills it after a limit. It tells whether
 // the kill was needed.
 func (e *Entry) AwaitEnd(limit time.Duration) bool {
-	e.mu.Lock()
-	done := e.done
-	e.mu.Unlock()
+	done := e.ended()
 	select {
 	case <-done:
 		return false
--- a/internal/soak/run/run.go
+++ b/internal/soak/run/run.go
@@ -233,15 +233,7 @@
 	ctx, cancel := context.WithTimeout(ctx, startLimit)
 	defer cancel()
 	for _, e := range s.fleet {
-		for {
-			answer, err := http.Get("http://" + e.Settings.Ready.String() + "/ready")
-			if err == nil {
-				// Nothing is read of it.
-				_ = answer.Body.Close()
-				if answer.StatusCode == http.StatusOK {
-					break
-				}
-			}
+		for !e.Ready(http.DefaultClient) {
 			if sleep(ctx, startPoll); ctx.Err() != nil {
 				return oops.Errorf("%s is not ready within %s, see its log in %s", e.Settings.Name, startLimit, s.folder)
 			}
