--- a/internal/process/directory/directory.go
+++ b/internal/process/directory/directory.go
@@ -168,7 +168,8 @@
 
 var kinds = []Kind{Configuration, Upstreams, Instances}
 
-// Subscribe calls f now and after each change, one call at a time.
+// Subscribe calls f now and at each change, one call at a time. A changed view is
+// the current one when all have had it.
 func (d *Directory) Subscribe(f func(*service.View, map[string]fleet.Instance)) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -393,10 +394,11 @@
 
 // publish makes a view the current one; d.mu is held.
 func (d *Directory) publish(v *service.View) {
-	d.view.Store(v)
+	// Subscribers first: whoever sees a view may rely on them.
 	for _, f := range d.subscribers {
 		f(v, d.instances)
 	}
+	d.view.Store(v)
 }
 
 // peers returns at most n peers to ask, in random order.
--- a/internal/process/directory/directory_test.go
+++ b/internal/process/directory/directory_test.go
@@ -133,6 +133,22 @@
 	is.Equal(version(d), uint64(8))
 }
 
+// TestAViewIsCurrentOnlyOnceSubscribersHaveIt: an entry that knows a route must
+// have the upstreams behind it.
+func TestAViewIsCurrentOnlyOnceSubscribersHaveIt(t *testing.T) {
+	is := is.New(t)
+	d, f := newDirectory("e1")
+	var heard, current []uint64
+	d.Subscribe(func(v *service.View, _ map[string]fleet.Instance) {
+		heard, current = append(heard, configurationVersion(v)), append(current, version(d))
+	})
+	f.set(Configuration, 10, configuration(7))
+	learn(t, d, Configuration)
+	is.Equal(heard, []uint64{0, 7})
+	is.Equal(current, []uint64{0, 0})
+	is.Equal(version(d), uint64(7))
+}
+
 func TestAReadInTurnFindsWhatTheWatchMissed(t *testing.T) {
 	is := is.New(t)
 	d, f := newDirectory("e1")
--- a/internal/process/spread/spread.go
+++ b/internal/process/spread/spread.go
@@ -110,7 +110,7 @@
 func (s *Spread) Current() *snapshot.Snapshot { return s.current.Load() }
 
 // Subscribe calls f with the snapshot in force now and with each later one, in
-// order and one at a time.
+// order and one at a time. A later one comes into force when all have had it.
 func (s *Spread) Subscribe(f func(*snapshot.Snapshot)) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -145,10 +145,11 @@
 func (s *Spread) publish(r *store.Replica, before uint64, source string) {
 	next := snapshot.Build(r, s.Current())
 	s.mu.Lock()
-	s.current.Store(next)
+	// Subscribers first: whoever sees that a snapshot is in force may rely on them.
 	for _, f := range s.subscribers {
 		f(next)
 	}
+	s.current.Store(next)
 	s.mu.Unlock()
 	s.log.Info("settings in force", "revision", next.Revision, "from", before, "source", source)
 	for _, text := range next.Rejected {
