--- a/internal/core/upstream/choice.go
+++ b/internal/core/upstream/choice.go
@@ -254,6 +254,16 @@
 	return !c.known || now.Sub(c.reportedAt) > s.silence()
 }
 
+// Quiet returns the time since the last report of the named upstream, zero if
+// none has come yet.
+func (s *Set) Quiet(name string, now time.Time) time.Duration {
+	c := s.candidates[name]
+	if c == nil || !c.known {
+		return 0
+	}
+	return now.Sub(c.reportedAt)
+}
+
 // Silent tells whether nothing was heard of the named upstream for too long.
 func (s *Set) Silent(name string, now time.Time) bool {
 	c := s.candidates[name]
--- a/internal/core/upstream/choice_test.go
+++ b/internal/core/upstream/choice_test.go
@@ -381,3 +381,14 @@
 		n++
 	}
 }
+
+func TestQuietCountsFromTheLastReport(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	s := NewSet(1, Rules{ReportInterval: 500 * time.Millisecond})
+	s.Configure([]Member{{Name: "a"}}, Rules{ReportInterval: 500 * time.Millisecond})
+	is.Equal(s.Quiet("a", now.Add(time.Hour)), time.Duration(0)) // nothing heard yet proves nothing
+	s.Reported("a", Report{Slots: 1}, now)
+	is.Equal(s.Quiet("a", now.Add(12*time.Second)), 12*time.Second)
+	is.Equal(s.Quiet("b", now), time.Duration(0)) // not in the set
+}
--- a/internal/entry/agent/balancer.go
+++ b/internal/entry/agent/balancer.go
@@ -303,6 +303,17 @@
 	return silent
 }
 
+// Quiet returns the time since an agent's last report, zero if none has come.
+func (b *Balancer) Quiet(ctx context.Context, scope tree.Scope, name string) (quiet time.Duration) {
+	// Without an answer nothing is known against the agent.
+	_ = b.loop.Do(ctx, func(s *state) {
+		if set := s.sets[targetOf(scope)]; set != nil {
+			quiet = set.Quiet(name, time.Now())
+		}
+	})
+	return quiet
+}
+
 func (b *Balancer) listensTo(i fleet.Instance) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/internal/entry/agent/call.go
+++ b/internal/entry/agent/call.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"bramleydeal/internal/settings/tree"
+	"bramleydeal/internal/wire/dial"
 	"bramleydeal/internal/wire/peer"
 	"bramleydeal/internal/world/answer"
 	"bramleydeal/internal/world/fleet"
@@ -47,7 +48,12 @@
 type Refused struct{ Refusal *peer.Refusal }
 
 // NotSent says that nothing reached the agent.
-type NotSent struct{ Detail string }
+type NotSent struct {
+	Detail string
+	// Ended is true when nobody listens at the agent's address: its process has
+	// ended, and what it held is gone.
+	Ended bool
+}
 
 // Lost says that the connection to the agent failed, or that it went silent.
 // The request may have run.
@@ -75,7 +81,7 @@
 func (b *Balancer) Execute(ctx context.Context, scope tree.Scope, to fleet.Instance, r *peer.ExecuteRequest) *Call {
 	connection, err := b.pool.Ready(ctx, to.Address, connectTimeout)
 	if err != nil {
-		return &Call{balancer: b, failed: NotSent{err.Error()}, cancel: func() {}}
+		return &Call{balancer: b, failed: NotSent{Detail: err.Error(), Ended: errors.Is(err, dial.ErrRefused)}, cancel: func() {}}
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	stream, err := peer.NewAgentClient(connection).Execute(ctx, r)
--- a/internal/entry/caller/chat.go
+++ b/internal/entry/caller/chat.go
@@ -2,11 +2,15 @@
 
 import (
 	"bytes"
+	"context"
 	"encoding/json"
 	"net/http"
 	"strconv"
 	"strings"
+	"time"
 
+	"bramleydeal/internal/entry/agent"
+	"bramleydeal/internal/process/clock"
 	"bramleydeal/internal/settings/reference"
 	"bramleydeal/internal/settings/tree"
 	"bramleydeal/internal/wire/peer"
@@ -193,16 +197,13 @@
 	defer cancel()
 	out := newRelay(w, p.execute.Events, at.next)
 	p.execute.Key = at.key
-	if i, ok := rq.snapshot.Instances[at.agent]; ok {
-		p.execute.AttachOnly, p.execute.ResumeFrom = true, at.next
-		end := h.follow(ctx, rq, i, p.execute, out)
-		h.stats.Reattached.Add(1)
-		if h.concluded(rq, end, out) {
-			return
-		}
+	repeatable = repeatable && len(rq.body) > 0
+	end := h.attach(ctx, rq, at.agent, p.execute, out, repeatable)
+	if h.concluded(rq, end, out) || out.gone {
+		return
 	}
-	if !repeatable || len(rq.body) == 0 {
-		h.fail(rq, out, answer.Refuse(answer.StreamLost, "the stream's upstream no longer holds it"))
+	if !repeatable {
+		h.fail(rq, out, lostStream(end))
 		return
 	}
 	p.execute.AttachOnly = false
@@ -210,3 +211,62 @@
 	p.resume = false
 	h.runOn(ctx, rq, p, out)
 }
+
+// attach follows a stream that an agent holds until its end. While the agent
+// cannot be reached it may still hold the stream: it is tried for owner-timeout
+// after the last event, or once if the request can be run elsewhere. An agent
+// that was not heard of for resume-window holds it no more.
+func (h *Handler) attach(ctx context.Context, rq *request, holder string, x *peer.ExecuteRequest, out *relay, once bool) agent.Event {
+	x.AttachOnly = true
+	timeout := tree.Get(rq.snapshot.Tree, rq.scope, reference.OwnerTimeout)
+	giveUp := time.Now().Add(timeout)
+	for {
+		i, listed := h.current().Instances[holder]
+		if !listed {
+			return streamGone("the stream's agent has gone")
+		}
+		before := out.position
+		x.ResumeFrom = before
+		end := h.follow(ctx, rq, i, x, out)
+		h.stats.Reattached.Add(1)
+		if e, unsent := end.(agent.NotSent); unsent && e.Ended {
+			return streamGone("the stream's agent has ended")
+		}
+		if !unreachable(end) || once || out.gone || ctx.Err() != nil {
+			return end
+		}
+		if out.position > before {
+			giveUp = time.Now().Add(timeout)
+		}
+		if h.balancer.Quiet(ctx, rq.scope, holder) > tree.Get(rq.snapshot.Tree, rq.scope, reference.ResumeWindow) {
+			return streamGone("the stream's agent was not heard of for longer than it keeps the stream")
+		}
+		if time.Now().After(giveUp) {
+			return end
+		}
+		clock.Sleep(ctx, retryPause)
+	}
+}
+
+// streamGone is the end of a stream that its agent cannot hold any more.
+func streamGone(detail string) agent.Event {
+	return agent.Refused{Refusal: &peer.Refusal{Kind: string(answer.StreamLost), Detail: detail}}
+}
+
+// unreachable tells whether a call ended without a word of the agent on it.
+func unreachable(end agent.Event) bool {
+	switch end.(type) {
+	case agent.NotSent, agent.Lost:
+		return true
+	}
+	return false
+}
+
+// lostStream is what the caller of a stream that cannot go on is told. An agent
+// that was not reached may still hold it.
+func lostStream(end agent.Event) *answer.Refusal {
+	if unreachable(end) {
+		return answer.Refuse(answer.OwnerUnreachable, "the stream's agent cannot be reached, come back with the same Last-Event-ID")
+	}
+	return answer.Refuse(answer.StreamLost, "the stream's upstream no longer holds it")
+}
--- a/internal/settings/reference/declarations.go
+++ b/internal/settings/reference/declarations.go
@@ -61,7 +61,7 @@
 	ClaimRetention = declare("claim-retention", 24*time.Hour, outer, atLeast(time.Minute),
 		"How long a key used without a session is remembered; a caller must not retry it later.")
 	OwnerTimeout = declare("owner-timeout", time.Second, targets, atLeast(100*time.Millisecond),
-		"How long an entry tries to reach the owner of a session before it answers owner-unreachable.")
+		"How long an entry tries to reach the owner of a session or stream before it answers owner-unreachable.")
 )
 
 // Settings of upstreams.
--- a/internal/wire/dial/pool.go
+++ b/internal/wire/dial/pool.go
@@ -4,8 +4,11 @@
 
 import (
 	"context"
+	"errors"
+	"net"
 	"net/netip"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/samber/oops"
@@ -35,15 +38,21 @@
 	traffic     *Traffic
 	mu          sync.Mutex
 	connections map[netip.AddrPort]*grpc.ClientConn
+	// refused are the addresses at which nobody listened at the last try.
+	refused map[netip.AddrPort]bool
 }
 
+// ErrRefused is wrapped by Ready's error when nobody listens at the address: the
+// process that did has ended.
+var ErrRefused = errors.New("nobody listens at the address")
+
 // NewPool returns a pool whose connections use the given credentials, or none
 // when they are nil, and are counted in t.
 func NewPool(c credentials.TransportCredentials, t *Traffic) *Pool {
 	if c == nil {
 		c = insecure.NewCredentials()
 	}
-	return &Pool{credentials: c, traffic: t, connections: map[netip.AddrPort]*grpc.ClientConn{}}
+	return &Pool{credentials: c, traffic: t, connections: map[netip.AddrPort]*grpc.ClientConn{}, refused: map[netip.AddrPort]bool{}}
 }
 
 // Get returns the connection to a peer without waiting for it.
@@ -54,7 +63,11 @@
 		return c, nil
 	}
 	c, err := grpc.NewClient("passthrough:///"+a.String(),
-		grpc.WithContextDialer(p.traffic.dial),
+		grpc.WithContextDialer(func(ctx context.Context, text string) (net.Conn, error) {
+			c, err := p.traffic.dial(ctx, text)
+			p.noteRefused(a, errors.Is(err, syscall.ECONNREFUSED))
+			return c, err
+		}),
 		grpc.WithTransportCredentials(p.credentials),
 		grpc.WithIdleTimeout(idleAfter),
 		grpc.WithDisableRetry(),
@@ -72,6 +85,18 @@
 	return c, nil
 }
 
+func (p *Pool) noteRefused(a netip.AddrPort, refused bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.refused[a] = refused
+}
+
+func (p *Pool) wasRefused(a netip.AddrPort) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.refused[a]
+}
+
 // Ready returns the connection to a peer once it is established. An error
 // proves that nothing was sent on it by this caller.
 func (p *Pool) Ready(ctx context.Context, a netip.AddrPort, wait time.Duration) (*grpc.ClientConn, error) {
@@ -88,6 +113,9 @@
 		}
 		c.Connect()
 		if !c.WaitForStateChange(ctx, s) {
+			if p.wasRefused(a) {
+				return nil, oops.Code("unreachable").Wrapf(ErrRefused, "%s cannot be reached", a)
+			}
 			return nil, oops.Code("unreachable").Errorf("%s cannot be reached", a)
 		}
 	}
--- a/internal/world/answer/kind.go
+++ b/internal/world/answer/kind.go
@@ -75,7 +75,7 @@
 	{Sealed, http.StatusConflict, NotRun, true, time.Second, "conflict_error", "This attempt was refused earlier and arrived late; a new attempt may run."},
 	{Undecided, http.StatusServiceUnavailable, Unknown, true, 2 * time.Second, "overloaded_error", "This attempt was refused, but an earlier one with the same key may have run. Retry with the same key."},
 	{ClaimUnavailable, http.StatusServiceUnavailable, Unknown, true, 5 * time.Second, "overloaded_error", "The platform that decides keys without a session is away. This attempt did not run; an earlier one with the same key may have. Retry with the same key, or open a session."},
-	{OwnerUnreachable, http.StatusGatewayTimeout, Unknown, true, 2 * time.Second, "api_error", "The owner of this session or key does not answer. Retry with the same key and session; new work goes under the new session in the answer's header."},
+	{OwnerUnreachable, http.StatusGatewayTimeout, Unknown, true, 2 * time.Second, "api_error", "The owner of this session, key or stream does not answer. Retry with the same key and session, or the same Last-Event-ID; new work goes under the new session in the answer's header."},
 	{OutcomeUnknown, http.StatusBadGateway, Unknown, false, 0, "api_error", "The request may have run; its owner or its upstream was lost. It will not run again under this key."},
 	{TermMoved, http.StatusServiceUnavailable, Unknown, true, time.Second, "api_error", "The owner handed its ledger to a successor that cannot be reached yet. Retry with the same key."},
 	{KeyReused, http.StatusUnprocessableEntity, Unknown, false, 0, "invalid_request_error", "The key was used before with another request."},
--- a/test/proof/stream_test.go
+++ b/test/proof/stream_test.go
@@ -96,14 +96,20 @@
 		return
 	}
 	lines := bufio.NewScanner(response.Body)
-	id := ""
+	id, data := "", ""
 	for lines.Scan() && !c.done && c.failure == "" {
 		quiet.Reset(quietLimit)
 		if v, ok := strings.CutPrefix(lines.Text(), "id: "); ok {
 			id = v
 		}
-		if data, ok := strings.CutPrefix(lines.Text(), "data: "); ok {
+		if v, ok := strings.CutPrefix(lines.Text(), "data: "); ok {
+			data = v
+		}
+		// The empty line ends an event; one that a broken connection cuts short
+		// before it is none.
+		if lines.Text() == "" && data != "" {
 			c.event(id, data)
+			data = ""
 		}
 	}
 }
@@ -195,6 +201,7 @@
 		{faults: []fault{entryKilled, signalFault("w1", syscall.SIGKILL, 0)}, mayFail: true},
 		{faults: []fault{entryKilled, signalFault("w1", syscall.SIGKILL, 0)}, seeded: true},
 		{faults: []fault{engineBreaks, signalFault("w2", syscall.SIGSTOP, syscall.SIGCONT)}},
+		{faults: []fault{entryKilled, signalFault("w1", syscall.SIGSTOP, syscall.SIGCONT)}},
 	} {
 		name := map[bool]string{true: "repeatable", false: "unseeded"}[c.seeded]
 		for _, f := range c.faults {
