Fewer calls to the store: late watches, pauses in series, one probe of a lost store

Now three entries of a failure domain watch the store itself; the others' watches may tell seconds late, at a tenth of the price, and the three announce to them. Whoever reads the store in turn still brings what nobody has told. After a change each kind pauses (0.35 s, in a series 0.7 s; configuration 0.7 s, instances 1 s). The configuration alone probes a lost store. Watches wait 15 s. A follower of a group reads the list once a minute, and not before its engine knows the group. After a standstill a kind is always listed.

--- a/internal/agent/direct/agent.go
+++ b/internal/agent/direct/agent.go
@@ -21,6 +21,7 @@
 	"bramleydeal/internal/wire/peer"
 	"bramleydeal/internal/world/fleet"
 	"github.com/VictoriaMetrics/metrics"
+	"github.com/go-logr/logr"
 	"google.golang.org/grpc"
 )
 
@@ -64,14 +65,26 @@
 		orders: d.Orders, fencing: c.Direct.Fencing, asked: make(chan struct{}, 1),
 	}
 	a.lead = &lead{self: c.Name, roster: a.roster, leases: d.Leases, log: logger.Part("lead")}
-	engine := rank.NewOrderedEngine(d.Orders(c.Upstream.Address), logger.Part("engine"))
-	a.lead.rank = rank.New(a.roster, engine, logger.Part("rank"))
+	own := d.Orders(c.Upstream.Address)
+	a.lead.rank = rank.New(a.roster, rank.NewOrderedEngine(own, logger.Part("engine")), logger.Part("rank"))
+	a.roster.followed, a.roster.formed = a.lead.followed, formed(own, logger.Part("roster"))
 	a.publishNumbers()
 	a.metrics.Set("peers", expvar.Func(func() any { return a.traffic.State() }))
 	a.metrics.Set("memstats", expvar.Get("memstats"))
 	return a, nil
 }
 
+// formed returns whether an engine knows the group that it is a rank of.
+func formed(engine rank.Orders, log logr.Logger) func(context.Context) bool {
+	return func(ctx context.Context) bool {
+		r, err := engine.Report(ctx)
+		if err != nil {
+			log.V(1).Info("the engine does not answer yet", "reason", err.Error())
+		}
+		return err == nil && r.Epoch > 0
+	}
+}
+
 // publishNumbers serves what the parts count.
 func (a *Agent) publishNumbers() {
 	stats, led := a.lead.rank.Stats(), &a.lead.numbers
@@ -91,6 +104,9 @@
 
 // Order implements peer.AgentServer.
 func (a *Agent) Order(ctx context.Context, m *peer.GrantOrder) (*peer.GrantReply, error) {
+	if m.Group != a.roster.Name() {
+		a.roster.ask() // the engine has moved to another group
+	}
 	return a.lead.rank.Order(ctx, m)
 }
 
--- a/internal/agent/direct/direct_test.go
+++ b/internal/agent/direct/direct_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/netip"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"bramleydeal/internal/agent/rank"
@@ -99,6 +100,65 @@
 	is.Equal(r.current.Load().engines["0"], engineAddress(0))
 }
 
+func TestFollowersReadTheRosterRarely(t *testing.T) {
+	is := is.New(t)
+	r := newRoster(engineAddress(1), 7100)
+	followed := false
+	r.followed = func() bool { return followed }
+	is.Equal(r.interval(100), rosterInterval+100*rosterPerWorker)
+	followed = true
+	is.Equal(r.interval(100), followerInterval)
+}
+
+func TestAgentsFollowWhoeverSentThemAnOrder(t *testing.T) {
+	is := is.New(t)
+	l := &lead{rank: rank.New(newRoster(engineAddress(1), 7100), rank.NewOrderedEngine(&still{}, logr.Discard()), logr.Discard())}
+	is.True(!l.followed()) // no order came
+	order := orders.Message("g0", group.Collect{Ballot: group.Ballot{Term: 1, Proposer: "w0"}})
+	reply, err := l.rank.Order(t.Context(), order)
+	is.NoErr(err)
+	is.True(reply.Accepted)
+	is.True(l.followed())
+	l.numbers.term.Store(2)
+	is.True(!l.followed()) // it leads itself
+}
+
+func TestAnOrderOfAnotherGroupMakesTheRosterBeRead(t *testing.T) {
+	is := is.New(t)
+	r := newRoster(engineAddress(1), 7100)
+	r.asked = make(chan struct{}, 1)
+	read(t, r)
+	a := &Agent{roster: r, lead: &lead{rank: rank.New(r, rank.NewOrderedEngine(&still{}, logr.Discard()), logr.Discard())}}
+	order := func(name string) {
+		_, err := a.Order(t.Context(), orders.Message(name, group.Collect{Ballot: group.Ballot{Term: 1, Proposer: "w0"}}))
+		is.NoErr(err)
+	}
+	order("g0")
+	is.Equal(len(r.asked), 0)
+	order("g1")
+	is.Equal(len(r.asked), 1)
+}
+
+func TestTheListIsNotReadBeforeTheEngineHasAGroup(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		r := newRoster(engineAddress(1), 7100)
+		asked := 0
+		r.formed = func(context.Context) bool { asked++; return asked > 3 }
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		go r.run(ctx)
+		time.Sleep(3*rosterRetry - time.Millisecond)
+		is.True(r.current.Load() == nil)
+		time.Sleep(2 * time.Millisecond)
+		is.True(r.current.Load() != nil)
+		time.Sleep(time.Minute)
+		is.Equal(asked, 4) // no more once the group is known
+		cancel()
+		synctest.Wait()
+	})
+}
+
 func TestRosterKnowsNoGroupWithoutTheOwnEngine(t *testing.T) {
 	is := is.New(t)
 	r := newRoster(engineAddress(9), 7100)
@@ -185,7 +245,7 @@
 		t.Fatal(err)
 	}
 	server := grpc.NewServer()
-	peer.RegisterAgentServer(server, &Agent{lead: &lead{rank: r}})
+	peer.RegisterAgentServer(server, &Agent{lead: &lead{rank: r}, roster: newRoster(engineAddress(0), 7100)})
 	go func() {
 		// It ends with the test.
 		_ = server.Serve(listener)
--- a/internal/agent/direct/lead.go
+++ b/internal/agent/direct/lead.go
@@ -106,10 +106,17 @@
 			clock.Sleep(ctx, leaderTimeout)
 			continue
 		}
+		l.roster.ask() // a follower's is older than a leader's
 		l.hold(ctx, term)
 	}
 }
 
+// followed tells whether another agent leads the group.
+func (l *lead) followed() bool {
+	heard, _ := l.rank.LastOrder()
+	return l.numbers.term.Load() == 0 && !heard.IsZero() && time.Since(heard) < leaderTimeout
+}
+
 // due tells whether no leader has sent an order for too long.
 func (l *lead) due(now time.Time) bool {
 	index := time.Duration(l.roster.current.Load().self.Rank)
--- a/internal/agent/direct/roster.go
+++ b/internal/agent/direct/roster.go
@@ -26,6 +26,9 @@
 	// entry of the list adds: every agent reads the whole list.
 	rosterInterval  = 5 * time.Second
 	rosterPerWorker = 10 * time.Millisecond
+	// followerInterval is the same while another agent leads the group: that one
+	// finds the ranks, and a rank that moved hears from another leader.
+	followerInterval = time.Minute
 	// rosterAsked is how soon it is read again when a rank cannot be reached.
 	rosterAsked = time.Second
 	// rosterRetry is the first pause until the own engine is found and after a
@@ -70,6 +73,11 @@
 	fencing bool
 
 	current atomic.Pointer[members]
+	// followed tells whether another agent leads the group; nil for never.
+	followed func() bool
+	// formed tells whether the own engine knows its group; before, the list does
+	// not name it. nil for always.
+	formed func(context.Context) bool
 	// asked is written when the roster is to be read soon.
 	asked chan struct{}
 
@@ -143,8 +151,12 @@
 func (r *roster) run(ctx context.Context) {
 	retry := rosterRetry
 	for ctx.Err() == nil {
+		if r.current.Load() == nil && r.formed != nil && !r.formed(ctx) {
+			clock.Sleep(ctx, rosterRetry)
+			continue
+		}
 		upstreams, err := r.read(ctx)
-		pause := rosterInterval + time.Duration(upstreams)*rosterPerWorker
+		pause := r.interval(upstreams)
 		switch {
 		case err != nil:
 			r.log.V(1).Info("the roster cannot be read", "reason", err.Error())
@@ -159,6 +171,14 @@
 	}
 }
 
+// interval is the time from one reading to the next.
+func (r *roster) interval(upstreams int) time.Duration {
+	if r.followed != nil && r.followed() {
+		return followerInterval
+	}
+	return rosterInterval + time.Duration(upstreams)*rosterPerWorker
+}
+
 // wait waits for a pause, or until the roster is asked for, but not less than
 // rosterAsked.
 func (r *roster) wait(ctx context.Context, pause time.Duration) {
--- a/internal/process/directory/directory.go
+++ b/internal/process/directory/directory.go
@@ -15,6 +15,7 @@
 	"sync/atomic"
 	"time"
 
+	"bramleydeal/internal/core/instance"
 	"bramleydeal/internal/core/store"
 	"bramleydeal/internal/core/upstream"
 	"bramleydeal/internal/process/clock"
@@ -45,6 +46,9 @@
 	// Watch waits for changes after a revision. store.ErrHistoryGone says that
 	// the kind has to be listed again.
 	Watch(ctx context.Context, k Kind, after uint64, wait time.Duration) (store.Update, error)
+	// WatchCached is the same at less cost to the store; changes may come seconds
+	// late.
+	WatchCached(ctx context.Context, k Kind, after uint64, wait time.Duration) (store.Update, error)
 	// Create makes an object; store.ErrConflict comes with the one that stands.
 	Create(ctx context.Context, k Kind, name string, value []byte) (store.Object, error)
 	// Replace changes an object whose version must be version.
@@ -62,13 +66,27 @@
 	// listTimeout bounds a list of many pages, each of which is bounded by the
 	// store's client: thousands of entries, read by all processes at a start.
 	listTimeout = 15 * time.Second
-	// watchWait is how long a watch waits at the store; each one is a call.
-	watchWait = 25 * time.Second
+	// watchWait is how long a watch waits at the store; each one is a call. It is
+	// shorter than the 20 s for which the operators' stores keep their history:
+	// otherwise a kind that seldom changes is listed anew after each watch.
+	watchWait = 15 * time.Second
 	// watchMargin is the time beyond that after which a watch is taken for lost.
 	watchMargin = 2 * time.Second
-	// batchDelay is the pause after a change of the upstreams, so that a series of
-	// them, as at a start, takes few calls.
-	batchDelay = 350 * time.Millisecond
+	// upstreamsPause, configurationPause and instancesPause are the pauses after a
+	// change of each kind, so that a series of them, as at a start, takes few calls.
+	// They are below the seconds within which a change must be in force; of
+	// instances only the peers' addresses and number are used.
+	// upstreamsSeriesPause follows a change that had waited for the one before.
+	upstreamsPause       = 350 * time.Millisecond
+	upstreamsSeriesPause = 700 * time.Millisecond
+	configurationPause   = 700 * time.Millisecond
+	instancesPause       = time.Second
+	// seriesWithin is how soon a watch tells of a change that came before it began:
+	// several answers of the store.
+	seriesWithin = 50 * time.Millisecond
+	// probeWait is the longest time for which a kind that the store does not serve
+	// waits until the configuration is served again, before it is asked for itself.
+	probeWait = 5 * time.Second
 	// minPause and maxPause bound the pause after a failed call.
 	minPause = 200 * time.Millisecond
 	maxPause = time.Second
@@ -87,8 +105,17 @@
 	checkSlot = 800 * time.Millisecond
 	// peerTimeout bounds a call to a peer.
 	peerTimeout = time.Second
+	// announceSpread is the time over which the peers that read late are told of a
+	// change, so that those who know it by then are not sent it.
+	announceSpread = 80 * time.Millisecond
 )
 
+// freshWatchers is how many entries of a failure domain watch the store itself:
+// two may be lost at once. The others' watches may tell seconds late, at a tenth
+// of the price; they hear of a change from these, or from whoever reads the store
+// in turn.
+const freshWatchers = 3
+
 // Directory is one process's knowledge.
 type Directory struct {
 	peer.UnimplementedSpreadServer
@@ -194,6 +221,7 @@
 	anew := true
 	for ctx.Err() == nil {
 		suspensions := d.suspension.suspensions()
+		asked := time.Now()
 		u, err := d.ask(ctx, k, anew)
 		switch {
 		case errors.Is(err, store.ErrHistoryGone):
@@ -206,14 +234,18 @@
 			d.failed(k, err)
 			clock.Sleep(ctx, pause/2+rand.N(pause))
 			pause = min(2*pause, maxPause)
+			d.awaitStore(ctx, k)
 		default:
 			pause, anew = minPause, suspensions != d.suspension.suspensions()
 			d.answered(k)
 			changed := d.apply(k, u, "store")
 			d.suspension.confirm(k, suspensions)
+			if changed && d.readsFresh() {
+				d.announce(ctx, k)
+			}
 			switch {
-			case changed && k == Upstreams:
-				clock.Sleep(ctx, batchDelay)
+			case changed:
+				clock.Sleep(ctx, pauseAfter(k, time.Since(asked) < seriesWithin))
 			case u.Revision == 0:
 				// Nothing was ever written; a watch needs a revision.
 				clock.Sleep(ctx, minPause)
@@ -222,6 +254,34 @@
 	}
 }
 
+// pauseAfter is the pause after a change of a kind; series tells that it had
+// waited for the pause before to end.
+func pauseAfter(k Kind, series bool) time.Duration {
+	switch {
+	case k == Configuration:
+		return configurationPause
+	case k == Instances:
+		return instancesPause
+	case series:
+		return upstreamsSeriesPause
+	}
+	return upstreamsPause
+}
+
+// awaitStore lets the configuration alone find out when a store that serves
+// nothing is back: each try is a call of every process.
+func (d *Directory) awaitStore(ctx context.Context, k Kind) {
+	for begun := time.Now(); k != Configuration && time.Since(begun) < probeWait && ctx.Err() == nil; {
+		d.mu.Lock()
+		lost := d.contact[Configuration].failing
+		d.mu.Unlock()
+		if !lost {
+			return
+		}
+		clock.Sleep(ctx, minPause)
+	}
+}
+
 // ask lists a kind, or waits for its changes.
 func (d *Directory) ask(ctx context.Context, k Kind, anew bool) (store.Update, error) {
 	d.mu.Lock()
@@ -229,7 +289,7 @@
 	failing := d.contact[k].failing
 	d.stats.StoreCalls++
 	d.mu.Unlock()
-	if anew || revision == 0 {
+	if anew || revision == 0 || d.suspension.awaits(k) {
 		ctx, cancel := context.WithTimeout(ctx, listTimeout)
 		defer cancel()
 		return d.store.List(ctx, k)
@@ -243,9 +303,79 @@
 	d.mu.Lock()
 	d.interrupt[k] = cancel
 	d.mu.Unlock()
+	if !d.readsFresh() {
+		return d.store.WatchCached(ctx, k, revision, wait)
+	}
 	return d.store.Watch(ctx, k, revision, wait)
 }
 
+// readsFresh tells whether this process watches the store itself. One that is not
+// listed yet does.
+func (d *Directory) readsFresh() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	own, listed := d.instances[d.self]
+	return !listed || instance.IsWatcher(slices.Collect(maps.Values(d.instances)), d.self, own.FailureDomain, freshWatchers)
+}
+
+// lateReaders returns the peers of this process's failure domain that do not
+// watch the store themselves.
+func (d *Directory) lateReaders() []netip.AddrPort {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var out []netip.AddrPort
+	all := slices.Collect(maps.Values(d.instances))
+	for _, i := range all {
+		if own := d.instances[d.self]; i.FailureDomain == own.FailureDomain && i.Name != d.self &&
+			!instance.IsWatcher(all, i.Name, i.FailureDomain, freshWatchers) {
+			out = append(out, i.Address)
+		}
+	}
+	return out
+}
+
+// announce brings a change to the peers that read late, unless they know it.
+func (d *Directory) announce(ctx context.Context, k Kind) {
+	for _, a := range d.lateReaders() {
+		go func() {
+			clock.Sleep(ctx, rand.N(announceSpread))
+			d.mu.Lock()
+			own := d.replicas[k].Revision()
+			d.mu.Unlock()
+			reply, err := d.callPeer(ctx, a, &peer.CompareRequest{Instance: d.self, Kind: string(k), Revision: own})
+			if err != nil || reply.Revision >= own {
+				return
+			}
+			d.mu.Lock()
+			u := d.replicas[k].Since(reply.Revision)
+			d.mu.Unlock()
+			d.send(ctx, a, k, u)
+		}()
+	}
+}
+
+// send sends a peer objects; what fails is logged, the peer asks for itself.
+func (d *Directory) send(ctx context.Context, a netip.AddrPort, k Kind, u store.Update) {
+	// The error is logged by the call.
+	_, _ = d.callPeer(ctx, a, &peer.CompareRequest{Instance: d.self, Kind: string(k), Revision: u.Revision, From: u.From, Objects: peer.Objects(u.Objects)})
+}
+
+// callPeer compares with a peer. A failure is logged here.
+func (d *Directory) callPeer(ctx context.Context, a netip.AddrPort, request *peer.CompareRequest) (*peer.CompareReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
+	defer cancel()
+	connection, err := d.pool.Get(a)
+	if err != nil {
+		d.log.Error(err, "a peer's address cannot be used", "peer", a)
+		return nil, err
+	}
+	reply, err := peer.NewSpreadClient(connection).Compare(ctx, request)
+	if err != nil {
+		d.log.V(1).Info("a peer did not answer", "peer", a, "reason", err.Error())
+	}
+	return reply, err
+}
+
 func (d *Directory) failed(k Kind, err error) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -492,7 +622,9 @@
 	d.suspension.confirm(k, suspensions)
 	if changed {
 		d.log.Info("the watch missed a change", "kind", k, "revision", u.Revision, "known", before)
-		d.endWatch(k)
+		if d.readsFresh() {
+			d.endWatch(k)
+		}
 		d.push(ctx, k, before)
 	}
 }
@@ -511,19 +643,8 @@
 	d.mu.Lock()
 	u := d.replicas[k].Since(from)
 	d.mu.Unlock()
-	request := &peer.CompareRequest{Instance: d.self, Kind: string(k), Revision: u.Revision, From: u.From, Objects: peer.Objects(u.Objects)}
 	for _, a := range d.peers(maxPushed) {
-		go func() {
-			limited, cancel := context.WithTimeout(ctx, peerTimeout)
-			defer cancel()
-			connection, err := d.pool.Get(a)
-			if err == nil {
-				_, err = peer.NewSpreadClient(connection).Compare(limited, request)
-			}
-			if err != nil {
-				d.log.V(1).Info("a peer did not take a change", "peer", a, "reason", err.Error())
-			}
-		}()
+		go d.send(ctx, a, k, u)
 	}
 }
 
@@ -543,21 +664,13 @@
 
 // compare asks a peer for the objects of a kind that this process lacks.
 func (d *Directory) compare(ctx context.Context, k Kind, a netip.AddrPort) {
-	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
-	defer cancel()
-	connection, err := d.pool.Get(a)
-	if err != nil {
-		d.log.Error(err, "a peer's address cannot be used", "peer", a)
-		return
-	}
 	d.mu.Lock()
 	revision := d.replicas[k].Revision()
 	d.stats.PeerCalls++
 	d.mu.Unlock()
 	suspensions := d.suspension.suspensions()
-	reply, err := peer.NewSpreadClient(connection).Compare(ctx, &peer.CompareRequest{Instance: d.self, Kind: string(k), Revision: revision})
+	reply, err := d.callPeer(ctx, a, &peer.CompareRequest{Instance: d.self, Kind: string(k), Revision: revision})
 	if err != nil {
-		d.log.V(1).Info("a peer did not answer", "peer", a, "reason", err.Error())
 		return
 	}
 	if reply.Revision > revision {
@@ -569,13 +682,15 @@
 }
 
 // take applies what a peer knows. A watch that missed it may deliver nothing any
-// more.
+// more; one that tells late may not have come to it.
 func (d *Directory) take(k Kind, u store.Update, source string) {
 	if d.apply(k, u, source) {
 		d.mu.Lock()
 		d.stats.PeerUpdates++
 		d.mu.Unlock()
-		d.endWatch(k)
+		if d.readsFresh() {
+			d.endWatch(k)
+		}
 	}
 }
 
--- a/internal/process/directory/directory_test.go
+++ b/internal/process/directory/directory_test.go
@@ -8,6 +8,7 @@
 	"net/netip"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"bramleydeal/internal/core/store"
@@ -23,10 +24,18 @@
 type fake struct {
 	mu     sync.Mutex
 	lists  map[Kind]store.Update
+	listed map[Kind]int
 	failed error
 }
 
-func newFake() *fake { return &fake{lists: map[Kind]store.Update{}} }
+func newFake() *fake { return &fake{lists: map[Kind]store.Update{}, listed: map[Kind]int{}} }
+
+// asked returns how often a kind was listed.
+func (f *fake) asked(k Kind) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.listed[k]
+}
 
 func (f *fake) set(k Kind, revision uint64, objects ...store.Object) {
 	f.mu.Lock()
@@ -46,6 +55,7 @@
 func (f *fake) List(_ context.Context, k Kind) (store.Update, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.listed[k]++
 	return f.lists[k], f.failed
 }
 
@@ -54,6 +64,10 @@
 	return store.Update{}, ctx.Err()
 }
 
+func (f *fake) WatchCached(ctx context.Context, k Kind, after uint64, wait time.Duration) (store.Update, error) {
+	return f.Watch(ctx, k, after, wait)
+}
+
 func (f *fake) Create(context.Context, Kind, string, []byte) (store.Object, error) {
 	return store.Object{}, errors.New("not used")
 }
@@ -149,6 +163,67 @@
 	is.Equal(version(d), uint64(7))
 }
 
+// stormy is a store whose configuration changes each time that it is watched.
+type stormy struct {
+	*fake
+	watches int
+}
+
+func (f *stormy) Watch(_ context.Context, _ Kind, after uint64, _ time.Duration) (store.Update, error) {
+	f.watches++
+	o := configuration(after + 1)
+	o.Version = after + 1
+	return store.Update{From: after, Revision: after + 1, Objects: []store.Object{o}}, nil
+}
+
+// TestAStormOfChangesTakesFewCalls: the first change is taken at once, the next
+// ones together.
+func TestAStormOfChangesTakesFewCalls(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		d, f := newDirectory("e1")
+		f.set(Configuration, 1, configuration(1))
+		s := &stormy{fake: f}
+		d.store = s
+		ctx, cancel := context.WithTimeout(t.Context(), 10*configurationPause)
+		defer cancel()
+		go d.follow(ctx, Configuration)
+		synctest.Wait()
+		is.Equal(version(d), uint64(1))
+		<-ctx.Done()
+		synctest.Wait()
+		is.True(s.watches <= 10)
+		is.Equal(version(d), uint64(1+s.watches))
+	})
+}
+
+// TestOneKindProbesAStoreThatIsAway: the others are read again once it is back.
+func TestOneKindProbesAStoreThatIsAway(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		d, f := newDirectory("e1")
+		f.set(Configuration, 1, configuration(1))
+		f.set(Upstreams, 1, object("u1", service.Upstream{ID: "u1", Service: "quotes"}))
+		f.fail(errors.New("away"))
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		for _, k := range kinds {
+			go d.follow(ctx, k)
+		}
+		time.Sleep(4 * time.Second)
+		is.True(f.asked(Configuration) >= 4)
+		is.True(f.asked(Upstreams) <= 2)
+		is.True(f.asked(Instances) <= 2)
+		f.fail(nil)
+		time.Sleep(maxPause + maxPause/2 + 2*minPause)
+		is.Equal(version(d), uint64(1))
+		is.Equal(len(d.View().Upstreams), 1)
+		is.Equal(len(d.missing()), 0)
+		cancel()
+		synctest.Wait()
+	})
+}
+
 func TestAReadInTurnFindsWhatTheWatchMissed(t *testing.T) {
 	is := is.New(t)
 	d, f := newDirectory("e1")
@@ -194,6 +269,71 @@
 	is.Equal(reply.Revision, uint64(0))
 }
 
+// entry is the object of an entry.
+func entry(name string, domain fleet.FailureDomain, address netip.AddrPort) store.Object {
+	return object(name, fleet.Instance{Name: name, Role: fleet.EntryRole, FailureDomain: domain, Address: address})
+}
+
+// TestAFewEntriesOfADomainWatchTheStoreThemselves: each call is paid for.
+func TestAFewEntriesOfADomainWatchTheStoreThemselves(t *testing.T) {
+	is := is.New(t)
+	nowhere := netip.MustParseAddrPort("127.0.1.1:1")
+	objects := []store.Object{entry("lone", "d2", nowhere)}
+	for n := range 9 {
+		objects = append(objects, entry(fmt.Sprint("e", n), "d1", nowhere))
+	}
+	fresh := 0
+	for n := range 9 {
+		d, f := newDirectory(fmt.Sprint("e", n))
+		is.True(d.readsFresh()) // nothing is known of the others
+		f.set(Instances, 3, objects...)
+		learn(t, d, Instances)
+		if d.readsFresh() {
+			fresh++
+			is.Equal(len(d.lateReaders()), 9-freshWatchers)
+		}
+	}
+	is.Equal(fresh, freshWatchers)
+	lone, f := newDirectory("lone")
+	f.set(Instances, 3, objects...)
+	learn(t, lone, Instances)
+	is.True(lone.readsFresh())
+	is.Equal(len(lone.lateReaders()), 0)
+}
+
+// TestAChangeIsAnnouncedToThoseWhoReadLate, without a call of theirs.
+func TestAChangeIsAnnouncedToThoseWhoReadLate(t *testing.T) {
+	is := is.New(t)
+	var all []*Directory
+	var objects []store.Object
+	for n := range freshWatchers + 2 {
+		d, _ := newDirectory(fmt.Sprint("e", n))
+		all = append(all, d)
+		objects = append(objects, entry(d.self, "d1", serve(t, d)))
+	}
+	var teller *Directory
+	for _, d := range all {
+		f := d.store.(*fake)
+		f.set(Instances, 3, objects...)
+		learn(t, d, Instances)
+		if d.readsFresh() {
+			teller = d
+		}
+	}
+	teller.store.(*fake).set(Configuration, 10, configuration(7))
+	learn(t, teller, Configuration)
+	teller.announce(t.Context(), Configuration)
+	for _, d := range all {
+		for tries := 0; !d.readsFresh() && version(d) != 7; tries++ {
+			if tries == 1000 {
+				t.Fatalf("%s was not told", d.self)
+			}
+			time.Sleep(5 * time.Millisecond)
+		}
+	}
+	is.Equal(version(teller), uint64(7))
+}
+
 func TestTurnsFollowEachOther(t *testing.T) {
 	is := is.New(t)
 	const entries = 5
--- a/internal/process/directory/suspension_test.go
+++ b/internal/process/directory/suspension_test.go
@@ -57,6 +57,19 @@
 	})
 }
 
+// TestAFreshListConfirms, not a watch that may tell late.
+func TestAFreshListConfirms(t *testing.T) {
+	is := is.New(t)
+	d, f, suspend := suspendable(t)
+	d.noticeSuspension()
+	suspend(4 * time.Second)
+	d.noticeSuspension()
+	before := f.asked(Configuration)
+	_, err := d.ask(t.Context(), Configuration, false)
+	is.NoErr(err)
+	is.Equal(f.asked(Configuration), before+1) // listed, not watched
+}
+
 func TestAPeerThatWasSuspendedConfirmsNothing(t *testing.T) {
 	is := is.New(t)
 	d, _, suspend := suspendable(t)
