Try a group that is listed as broken once a second; use the latest upstream at an address

Entries that had just started sent to what the list still held of upstreams whose address a later one had (465 answers 421) and tried stopped groups four times a second each (235 answers 503), and told their callers to come back after 0.25 s, since an entry without a good answer yet knew of no outage; callers come back once.

Now the upstream born last at an address is used, the list's word that a group is broken counts until an answer tells otherwise, and an outage is also three requests in a row that ended badly, or none good since the start. Tests for each.

--- a/internal/core/upstream/pool.go
+++ b/internal/core/upstream/pool.go
@@ -20,8 +20,12 @@
 	byID    map[string]*member
 	groups  map[string]*poolGroup
 	random  *rand.Rand
-	// goodAt is when a request last ended well.
-	goodAt time.Time
+	// begun is when the pool got its first upstreams.
+	begun time.Time
+	// goodAt is when a request last ended well, badAt when the first one since
+	// ended badly, and failed the number of those.
+	goodAt, badAt time.Time
+	failed        int
 	// reach is by failure domain.
 	reach map[fleet.FailureDomain]*reach
 }
@@ -45,12 +49,22 @@
 // all of them.
 type poolGroup struct {
 	health health
-	epoch  uint64
 	size   int
+	// listing is what the list says, broken the same unless an answer has come
+	// since.
+	listing listing
+	broken  bool
 	// outstanding is the sum over the group's members.
 	outstanding int
 }
 
+// listing is what the list says of a group in its newest epoch.
+type listing struct {
+	epoch uint64
+	// broken tells that one rank at least calls the group broken.
+	broken bool
+}
+
 // PoolRules are the settings of a pool.
 type PoolRules struct {
 	// EjectionTime is the first time for which a failing upstream gets no
@@ -77,6 +91,10 @@
 	// requests that try it: a group opens again within some hundred milliseconds,
 	// and refuses at once until then.
 	groupPause = 250 * time.Millisecond
+	// brokenPause is the same while the list too says that the group runs nothing:
+	// the list then tells when it opens, and every request that tries it in vain
+	// must be sent once more.
+	brokenPause = time.Second
 	// loadReportTTL is how long a reported load counts;
 	// a request takes a second or so.
 	loadReportTTL = time.Second
@@ -94,8 +112,11 @@
 
 // Configure replaces the upstreams and rules. What is known of an incarnation
 // that stays is kept; a new incarnation under an old ID begins afresh.
-func (p *Pool) Configure(upstreams []service.Upstream, rules PoolRules) {
+func (p *Pool) Configure(upstreams []service.Upstream, rules PoolRules, now time.Time) {
 	p.rules = rules
+	if p.begun.IsZero() && len(upstreams) > 0 {
+		p.begun = now
+	}
 	kept := make(map[string]*member, len(upstreams))
 	groups := map[string]*poolGroup{}
 	p.members = p.members[:0]
@@ -115,6 +136,9 @@
 			m.group.outstanding += m.outstanding
 		}
 	}
+	for name, l := range listings(upstreams) {
+		groups[name].listed(l, now)
+	}
 	p.byID, p.groups = kept, groups
 }
 
@@ -129,16 +153,47 @@
 		if g == nil {
 			g = &poolGroup{}
 		}
-		if s.Epoch > g.epoch {
-			// The group formed anew.
-			g.health, g.epoch = health{}, s.Epoch
-		}
 		g.outstanding, g.size = 0, max(s.Size, 1)
 		groups[s.Group] = g
 	}
 	return g
 }
 
+// listings returns what a list says of each group.
+func listings(upstreams []service.Upstream) map[string]listing {
+	out := map[string]listing{}
+	for _, u := range upstreams {
+		s := u.Membership
+		if s == nil {
+			continue
+		}
+		l := out[s.Group]
+		switch {
+		case s.Epoch > l.epoch:
+			l = listing{s.Epoch, s.Broken}
+		case s.Epoch == l.epoch:
+			l.broken = l.broken || s.Broken
+		}
+		out[s.Group] = l
+	}
+	return out
+}
+
+// listed takes in what the list says of the group.
+func (g *poolGroup) listed(l listing, now time.Time) {
+	before := g.listing
+	g.listing = l
+	switch {
+	case l.epoch == before.epoch && l.broken == before.broken:
+	case l.broken:
+		g.broken = true
+		g.stalled(now)
+	default:
+		// The group formed anew, or is no longer called broken.
+		g.broken, g.health = false, health{}
+	}
+}
+
 // Selection describes a request that needs an upstream.
 type Selection struct {
 	// Exclude names the upstreams that were tried.
@@ -297,6 +352,11 @@
 		m.group.health.probing = false
 	}
 	p.reachOf(m).ended(o, now)
+	if o != Answered && o != CallerLeft && o != TurnedAway {
+		if p.failed++; p.badAt.IsZero() {
+			p.badAt = now
+		}
+	}
 	switch o {
 	case Answered:
 		p.good(m, took, now)
@@ -314,30 +374,45 @@
 }
 
 func (g *poolGroup) stalled(now time.Time) {
-	if g != nil {
-		g.health.ejections = 0
-		g.health.eject(groupPause, now)
+	if g == nil {
+		return
+	}
+	pause := groupPause
+	if g.broken {
+		pause = brokenPause
 	}
+	g.health.ejections = 0
+	g.health.eject(pause, now)
 }
 
-// Outage is the time since the last good answer while no upstream may be used or
-// none is sound, 0 otherwise.
+// outageFailures is how many requests in a row must have ended badly for their
+// service to be called away although upstreams are left to be tried.
+const outageFailures = 3
+
+// Outage is how long the service has been away: no upstream may be used, none is
+// sound, or all requests of late ended badly. It is 0 while the service is there.
 func (p *Pool) Outage(now time.Time) time.Duration {
-	for _, m := range p.members {
-		if st := p.standing(m, Selection{}, now); st <= lapsed {
-			return 0
-		}
-	}
-	if p.goodAt.IsZero() {
+	switch {
+	case p.failed >= outageFailures:
+		return now.Sub(p.badAt)
+	case p.anySound(now):
 		return 0
+	case p.begun.IsZero():
+		return 0 // there is no such service
+	case p.goodAt.IsZero():
+		return now.Sub(p.begun)
 	}
 	return now.Sub(p.goodAt)
 }
 
+func (p *Pool) anySound(now time.Time) bool {
+	return slices.ContainsFunc(p.members, func(m *member) bool { return p.standing(m, Selection{}, now) <= lapsed })
+}
+
 func (p *Pool) good(m *member, took time.Duration, now time.Time) {
-	p.goodAt = now
+	p.goodAt, p.badAt, p.failed = now, time.Time{}, 0
 	if m.group != nil {
-		m.group.health = health{}
+		m.group.health, m.group.broken = health{}, false
 	}
 	m.note(0)
 	m.health.succeeded(took)
--- a/internal/core/upstream/pool_test.go
+++ b/internal/core/upstream/pool_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/netip"
+	"slices"
 	"testing"
 	"time"
 
@@ -36,7 +37,7 @@
 
 func newTestPool(members []service.Upstream) *Pool {
 	p := NewPool(1, "d0", poolRules)
-	p.Configure(members, poolRules)
+	p.Configure(members, poolRules, testNow)
 	return p
 }
 
@@ -180,10 +181,68 @@
 		formed.Epoch++
 		members[i].Membership = &formed
 	}
-	p.Configure(members, poolRules)
+	p.Configure(members, poolRules, testNow)
 	is.True(choose(p, Selection{}, testNow) != "")
 }
 
+// in returns the members with their group's epoch and state changed.
+func in(members []service.Upstream, epoch uint64, broken bool) []service.Upstream {
+	out := slices.Clone(members)
+	for i := range out {
+		s := *out[i].Membership
+		s.Epoch, s.Broken = epoch, broken
+		out[i].Membership = &s
+	}
+	return out
+}
+
+func TestPoolTriesAGroupThatIsListedAsBrokenRarely(t *testing.T) {
+	is := is.New(t)
+	members := grouped(2)[:2]
+	p := newTestPool(members)
+	one := in(members[:1], 1, true) // one rank says so, the other cannot
+	p.Configure(append(one, members[1]), poolRules, testNow)
+	is.Equal(choose(p, Selection{}, testNow.Add(brokenPause-1)), "")
+	now := testNow.Add(brokenPause)
+	tried := choose(p, Selection{}, now)
+	is.True(tried != "") // the list may be late
+	p.Ended(tried, GroupStalled, 0, now)
+	is.Equal(choose(p, Selection{}, now.Add(brokenPause-1)), "")
+	p.Configure(in(members, 2, false), poolRules, now)
+	is.True(choose(p, Selection{}, now) != "")
+}
+
+func TestPoolBelievesAnAnswerMoreThanTheList(t *testing.T) {
+	is := is.New(t)
+	members := grouped(2)[:2]
+	p := newTestPool(members)
+	p.Configure(in(members, 1, true), poolRules, testNow)
+	now := testNow.Add(brokenPause)
+	p.Ended(choose(p, Selection{}, now), Answered, time.Millisecond, now)
+	is.True(choose(p, Selection{}, now) != "")
+	p.Configure(in(members, 1, true), poolRules, now) // nothing new
+	is.True(choose(p, Selection{}, now) != "")
+}
+
+func TestPoolKnowsHowLongItsServiceHasBeenAway(t *testing.T) {
+	is := is.New(t)
+	members := grouped(2)[:2]
+	p := newTestPool(members)
+	is.Equal(p.Outage(testNow.Add(time.Hour)), time.Duration(0)) // idle
+	for range outageFailures {
+		p.Ended("u0", Unreachable, 0, testNow)
+	}
+	is.Equal(p.Outage(testNow.Add(time.Second)), time.Second)
+	p.Ended("u1", Answered, 0, testNow.Add(2*time.Second))
+	is.Equal(p.Outage(testNow.Add(3*time.Second)), time.Duration(0))
+	p.Ended("u1", GroupStalled, 0, testNow.Add(3*time.Second))
+	is.Equal(p.Outage(testNow.Add(3*time.Second)), time.Second) // none is left, since the good answer
+	fresh := NewPool(1, "d0", poolRules)
+	is.Equal(fresh.Outage(testNow), time.Duration(0))
+	fresh.Configure(in(members, 1, true), poolRules, testNow)
+	is.Equal(fresh.Outage(testNow.Add(brokenPause/2)), brokenPause/2)
+}
+
 func TestPoolBeginsAfreshWithANewIncarnationUnderAnOldID(t *testing.T) {
 	is := is.New(t)
 	members := plain(2)
@@ -191,7 +250,7 @@
 	p.Ended("u0", Unreachable, 0, testNow)
 	is.Equal(choose(p, Selection{}, testNow), "u1")
 	members[0].Born = testNow
-	p.Configure(members, poolRules)
+	p.Configure(members, poolRules, testNow)
 	is.Equal(choose(p, Selection{}, testNow), "u0")
 }
 
@@ -213,7 +272,7 @@
 	rules := poolRules
 	rules.Outstanding = 2
 	p := NewPool(1, "d0", rules)
-	p.Configure(plain(1), rules)
+	p.Configure(plain(1), rules, testNow)
 	is.Equal(choose(p, Selection{}, testNow), "u0")
 	is.Equal(choose(p, Selection{}, testNow), "u0")
 	is.Equal(choose(p, Selection{}, testNow), "")
--- a/internal/core/upstream/presence.go
+++ b/internal/core/upstream/presence.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"net/netip"
 	"time"
 
 	"bramleydeal/internal/world/service"
@@ -61,7 +62,23 @@
 	for id := range list {
 		delete(p.lapsed, id)
 	}
-	p.listed = list
+	p.listed = withoutPredecessors(list)
+}
+
+// withoutPredecessors leaves out upstreams whose address a later one has taken:
+// the list keeps one that ended without notice for a while.
+func withoutPredecessors(list map[string]service.Upstream) map[string]service.Upstream {
+	latest := make(map[netip.AddrPort]service.Upstream, len(list))
+	for _, u := range list {
+		if o, taken := latest[u.Address]; !taken || u.Born.After(o.Born) || u.Born.Equal(o.Born) && u.ID < o.ID {
+			latest[u.Address] = u
+		}
+	}
+	out := make(map[string]service.Upstream, len(latest))
+	for _, u := range latest {
+		out[u.ID] = u
+	}
+	return out
 }
 
 // Usable returns the upstreams that may be used at now, and when that changes
--- a/internal/core/upstream/presence_test.go
+++ b/internal/core/upstream/presence_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"net/netip"
 	"slices"
 	"testing"
 	"time"
@@ -72,3 +73,16 @@
 	_, next = p.Usable(next)
 	is.True(next.IsZero())
 }
+
+func TestTheLatestUpstreamAtAnAddressCounts(t *testing.T) {
+	is := is.New(t)
+	p := NewPresence(PresenceRules{Linger: time.Second, Return: 2 * time.Second})
+	now := time.Unix(1000, 0)
+	address := netip.MustParseAddrPort("10.0.0.1:80")
+	before := service.Upstream{ID: "before", Address: address, Born: now}
+	after := service.Upstream{ID: "after", Address: address, Born: now.Add(time.Second)}
+	other := service.Upstream{ID: "other", Address: netip.MustParseAddrPort("10.0.0.2:80")}
+	p.Listed(map[string]service.Upstream{"before": before, "after": after, "other": other}, -1, now)
+	usable, _ := p.Usable(now)
+	is.Equal(usable, map[string]service.Upstream{"after": after, "other": other})
+}
--- a/internal/entry/upstream/pools.go
+++ b/internal/entry/upstream/pools.go
@@ -49,6 +49,7 @@
 // Update takes in a new view. processes is the number of entries that share the
 // retry quota and the upstreams' connections.
 func (p *Pools) Update(v *service.View, processes int) {
+	now := time.Now()
 	members := map[string][]service.Upstream{}
 	for _, u := range v.Upstreams {
 		members[u.Service] = append(members[u.Service], u)
@@ -65,7 +66,7 @@
 		if v.Configuration != nil && v.Configuration.Services[name].MaxConnections > 0 {
 			rules.Outstanding = max(v.Configuration.Services[name].MaxConnections/p.rules.Quota.Processes, 1)
 		}
-		s.pool.Configure(members[name], rules)
+		s.pool.Configure(members[name], rules, now)
 		s.quota.Configure(p.rules.Quota)
 	}
 }
