--- a/internal/core/upstream/quota.go
+++ b/internal/core/upstream/quota.go
@@ -54,9 +54,19 @@
 
 // Repeat tells whether a request may be sent once more, and counts it.
 func (q *Quota) Repeat(now time.Time) bool {
+	if q.Left(now) < 1 {
+		return false
+	}
+	q.bucket(now).repeats++
+	return true
+}
+
+// Left is how many requests may be sent once more now, a fraction of one
+// included.
+func (q *Quota) Left(now time.Time) float64 {
 	b := q.bucket(now)
 	if b == nil {
-		return false
+		return 0
 	}
 	requests, repeats := 0.0, 0.0
 	for i := range q.buckets {
@@ -69,11 +79,7 @@
 	if now.Sub(q.start) < q.rules.Window {
 		margin = startMargin
 	}
-	if repeats+1 > margin*bound {
-		return false
-	}
-	b.repeats++
-	return true
+	return max(margin*bound-repeats, 0)
 }
 
 // bucket returns the bucket of a time, nil without a window.
--- a/internal/core/upstream/quota_test.go
+++ b/internal/core/upstream/quota_test.go
@@ -123,3 +123,18 @@
 	}
 	return n
 }
+
+func TestQuotaTellsWhatIsLeft(t *testing.T) {
+	is := is.New(t)
+	start := time.Unix(0, 0)
+	now := start.Add(20 * time.Second)
+	q := NewQuota(QuotaRules{Ratio: 0.2, Slack: 10, Window: 10 * time.Second, Processes: 2}, start)
+	left := q.Left(now)
+	is.Equal(left, quotaMargin*5)
+	for n := range 4 {
+		is.True(q.Repeat(now))
+		is.Equal(q.Left(now), left-float64(n+1))
+	}
+	is.True(!q.Repeat(now)) // a fraction is left
+	is.Equal(NewQuota(QuotaRules{}, start).Left(now), 0.0)
+}
--- a/internal/entry/upstream/metrics_test.go
+++ b/internal/entry/upstream/metrics_test.go
@@ -30,7 +30,8 @@
 		set.WritePrometheus(&b)
 		return b.String()
 	}
-	is.Equal(written(), `bramleydeal_upstream_answered_seconds_total{service="stock",upstream="i-1",domain="north"} 0.75
+	is.Equal(written(), `bramleydeal_retry_quota_left{service="stock"} 0
+bramleydeal_upstream_answered_seconds_total{service="stock",upstream="i-1",domain="north"} 0.75
 bramleydeal_upstream_answered_seconds_total{service="stock",upstream="i-2",domain="south"} 0
 bramleydeal_upstream_tries_total{service="stock",upstream="i-1",domain="north",outcome="answered"} 2
 bramleydeal_upstream_tries_total{service="stock",upstream="i-1",domain="north",outcome="faulty"} 1
@@ -38,7 +39,8 @@
 `)
 	delete(both, "i-1")
 	p.Update(service.NewView(nil, both, true), 1)
-	is.Equal(written(), `bramleydeal_upstream_answered_seconds_total{service="stock",upstream="i-2",domain="south"} 0
+	is.Equal(written(), `bramleydeal_retry_quota_left{service="stock"} 0
+bramleydeal_upstream_answered_seconds_total{service="stock",upstream="i-2",domain="south"} 0
 bramleydeal_upstream_tries_total{service="stock",upstream="i-2",domain="south",outcome="turned-away"} 1
 `)
 	// A request that ends at an upstream after it went leaves nothing behind.
--- a/internal/entry/upstream/pools.go
+++ b/internal/entry/upstream/pools.go
@@ -1,6 +1,7 @@
 package upstream
 
 import (
+	"fmt"
 	"slices"
 	"sync"
 	"time"
@@ -77,10 +78,18 @@
 	if s == nil {
 		s = &pooled{core.NewPool(p.seed, p.domain, p.rules.Pool), core.NewQuota(p.rules.Quota, p.started)}
 		p.services[name] = s
+		p.series.set.GetOrCreateGauge(fmt.Sprintf(`bramleydeal_retry_quota_left{service=%q}`, name), func() float64 { return p.left(name, time.Now()) })
 	}
 	return s
 }
 
+// left is how many requests to a service may be sent once more.
+func (p *Pools) left(name string, now time.Time) float64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.services[name].quota.Left(now)
+}
+
 // Configure changes the rules of the quotas.
 func (p *Pools) Configure(q core.QuotaRules) {
 	p.mu.Lock()
--- a/internal/process/directory/directory.go
+++ b/internal/process/directory/directory.go
@@ -129,6 +129,8 @@
 
 	view       atomic.Pointer[service.View]
 	suspension *suspension
+	// unreadable is done when the clocks could not be read for the first time.
+	unreadable sync.Once
 
 	// mu guards all below.
 	mu          sync.Mutex
@@ -195,6 +197,9 @@
 
 var kinds = []Kind{Configuration, Upstreams, Instances}
 
+// served are the kinds by which requests are served.
+var served = kinds[:2]
+
 // Subscribe calls f now and at each change, one call at a time. A changed view is
 // the current one when all have had it.
 func (d *Directory) Subscribe(f func(*service.View, map[string]fleet.Instance)) {
@@ -559,7 +564,7 @@
 		d.noticeSuspension()
 		ask, count := d.missing(), peersAsked
 		if len(ask) == 0 && time.Since(compared) >= peerCompareInterval {
-			ask, count = []Kind{Configuration, Upstreams}, 1
+			ask, count = served, 1
 			compared = time.Now()
 		}
 		if len(ask) == 0 {
@@ -578,7 +583,7 @@
 func (d *Directory) followSlots(ctx context.Context) {
 	for ctx.Err() == nil {
 		clock.Sleep(ctx, d.untilSlot(time.Now()))
-		for _, k := range []Kind{Configuration, Upstreams} {
+		for _, k := range served {
 			d.check(ctx, k)
 		}
 	}
--- a/internal/process/directory/suspension.go
+++ b/internal/process/directory/suspension.go
@@ -80,7 +80,7 @@
 	if len(s.unconfirmed) == 0 {
 		s.confirmed = make(chan struct{})
 	}
-	for _, k := range []Kind{Configuration, Upstreams} {
+	for _, k := range served {
 		s.unconfirmed[k] = true
 	}
 	return slept, err
@@ -132,7 +132,8 @@
 func (d *Directory) noticeSuspension() {
 	slept, err := d.suspension.notice(time.Now())
 	if err != nil {
-		d.log.Error(err, "a suspension of the machine would not be noticed")
+		// Each request asks, and the clock answers the next one no better.
+		d.unreadable.Do(func() { d.log.Error(err, "a suspension of the machine would not be noticed") })
 	}
 	if slept == 0 {
 		return
