--- a/internal/core/instance/subset.go
+++ b/internal/core/instance/subset.go
@@ -34,18 +34,18 @@
 	return out
 }
 
-// IsWatcher tells whether self is one of the count entries of its failure
-// domain that hold a watch on the platform.
-func IsWatcher(instances []fleet.Instance, self string, domain fleet.FailureDomain, count int) bool {
+// Watchers returns the count entries of a failure domain that hold a watch on
+// the platform.
+func Watchers(instances []fleet.Instance, domain fleet.FailureDomain, count int) []fleet.Instance {
 	entries := Filter(instances, func(i fleet.Instance) bool {
 		return i.Role == fleet.EntryRole && i.FailureDomain == domain && !i.Leaving
 	})
-	for n, i := range Rank(entries, "watch") {
-		if n < count && i.Name == self {
-			return true
-		}
-	}
-	return false
+	return head(Rank(entries, "watch"), count)
+}
+
+// IsWatcher tells whether self is one of a failure domain's watchers.
+func IsWatcher(instances []fleet.Instance, self string, domain fleet.FailureDomain, count int) bool {
+	return slices.ContainsFunc(Watchers(instances, domain, count), func(i fleet.Instance) bool { return i.Name == self })
 }
 
 // contenders is the number of entries that contend for the lease of a duty, so
--- a/internal/process/directory/directory_test.go
+++ b/internal/process/directory/directory_test.go
@@ -288,6 +288,8 @@
 		is.True(d.readsFresh()) // nothing is known of the others
 		f.set(Instances, 3, objects...)
 		learn(t, d, Instances)
+		is.True(d.readsFresh()) // no peer has answered
+		d.heard = time.Now()
 		if d.readsFresh() {
 			fresh++
 			is.Equal(len(d.lateReaders()), 9-freshWatchers)
@@ -316,6 +318,7 @@
 		f := d.store.(*fake)
 		f.set(Instances, 3, objects...)
 		learn(t, d, Instances)
+		d.heard = time.Now()
 		if d.readsFresh() {
 			teller = d
 		}
@@ -334,6 +337,34 @@
 	is.Equal(version(teller), uint64(7))
 }
 
+// TestAnEntryWithoutPeersReadsFresh: nobody would tell it of a change.
+func TestAnEntryWithoutPeersReadsFresh(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		nowhere := netip.MustParseAddrPort("127.0.1.1:1")
+		var objects []store.Object
+		for n := range 9 {
+			objects = append(objects, entry(fmt.Sprint("e", n), "d1", nowhere))
+		}
+		for n := range 9 {
+			d, f := newDirectory(fmt.Sprint("e", n))
+			f.set(Instances, 3, objects...)
+			learn(t, d, Instances)
+			d.heard = time.Now()
+			fresh := d.readsFresh()
+			ended := 0
+			d.interrupt[Configuration] = func() { ended++ }
+			is.Equal(d.refresh(fresh), fresh)
+			is.Equal(ended, 0)
+			time.Sleep(peerSilence)
+			is.True(d.refresh(fresh))
+			is.Equal(ended == 1, !fresh) // its late watch is ended
+			is.True(d.refresh(true))
+			is.Equal(ended == 1, !fresh) // once
+		}
+	})
+}
+
 func TestTurnsFollowEachOther(t *testing.T) {
 	is := is.New(t)
 	const entries = 5
