--- a/internal/agent/direct/direct_test.go
+++ b/internal/agent/direct/direct_test.go
@@ -172,9 +172,11 @@
 type leases struct {
 	object store.Object
 	away   bool
+	asked  int
 }
 
 func (l *leases) Get(context.Context, string) (store.Object, error) {
+	l.asked++
 	switch {
 	case l.away:
 		return store.Object{}, errors.New("away")
@@ -237,6 +239,28 @@
 	is.True(due(1, firstClaimDelay+leaderTimeout))
 }
 
+// TestRanksThatLearnOfTheirGroupLateClaimOneAfterTheOther: a group forms long
+// after its agents have started.
+func TestRanksThatLearnOfTheirGroupLateClaimOneAfterTheOther(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		r := newRoster(engineAddress(1), 7100)
+		s := &leases{away: true}
+		l := &lead{roster: r, leases: s, rank: rank.New(r, rank.NewOrderedEngine(&still{}, logr.Discard()), logr.Discard()), log: logr.Discard()}
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		go l.run(ctx)
+		time.Sleep(time.Minute)
+		read(t, r)
+		time.Sleep(firstClaimDelay + leaderTimeout - lookInterval)
+		is.Equal(s.asked, 0) // rank 0 comes first
+		time.Sleep(3 * lookInterval)
+		is.Equal(s.asked, 1)
+		cancel()
+		synctest.Wait()
+	})
+}
+
 // serverOf serves a rank's agent on loopback.
 func serverOf(t *testing.T, r *rank.Rank) (netip.AddrPort, *grpc.Server) {
 	t.Helper()
--- a/internal/agent/direct/lead.go
+++ b/internal/agent/direct/lead.go
@@ -78,7 +78,8 @@
 	rank   *rank.Rank
 	leases Leases
 	log    logr.Logger
-	begun  time.Time
+	// begun is since when the group has been known.
+	begun time.Time
 
 	numbers numbers
 }
@@ -97,7 +98,11 @@
 	l.begun = time.Now()
 	for ctx.Err() == nil {
 		clock.Sleep(ctx, lookInterval)
-		if !l.roster.Stepping() || !l.due(time.Now()) {
+		if !l.roster.Stepping() {
+			l.begun = time.Now()
+			continue
+		}
+		if !l.due(time.Now()) {
 			continue
 		}
 		term, err := l.claim(ctx)
