--- a/internal/agent/direct/direct_test.go
+++ b/internal/agent/direct/direct_test.go
@@ -250,7 +250,7 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		defer cancel()
 		go l.run(ctx)
-		time.Sleep(time.Minute)
+		time.Sleep(time.Minute + lookInterval/2) // between two looks
 		read(t, r)
 		time.Sleep(firstClaimDelay + leaderTimeout - lookInterval)
 		is.Equal(s.asked, 0) // rank 0 comes first
