--- a/internal/agent/direct/direct_test.go
+++ b/internal/agent/direct/direct_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net"
 	"net/netip"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -172,11 +173,11 @@
 type leases struct {
 	object store.Object
 	away   bool
-	asked  int
+	asked  atomic.Int64
 }
 
 func (l *leases) Get(context.Context, string) (store.Object, error) {
-	l.asked++
+	l.asked.Add(1)
 	switch {
 	case l.away:
 		return store.Object{}, errors.New("away")
@@ -253,9 +254,9 @@
 		time.Sleep(time.Minute + lookInterval/2) // between two looks
 		read(t, r)
 		time.Sleep(firstClaimDelay + leaderTimeout - lookInterval)
-		is.Equal(s.asked, 0) // rank 0 comes first
+		is.Equal(s.asked.Load(), int64(0)) // rank 0 comes first
 		time.Sleep(3 * lookInterval)
-		is.Equal(s.asked, 1)
+		is.Equal(s.asked.Load(), int64(1))
 		cancel()
 		synctest.Wait()
 	})
