A panic in one duty no longer ends a process; the nil reply that caused it is an error

Cause: remoteAgent.call wrapped the error of a call that was not made.

Ruled out: a late or empty reply of an agent (gRPC returns an error then); the test needs neither.

TestUncalledAgentIsAnError failed before.

--- a/internal/agent/direct/agent.go
+++ b/internal/agent/direct/agent.go
@@ -20,6 +20,7 @@
 	"bramleydeal/internal/process/debug"
 	"bramleydeal/internal/process/directory"
 	"bramleydeal/internal/process/log"
+	"bramleydeal/internal/process/task"
 	"bramleydeal/internal/process/tlsfiles"
 	"bramleydeal/internal/wire/dial"
 	"bramleydeal/internal/wire/peer"
@@ -104,6 +105,7 @@
 		"bramleydeal_group_skew":                      func() float64 { return float64(leader.skewMilli.Load()) / 1000 },
 		"bramleydeal_group_step_seconds":              func() float64 { return time.Duration(leader.stepNanoseconds.Load()).Seconds() },
 		"bramleydeal_experts_moved":                   func() float64 { return float64(leader.expertsMoved.Load()) },
+		"bramleydeal_task_panics":                     func() float64 { return float64(task.Panics()) },
 	} {
 		a.metricSet.NewGauge(name, value)
 	}
@@ -129,7 +131,7 @@
 	if err != nil {
 		return err
 	}
-	peers := grpc.NewServer(dial.ServerOptions(a.tlsFiles.PeerCredentials())...)
+	peers := grpc.NewServer(append(dial.ServerOptions(a.tlsFiles.PeerCredentials()), task.RecoverCalls(a.log.Component("agent")))...)
 	peer.RegisterAgentServer(peers, a)
 	go a.runListener("peers", func() error { return peers.Serve(listener) })
 	if a.config.DebugListen.IsValid() {
@@ -137,9 +139,10 @@
 			return debug.Serve(ctx, a.config.DebugListen, debug.Handler(a.vars, func() any { return a.State(ctx) }, nil, debug.WithMetrics(a.metricSet)))
 		})
 	}
-	go a.roster.run(ctx)
-	go a.candidate.controller.Run(ctx)
-	go a.candidate.run(ctx)
+	l := a.log.Component("agent")
+	go task.Run(ctx, l, "roster", a.roster.run)
+	go task.Run(ctx, l, "rank", a.candidate.controller.Run)
+	go task.Run(ctx, l, "lead", a.candidate.run)
 	a.log.Component("agent").Info("started", "address", a.config.PeerListen, "engine", a.config.Upstream.Address)
 	select {
 	case <-stop.Done():
--- a/internal/agent/direct/direct_test.go
+++ b/internal/agent/direct/direct_test.go
@@ -315,6 +315,17 @@
 	is.Equal(unreachable, 1)
 }
 
+// TestUncalledAgentIsAnError guards against a reply of nil without an error, which crashed
+// the leader: an unreachable agent that is not due for a call, without a fallback.
+func TestUncalledAgentIsAnError(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	c := &remoteAgent{rank: "0", log: logr.Discard(), repliedAt: now.Add(-time.Minute), retryAt: now.Add(time.Minute)}
+	reply, err := c.call(t.Context(), &peer.GrantOrder{})
+	is.True(reply == nil)
+	is.True(err != nil)
+}
+
 func TestNoFallbackWithoutFencing(t *testing.T) {
 	is := is.New(t)
 	r := newRoster(engineAddress(1), 1) // no agent listens on port 1
--- a/internal/agent/direct/leadership.go
+++ b/internal/agent/direct/leadership.go
@@ -13,6 +13,7 @@
 	"bramleydeal/internal/core/group"
 	"bramleydeal/internal/core/store"
 	"bramleydeal/internal/process/clock"
+	"bramleydeal/internal/process/task"
 	"bramleydeal/internal/wire/orders"
 	"bramleydeal/internal/wire/peer"
 	"bramleydeal/internal/world/service"
@@ -217,7 +218,7 @@
 	leader := group.NewLeader(c.roster.Ranks(), group.Ballot{Term: term, Proposer: c.self}, 0, group.LeaderConfig{
 		ResendInterval: resendInterval, PollInterval: observeIntervalFor(info.self.Size), PromiseTimeout: promiseTimeout, MinStepsAhead: minStepsAhead,
 	})
-	orders.RunLeader(ctx, info.self.Group, info.self.Size, leader, g.call, func(leader *group.Leader) bool {
+	orders.RunLeader(ctx, c.log, info.self.Group, info.self.Size, leader, g.call, func(leader *group.Leader) bool {
 		if _, promised := c.controller.LastOrder(); promised.Term > term {
 			return true
 		}
@@ -326,7 +327,8 @@
 	moves := current.Moves(next.Map)
 	g.candidate.log.Info("map planned", "map", next.Map.Version, "from", current.Version, "moves", moves, "skew", next.Skew,
 		"planned-skew", next.PlannedSkew, "step-ms", g.planner.StepTime().Milliseconds(), "least", next.MinSaving)
-	go g.stage(ctx, next.Map, moves, l.Ballot())
+	ballot := l.Ballot()
+	go task.Once(g.candidate.log, "stage", func() { g.stage(ctx, next.Map, moves, ballot) })
 }
 
 // keepAlive sends an order to all ranks once per keepAliveInterval, while the
@@ -339,7 +341,7 @@
 	for _, name := range g.candidate.roster.Ranks() {
 		m := orders.OrderToProto(g.candidate.roster.Name(), group.Collect{Ballot: l.Ballot()})
 		// The reply is not needed, and call logs a failure.
-		go func() { _, _ = g.call(ctx, name, m) }()
+		go task.Once(g.candidate.log, "keep-alive", func() { _, _ = g.call(ctx, name, m) })
 	}
 }
 
--- a/internal/agent/direct/remote.go
+++ b/internal/agent/direct/remote.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/netip"
 	"sync"
 	"time"
@@ -53,35 +54,46 @@
 	engineUnreachable  bool
 }
 
+// errNotDue means that an unreachable agent was not called, because the last call was less
+// than agentRetryInterval ago.
+var errNotDue = errors.New("no call is due")
+
 // call sends an order to the rank's agent, or to its engine while the agent is
 // unreachable and the engine refuses outdated orders. An error means that the
 // order may or may not have been carried out.
 func (c *remoteAgent) call(ctx context.Context, m *peer.GrantOrder) (*peer.GrantReply, error) {
-	var callErr error
-	if c.shouldCall(time.Now()) {
-		timeout := agentCallTimeout
-		if m.Kind == peer.GrantOrder_STAGE {
-			timeout = stageCallTimeout
-		}
-		callCtx, cancel := context.WithTimeout(ctx, timeout)
-		defer cancel()
-		reply, err := orders.CallAt(callCtx, c.pool, c.address, m)
-		if err == nil {
-			c.recordReply(time.Now())
-			return reply, nil
-		}
-		callErr = err
+	reply, err := c.callAgent(ctx, m)
+	if err == nil {
+		return reply, nil
 	}
 	if c.fallback == nil || !c.unreachable(time.Now()) {
-		return nil, oops.Code("unreachable").Wrapf(callErr, "agent of rank %s is unreachable", c.rank)
+		return nil, oops.Code("unreachable").Wrapf(err, "agent of rank %s is unreachable", c.rank)
 	}
 	// Reading the counters of a remote engine briefly pauses the whole group.
 	m.Loads = false
-	reply, err := c.fallback.Order(ctx, m)
+	reply, err = c.fallback.Order(ctx, m)
 	c.recordEngineResult(err)
 	return reply, err
 }
 
+// callAgent sends an order to the rank's agent if a call is due.
+func (c *remoteAgent) callAgent(ctx context.Context, m *peer.GrantOrder) (*peer.GrantReply, error) {
+	if !c.shouldCall(time.Now()) {
+		return nil, errNotDue
+	}
+	timeout := agentCallTimeout
+	if m.Kind == peer.GrantOrder_STAGE {
+		timeout = stageCallTimeout
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	reply, err := orders.CallAt(ctx, c.pool, c.address, m)
+	if err == nil {
+		c.recordReply(time.Now())
+	}
+	return reply, err
+}
+
 // recordEngineResult records the outcome of a direct call to the engine and logs
 // when the engine becomes unreachable or reachable again.
 func (c *remoteAgent) recordEngineResult(err error) {
--- a/internal/agent/rank/rank.go
+++ b/internal/agent/rank/rank.go
@@ -248,7 +248,7 @@
 	ranks := r.group.Ranks()
 	r.log.Info("completing a change that the leader left unfinished", "attempt", b.Attempt)
 	l := group.NewLeader(ranks, b, 0, group.LeaderConfig{ResendInterval: orders.CallTimeout / 2, PromiseTimeout: completionTimeout})
-	orders.RunLeader(ctx, r.group.Name(), len(ranks), l, r.Call, func(l *group.Leader) bool {
+	orders.RunLeader(ctx, r.log, r.group.Name(), len(ranks), l, r.Call, func(l *group.Leader) bool {
 		if l.Phase() == group.Steady {
 			r.stats.Completed.Add(1)
 			r.log.Info("completed the change", "from-step", l.Current().FromStep, "map", l.Current().MapVersion)
--- a/internal/entry/direct/entry.go
+++ b/internal/entry/direct/entry.go
@@ -23,6 +23,7 @@
 	"bramleydeal/internal/process/debug"
 	"bramleydeal/internal/process/directory"
 	"bramleydeal/internal/process/log"
+	"bramleydeal/internal/process/task"
 	"bramleydeal/internal/process/tlsfiles"
 	"bramleydeal/internal/wire/dial"
 	"bramleydeal/internal/wire/peer"
@@ -142,6 +143,7 @@
 			return e.directory.State().Kinds[string(k)].AnsweredAgo.Seconds()
 		})
 	}
+	gauge("bramleydeal_task_panics", func() float64 { return float64(task.Panics()) })
 	gauge("bramleydeal_store_calls", func() float64 { return float64(e.directory.State().Stats.StoreCalls) })
 	gauge("bramleydeal_store_errors", func() float64 { return float64(e.directory.State().Stats.StoreErrors) })
 	gauge("bramleydeal_peer_updates", func() float64 { return float64(e.directory.State().Stats.PeerUpdates) })
@@ -197,7 +199,7 @@
 		return err
 	}
 	go e.directory.Run(ctx)
-	go e.register(ctx)
+	go task.Run(ctx, e.log.Component("entry"), "register", e.register)
 	e.log.Component("entry").Info("started", "listen", e.config.Listen, "failure-domain", e.config.FailureDomain)
 	select {
 	case <-stop.Done():
@@ -235,7 +237,7 @@
 	if err != nil {
 		return errors.Join(err, callerListener.Close())
 	}
-	peers := grpc.NewServer(dial.ServerOptions(e.files.PeerCredentials())...)
+	peers := grpc.NewServer(append(dial.ServerOptions(e.files.PeerCredentials()), task.RecoverCalls(e.log.Component("entry")))...)
 	peer.RegisterSpreadServer(peers, e.directory)
 	go e.runListener("peers", func() error { return peers.Serve(peerListener) })
 	go e.runListener("callers", func() error { return e.callerServer.Serve(callerListener) })
--- a/internal/entry/rank/leader.go
+++ b/internal/entry/rank/leader.go
@@ -184,7 +184,7 @@
 	gl.log.Info("leading a group", "group", name, "term", term, "ranks", len(ranks))
 	g := newLeadership(gl, name, scope, ranks, term)
 	l := group.NewLeader(ranks, group.Ballot{Term: term, Proposer: gl.holder}, initialMapVersion, leaderConfig(len(ranks)))
-	orders.RunLeader(ctx, name, len(ranks), l, g.call, func(l *group.Leader) bool {
+	orders.RunLeader(ctx, gl.log, name, len(ranks), l, g.call, func(l *group.Leader) bool {
 		g.handleEvent(ctx, l)
 		return false
 	})
--- a/internal/process/directory/directory.go
+++ b/internal/process/directory/directory.go
@@ -19,6 +19,7 @@
 	"bramleydeal/internal/core/store"
 	"bramleydeal/internal/core/upstream"
 	"bramleydeal/internal/process/clock"
+	"bramleydeal/internal/process/task"
 	"bramleydeal/internal/wire/dial"
 	"bramleydeal/internal/wire/peer"
 	"bramleydeal/internal/world/fleet"
@@ -216,10 +217,12 @@
 func (d *Directory) Run(ctx context.Context) {
 	var tasks sync.WaitGroup
 	for _, k := range kinds {
-		tasks.Go(func() { d.followStore(ctx, k) })
+		tasks.Go(func() {
+			task.Run(ctx, d.log, "follow-"+string(k), func(ctx context.Context) { d.followStore(ctx, k) })
+		})
 	}
-	tasks.Go(func() { d.followPeers(ctx) })
-	tasks.Go(func() { d.runChecks(ctx) })
+	tasks.Go(func() { task.Run(ctx, d.log, "follow-peers", d.followPeers) })
+	tasks.Go(func() { task.Run(ctx, d.log, "checks", d.runChecks) })
 	tasks.Wait()
 }
 
--- a/internal/process/directory/peers.go
+++ b/internal/process/directory/peers.go
@@ -11,6 +11,7 @@
 	"bramleydeal/internal/core/instance"
 	"bramleydeal/internal/core/store"
 	"bramleydeal/internal/process/clock"
+	"bramleydeal/internal/process/task"
 	"bramleydeal/internal/wire/peer"
 )
 
@@ -88,7 +89,7 @@
 		}
 		for _, a := range d.peers(count) {
 			for _, k := range toCompare {
-				go d.compare(ctx, k, a)
+				go task.Once(d.log, "compare", func() { d.compare(ctx, k, a) })
 			}
 		}
 	}
@@ -181,7 +182,7 @@
 // It returns before the calls are made.
 func (d *Directory) notifyCachedWatchers(ctx context.Context, k Kind) {
 	for _, a := range d.cachedWatchers() {
-		go func() {
+		go task.Once(d.log, "notify", func() {
 			clock.Sleep(ctx, rand.N(notifyJitter))
 			d.mu.Lock()
 			revision := d.replicas[k].Revision()
@@ -194,7 +195,7 @@
 			u := d.replicas[k].Since(reply.Revision)
 			d.mu.Unlock()
 			d.sendUpdate(ctx, a, k, u)
-		}()
+		})
 	}
 }
 
@@ -231,7 +232,7 @@
 	u := d.replicas[k].Since(from)
 	d.mu.Unlock()
 	for _, a := range d.peers(maxPushPeers) {
-		go d.sendUpdate(ctx, a, k, u)
+		go task.Once(d.log, "push", func() { d.sendUpdate(ctx, a, k, u) })
 	}
 }
 
--- a/internal/wire/orders/orders.go
+++ b/internal/wire/orders/orders.go
@@ -11,9 +11,11 @@
 	"time"
 
 	"bramleydeal/internal/core/group"
+	"bramleydeal/internal/process/task"
 	"bramleydeal/internal/settings/snapshot"
 	"bramleydeal/internal/wire/dial"
 	"bramleydeal/internal/wire/peer"
+	"github.com/go-logr/logr"
 	"github.com/samber/oops"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/encoding/gzip"
@@ -122,7 +124,7 @@
 // RunLeader runs a leader until stop reports true or ctx is done. It calls stop after
 // each event in the calling goroutine, so stop may access the leader, for example to
 // propose a map.
-func RunLeader(ctx context.Context, name string, ranks int, l *group.Leader, call CallFunc, stop func(*group.Leader) bool) {
+func RunLeader(ctx context.Context, log logr.Logger, name string, ranks int, l *group.Leader, call CallFunc, stop func(*group.Leader) bool) {
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	// Each rank has at most a few orders in flight. A reply is dropped when the channel is
@@ -130,7 +132,7 @@
 	replies := make(chan rankReply, 4*ranks)
 	for {
 		for _, s := range l.Tick(time.Now()) {
-			go sendOrder(ctx, name, s, call, replies)
+			go task.Once(log, "send-order", func() { sendOrder(ctx, name, s, call, replies) })
 		}
 		select {
 		case r := <-replies:
