--- a/internal/agent/direct/leadership.go
+++ b/internal/agent/direct/leadership.go
@@ -28,12 +28,11 @@
 
 // Intervals and timeouts of leading a group.
 const (
-	// observeInterval is how often a leader updates its estimate of the loads. It reads
-	// the ranks' expert counters at the same interval, or at resendInterval if that is
-	// longer. Both are well below the few seconds for which the distribution of
-	// requests is stable. observePerRank bounds the reads in a large group to about
-	// 200 per second.
-	observeInterval = 150 * time.Millisecond
+	// observeInterval is how often a leader reads the ranks' expert counters and updates
+	// its estimate of the loads. It is well below the few seconds for which the
+	// distribution of requests is stable. observePerRank bounds the reads in a large
+	// group to about 200 per second.
+	observeInterval = 100 * time.Millisecond
 	observePerRank  = 5 * time.Millisecond
 	// switchPollInterval is how often a leader polls the ranks while they switch to
 	// a new map.
@@ -60,10 +59,6 @@
 	firstClaimDelay    = 300 * time.Millisecond
 	claimTimeout       = time.Second
 	claimCheckInterval = 100 * time.Millisecond
-	// minPlanGap is the minimum time from a plan, or from the proposal of its map, to
-	// the next plan, so that the next one uses counters that were collected under the
-	// current map.
-	minPlanGap = 150 * time.Millisecond
 )
 
 // Parameters of expert maps.
@@ -73,12 +68,11 @@
 	mapCounterBits = 16
 	// maxFetchTime bounds the time that one change spends on fetching experts.
 	// Slower fetches end after the distribution of requests has changed again.
-	maxFetchTime = 450 * time.Millisecond
-	// minSaving, longStepShare and fetchPenalty are the parameters of
-	// group.ReplannerConfig; docs/BENCHMARKS.md compares other values.
-	minSaving     = 0.35
+	maxFetchTime = 200 * time.Millisecond
+	// minSaving and longStepShare are the parameters of group.ReplannerConfig;
+	// docs/BENCHMARKS.md compares other values.
+	minSaving     = 0.05
 	longStepShare = 0.75
-	fetchPenalty  = 0.03
 )
 
 // candidate claims the leadership of the rank's group when no leader sends orders,
@@ -194,8 +188,12 @@
 	heldExperts                                  map[string][][]int
 	heldMapVersion                               map[string]uint64
 	mapInUse                                     map[string]uint64
-	observedAt, plannedAt, polledAt, keepAliveAt time.Time
-	staging                                      bool
+	observedAt, polledAt, keepAliveAt time.Time
+	// plannedAt is the time of the observation that the last plan used, plannedFrom the
+	// version of the map that it was to replace.
+	plannedAt   time.Time
+	plannedFrom uint64
+	staging     bool
 	// stagedVersion is the version of a map that is staged at all ranks and waits to
 	// be proposed, 0 for none. lastStaged is the map that was staged last.
 	stagedVersion uint64
@@ -242,7 +240,7 @@
 		candidate: c, term: term, shape: shape,
 		planner: group.NewReplanner(shape, group.ReplannerConfig{
 			FetchTime: e.FetchTime, MaxFetchesPerLayer: e.MaxFetchesPerSet, MaxFetchTime: maxFetchTime,
-			MinSaving: minSaving, LongStepShare: longStepShare, FetchPenalty: fetchPenalty,
+			MinSaving: minSaving, LongStepShare: longStepShare,
 		}),
 		heldExperts: map[string][][]int{}, heldMapVersion: map[string]uint64{}, mapInUse: map[string]uint64{},
 	}
@@ -291,12 +289,14 @@
 	switch {
 	case l.Phase() != group.Steady:
 		g.keepAlive(ctx, l, now)
+	case l.ChangePending():
+		// Staging another map would replace the one that the ranks are to switch to.
 	case g.stagedVersion != 0:
 		if l.Propose(g.stagedVersion) {
 			g.candidate.log.Info("map proposed", "map", g.stagedVersion, "term", g.term, "step", l.Step())
-			g.stagedVersion, g.plannedAt = 0, now
+			g.stagedVersion = 0
 		}
-	case !g.staging && now.Sub(g.plannedAt) >= minPlanGap:
+	case !g.staging:
 		g.plan(ctx, l, now)
 	}
 }
@@ -313,7 +313,10 @@
 		}
 		return
 	}
-	g.plannedAt = now
+	if g.plannedAt == g.observedAt && g.plannedFrom == current.Version {
+		return // nothing new since the last plan
+	}
+	g.plannedAt, g.plannedFrom = g.observedAt, current.Version
 	next, worthwhile := g.planner.Plan(current, g.candidate.roster.maxGap())
 	g.candidate.metrics.mapVersion.Store(current.Version)
 	g.candidate.metrics.skewMilli.Store(int64(1000 * next.Skew))
--- a/internal/core/group/leader.go
+++ b/internal/core/group/leader.go
@@ -73,7 +73,7 @@
 	// ResendInterval is the time after which orders without a reply are sent again.
 	ResendInterval time.Duration
 	// PollInterval is the time between two polls of the ranks' steps in the Steady
-	// phase. A value below ResendInterval has no effect.
+	// phase. A poll that not all ranks have answered is repeated after ResendInterval.
 	PollInterval time.Duration
 	// PromiseTimeout is how long a change waits for the promises of all ranks
 	// before it is aborted.
@@ -171,6 +171,9 @@
 	return true
 }
 
+// ChangePending reports whether a proposed map waits for its change to begin.
+func (l *Leader) ChangePending() bool { return l.requestedVersion != 0 }
+
 // PollNow makes the next Tick poll the ranks without waiting for PollInterval. It
 // does nothing outside the Steady phase.
 func (l *Leader) PollNow() {
@@ -208,7 +211,7 @@
 // sendInterval returns the time between two rounds of orders.
 func (l *Leader) sendInterval() time.Duration {
 	if l.phase == Steady && len(l.done) == len(l.ranks) {
-		return max(l.config.PollInterval, l.config.ResendInterval)
+		return l.config.PollInterval
 	}
 	return l.config.ResendInterval
 }
--- a/internal/core/group/replanner.go
+++ b/internal/core/group/replanner.go
@@ -12,14 +12,11 @@
 	// MaxFetchTime limits the time that a rank spends on the fetches of one change.
 	// The loads have changed again by the time that much longer ones end.
 	MaxFetchTime time.Duration
-	// MinSaving is the smallest saving of a change in one layer, per expert that the
-	// rank with the most fetches has to fetch. It is a share of the ranks' mean load
-	// in the layer. It applies to steps that take LongStepShare or more of the
-	// longest pause allowed between events; shorter steps require a larger saving.
+	// MinSaving is the smallest saving of a change in one layer per fetched expert, as
+	// a share of the ranks' mean time in the layer. It applies to steps that take
+	// LongStepShare or more of the longest pause allowed between events; shorter steps
+	// require a larger saving.
 	MinSaving, LongStepShare float64
-	// FetchPenalty is the load, as a share of a rank's mean load, that placement adds
-	// to a rank which would have to fetch the expert.
-	FetchPenalty float64
 }
 
 // Replanner decides when a group's map changes, and to which map, from samples of
@@ -74,7 +71,7 @@
 	out := PlannedChange{Skew: Skew(current, loads, r.shape)}
 	out.MinSaving = r.minSaving(r.steps.mean, maxGap)
 	next, changed := Replan(current, loads, r.shape, ReplanConfig{
-		MaxFetches: r.maxFetches(), MaxFetchesPerLayer: r.config.MaxFetchesPerLayer, MinSaving: out.MinSaving, FetchPenalty: r.config.FetchPenalty,
+		MaxFetches: r.maxFetches(), MaxFetchesPerLayer: r.config.MaxFetchesPerLayer, MinSaving: out.MinSaving,
 	})
 	out.Map, out.PlannedSkew = next, Skew(next, loads, r.shape)
 	return out, changed
--- a/internal/entry/rank/leader.go
+++ b/internal/entry/rank/leader.go
@@ -158,10 +158,16 @@
 // of the group's size.
 const pollPerRank = 100 * time.Millisecond
 
+// resendInterval is the time after which an order without a reply is sent again.
+const resendInterval = 500 * time.Millisecond
+
 // leaderConfig returns the timing of the leader of a group with this many
 // ranks.
 func leaderConfig(ranks int) group.LeaderConfig {
-	return group.LeaderConfig{ResendInterval: 500 * time.Millisecond, PollInterval: time.Duration(ranks) * pollPerRank, PromiseTimeout: 3 * time.Second, MinStepsAhead: 60}
+	return group.LeaderConfig{
+		ResendInterval: resendInterval, PollInterval: max(time.Duration(ranks)*pollPerRank, resendInterval),
+		PromiseTimeout: 3 * time.Second, MinStepsAhead: 60,
+	}
 }
 
 // initialMapVersion is the version of the uniform map that every group starts
