Groups of more than 16 ranks are led by way of relays; maps are sent as differences

A leader now sends an order once to one agent of each relay group (at most 10 ranks of one failure domain), which passes it on and streams the replies back; counters of experts are added up on the way. A relay that fails is replaced by the next rank of its group. The protocol of core/group is as it was: it allows orders and replies to be lost, late or doubled. A map in a STAGE order holds the slots that differ from the map in use, or all of them for a rank that does not know that map. An agent counts as unreachable only after it was called, by the leader or a relay, and did not reply. After a change only the own rank is polled for the switch, since all ranks switch at the same step: polls of all ranks every 40 ms had made each other late for up to 14 s. A shift of demand ends the staging of a map that was planned before it. A Prepare order whose reply was lost no longer fails the staging (found by reading).

--- /dev/null
+++ b/internal/agent/direct/courier_test.go
@@ -0,0 +1,202 @@
+package direct
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"bramleydeal/internal/agent/rank"
+	"bramleydeal/internal/core/group"
+	"bramleydeal/internal/process/log"
+	"bramleydeal/internal/wire/dial"
+	"bramleydeal/internal/wire/orders"
+	"bramleydeal/internal/wire/peer"
+	"bramleydeal/internal/world/fleet"
+	"bramleydeal/internal/world/service"
+	"github.com/go-logr/logr"
+	"github.com/matryer/is"
+	"google.golang.org/grpc"
+)
+
+// largeGroup is a group of ranks in three failure domains, each with an agent on a loopback
+// address of its own.
+type largeGroup struct {
+	agents  []*Agent
+	servers []*grpc.Server
+	relayed atomic.Int64
+}
+
+// countingAgent counts the calls of Relay.
+type countingAgent struct {
+	*Agent
+	group *largeGroup
+}
+
+func (a countingAgent) Relay(r *peer.RelayRequest, s grpc.ServerStreamingServer[peer.RelayReply]) error {
+	a.group.relayed.Add(1)
+	return a.Agent.Relay(r, s)
+}
+
+// startLargeGroup starts the agents of n ranks until the test ends.
+func startLargeGroup(t *testing.T, n int) *largeGroup {
+	t.Helper()
+	g := &largeGroup{}
+	first, err := net.Listen("tcp", engineAddress(0).Addr().String()+":0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	port := netip.MustParseAddrPort(first.Addr().String()).Port()
+	for i := range n {
+		listener := first
+		if i > 0 {
+			if listener, err = net.Listen("tcp", netip.AddrPortFrom(engineAddress(i).Addr(), port).String()); err != nil {
+				t.Fatal(err)
+			}
+		}
+		a := newGroupAgent(i, n, port)
+		server := grpc.NewServer()
+		peer.RegisterAgentServer(server, countingAgent{a, g})
+		go func() {
+			// Serve returns an error when the test stops the server.
+			_ = server.Serve(listener)
+		}()
+		t.Cleanup(server.Stop)
+		g.agents, g.servers = append(g.agents, a), append(g.servers, server)
+	}
+	return g
+}
+
+// newGroupAgent returns the agent of a rank whose roster lists all ranks.
+func newGroupAgent(number, ranks int, port uint16) *Agent {
+	info := &groupInfo{
+		self: service.Membership{Group: "g0", Epoch: 1, Rank: number, Size: ranks}, experts: &experts,
+		engineAddresses: map[string]netip.AddrPort{},
+	}
+	domains := map[string]fleet.FailureDomain{}
+	for i := range ranks {
+		info.engineAddresses[strconv.Itoa(i)] = engineAddress(i)
+		domains[strconv.Itoa(i)] = fleet.FailureDomain(strconv.Itoa(i % 3))
+	}
+	info.relayGroups = relayGroups(domains)
+	pool := dial.NewPool(nil, &dial.Traffic{})
+	r := &roster{ownEngine: engineAddress(number), agentPort: port, pool: pool, log: logr.Discard()}
+	r.current.Store(info)
+	controller := rank.New(r, rank.NewOrderAdapter(&idleEngine{}, logr.Discard()), logr.Discard())
+	c := &candidate{roster: r, controller: controller, log: logr.Discard()}
+	c.courier = &courier{roster: r, own: controller, log: logr.Discard(), pausedUntil: map[string]time.Time{}}
+	return &Agent{roster: r, candidate: c, pool: pool, log: log.New(discard{}, log.Text, "a")}
+}
+
+// discard is a writer that discards what is written.
+type discard struct{}
+
+func (discard) Write(p []byte) (int, error) { return len(p), nil }
+
+// collect sends a Collect from the first rank's agent to all ranks. It returns the names of
+// the ranks that replied, and the number of samples.
+func (g *largeGroup) collect(ctx context.Context) (replied map[string]bool, samples int) {
+	var batch []dispatch
+	for i := range g.agents {
+		m := orders.OrderToProto("g0", group.Collect{Ballot: group.Ballot{Term: 1, Proposer: "0"}})
+		m.Loads = true
+		batch = append(batch, dispatch{rank: strconv.Itoa(i), message: m})
+	}
+	var mu sync.Mutex
+	replied = map[string]bool{}
+	g.agents[0].candidate.courier.send(ctx, batch, replyHandler{
+		sample: func(group.Sample) { mu.Lock(); defer mu.Unlock(); samples++ },
+		reply: func(d dispatch, m *peer.GrantReply, err error) {
+			mu.Lock()
+			defer mu.Unlock()
+			if err == nil {
+				replied[d.rank] = m.Accepted
+			}
+		},
+	})
+	return replied, samples
+}
+
+func TestLargeGroupIsReachedByOneRelayOfEachRelayGroup(t *testing.T) {
+	is := is.New(t)
+	g := startLargeGroup(t, 24)
+	replied, _ := g.collect(t.Context())
+	is.Equal(len(replied), 24)
+	is.Equal(g.relayed.Load(), int64(3))
+	_, samples := g.collect(t.Context())
+	is.True(samples <= 4) // of the relays and of the own rank: counters of several ranks are added up
+}
+
+func TestSmallGroupIsCalledDirectly(t *testing.T) {
+	is := is.New(t)
+	g := startLargeGroup(t, maxDirectRanks)
+	replied, _ := g.collect(t.Context())
+	is.Equal(len(replied), maxDirectRanks)
+	is.Equal(g.relayed.Load(), int64(0))
+}
+
+// TestGroupIsReachedAlthoughRelaysFail guards against ranks without orders because the agent
+// that was to relay them has stopped.
+func TestGroupIsReachedAlthoughRelaysFail(t *testing.T) {
+	is := is.New(t)
+	g := startLargeGroup(t, 24)
+	for _, stopped := range []int{1, 2, 3} { // the first ranks of all three relay groups but for the own rank
+		g.servers[stopped].Stop()
+	}
+	replied, _ := g.collect(t.Context())
+	is.Equal(len(replied), 21)
+	for name := range replied {
+		is.True(name != "1" && name != "2" && name != "3")
+	}
+}
+
+// TestRankIsNotSilentBecauseItsRelayFailed guards against controlling an engine in place of
+// its agent, since a relay or the leader's own link was overloaded: only an agent that was
+// called and did not reply is unreachable.
+func TestRankIsNotSilentBecauseItsRelayFailed(t *testing.T) {
+	is := is.New(t)
+	g := startLargeGroup(t, 24)
+	g.collect(t.Context())
+	r := g.agents[0].roster
+	later := time.Now().Add(time.Minute)
+	is.True(!r.unreachable("4", later)) // not called in that time
+	r.recordResult("4", false, later)
+	is.True(r.unreachable("4", later.Add(unreachableAfter)))
+	r.recordResult("4", true, later.Add(unreachableAfter))
+	is.True(!r.unreachable("4", later.Add(unreachableAfter)))
+}
+
+func TestRelayRejectsInvalidRequests(t *testing.T) {
+	is := is.New(t)
+	_, err := relayTargets(&peer.RelayRequest{})
+	is.True(err != nil) // no order
+	_, err = relayTargets(&peer.RelayRequest{Order: &peer.GrantOrder{}, Targets: []*peer.RelayTarget{{Address: []byte{1}}}})
+	is.True(err != nil)
+	_, err = relayTargets(&peer.RelayRequest{Order: &peer.GrantOrder{}, Targets: make([]*peer.RelayTarget, maxRelayTargets+1)})
+	is.True(err != nil)
+}
+
+func TestRelayGroupsLieInOneFailureDomainAndAreEven(t *testing.T) {
+	is := is.New(t)
+	domains := map[string]fleet.FailureDomain{}
+	for i := range 96 {
+		domains[strconv.Itoa(i)] = fleet.FailureDomain(strconv.Itoa(i % 5))
+	}
+	size := map[int]int{}
+	domainOf := map[int]fleet.FailureDomain{}
+	for name, number := range relayGroups(domains) {
+		size[number]++
+		if d, ok := domainOf[number]; ok {
+			is.Equal(d, domains[name])
+		}
+		domainOf[number] = domains[name]
+	}
+	is.Equal(len(size), 10)
+	for _, n := range size {
+		is.True(n == 9 || n == 10)
+	}
+}
--- a/internal/agent/direct/direct_test.go
+++ b/internal/agent/direct/direct_test.go
@@ -293,7 +293,7 @@
 	c.fallback = rank.New(r, rank.NewOrderAdapter(fallbackEngine, logr.Discard()), logr.Discard())
 	call := func() (*peer.GrantReply, error) {
 		m := orders.OrderToProto("g0", group.Collect{Ballot: group.Ballot{Term: 1}})
-		m.Loads = true
+		m.Loads, m.Held = true, true
 		return c.call(t.Context(), m)
 	}
 	reply, err := call()
@@ -320,7 +320,7 @@
 func TestUncalledAgentIsAnError(t *testing.T) {
 	is := is.New(t)
 	now := time.Now()
-	c := &remoteAgent{rank: "0", log: logr.Discard(), repliedAt: now.Add(-time.Minute), retryAt: now.Add(time.Minute)}
+	c := &remoteAgent{rank: "0", log: logr.Discard(), repliedAt: now.Add(-time.Minute), failedAt: now, retryAt: now.Add(time.Minute)}
 	reply, err := c.call(t.Context(), &peer.GrantOrder{})
 	is.True(reply == nil)
 	is.True(err != nil)
--- a/internal/agent/direct/leadership.go
+++ b/internal/agent/direct/leadership.go
@@ -31,9 +31,9 @@
 	// observeInterval is how often a leader reads the ranks' expert counters and updates
 	// its estimate of the loads. It is well below the few seconds for which the
 	// distribution of requests is stable. observePerRank bounds the reads in a large
-	// group to about 200 per second.
+	// group to about 500 per second.
 	observeInterval = 100 * time.Millisecond
-	observePerRank  = 5 * time.Millisecond
+	observePerRank  = 2 * time.Millisecond
 	// switchPollInterval is how often a leader polls the ranks while they switch to
 	// a new map.
 	switchPollInterval = 40 * time.Millisecond
@@ -81,6 +81,7 @@
 	self       string
 	roster     *roster
 	controller *rank.Rank
+	courier    *courier
 	leases     Leases
 	log        logr.Logger
 	// groupKnownSince is the time at which the agent learned of its group.
@@ -183,26 +184,33 @@
 
 	// mu guards the fields below.
 	mu sync.Mutex
-	// heldExperts are the experts that each rank reported by layer, heldMapVersion
-	// the map that they belong to, and mapInUse the map that each rank uses.
-	heldExperts                                  map[string][][]int
-	heldMapVersion                               map[string]uint64
-	mapInUse                                     map[string]uint64
+	// held are the experts that each rank reported, mapInUse the map that the own rank
+	// uses.
+	held                              map[string]heldExperts
+	mapInUse                          uint64
 	observedAt, polledAt, keepAliveAt time.Time
 	// plannedAt is the time of the observation that the last plan used, plannedFrom the
 	// version of the map that it was to replace.
 	plannedAt   time.Time
 	plannedFrom uint64
-	staging     bool
+	// cancelStaging ends the staging of a map, nil while none is staged.
+	cancelStaging context.CancelFunc
 	// stagedVersion is the version of a map that is staged at all ranks and waits to
-	// be proposed, 0 for none. lastStaged is the map that was staged last.
-	stagedVersion uint64
-	lastStaged    group.Map
+	// be proposed, 0 for none. lastStaged and previousStaged are the maps that were
+	// staged last and before.
+	stagedVersion              uint64
+	lastStaged, previousStaged group.Map
 	// mapCounter counts the maps planned in this term.
 	mapCounter uint64
 	planner    *group.Replanner
 }
 
+// heldExperts are the experts of a rank by layer under a version of the map.
+type heldExperts struct {
+	version uint64
+	experts [][]int
+}
+
 // leadGroup leads the group under a lease term until this agent's rank promises to
 // follow a leader with a later term, or ctx is done.
 func (c *candidate) leadGroup(ctx context.Context, term uint64) {
@@ -216,7 +224,7 @@
 	leader := group.NewLeader(c.roster.Ranks(), group.Ballot{Term: term, Proposer: c.self}, 0, group.LeaderConfig{
 		ResendInterval: resendInterval, PollInterval: observeIntervalFor(info.self.Size), PromiseTimeout: promiseTimeout, MinStepsAhead: minStepsAhead,
 	})
-	orders.RunLeader(ctx, c.log, info.self.Group, info.self.Size, leader, g.call, func(leader *group.Leader) bool {
+	orders.RunLeaderBySending(ctx, c.log, info.self.Size, leader, g.send, func(leader *group.Leader) bool {
 		if _, promised := c.controller.LastOrder(); promised.Term > term {
 			return true
 		}
@@ -242,37 +250,83 @@
 			FetchTime: e.FetchTime, MaxFetchesPerLayer: e.MaxFetchesPerSet, MaxFetchTime: maxFetchTime,
 			MinSaving: minSaving, LongStepShare: longStepShare,
 		}),
-		heldExperts: map[string][][]int{}, heldMapVersion: map[string]uint64{}, mapInUse: map[string]uint64{},
+		held: map[string]heldExperts{},
 	}
 }
 
-// call sends an order to a rank and records the map, counters and experts that its
-// reply reports.
-func (g *leadership) call(ctx context.Context, name string, m *peer.GrantOrder) (*peer.GrantReply, error) {
-	m.Loads = m.Kind == peer.GrantOrder_COLLECT
-	reply, err := g.candidate.controller.Call(ctx, name, m)
-	if err != nil {
-		g.candidate.log.V(1).Info("no reply from a rank to an order", "rank", name, "order", m.Kind.String(), "reason", err.Error())
-		return nil, err
+// send sends orders to the ranks, and records the map, the counters and the experts that
+// the replies report.
+func (g *leadership) send(ctx context.Context, batch []group.OutgoingOrder, deliver orders.DeliverFunc) {
+	var out []dispatch
+	held := g.needsHeldExperts()
+	for _, o := range batch {
+		m := orders.OrderToProto(g.candidate.roster.Name(), o.Order)
+		m.Loads = m.Kind == peer.GrantOrder_COLLECT
+		m.Held = m.Loads && held
+		out = append(out, dispatch{o.Rank, o.Order, m})
 	}
+	g.candidate.courier.send(ctx, out, replyHandler{
+		sample: g.addSample,
+		reply: func(d dispatch, m *peer.GrantReply, err error) {
+			if err != nil {
+				g.candidate.log.V(1).Info("no reply from a rank to an order", "rank", d.rank, "order", d.message.Kind.String(), "reason", err.Error())
+				return
+			}
+			g.recordReply(d, m)
+			deliver(d.rank, d.order, orders.ReplyFromProto(m))
+		},
+	})
+}
+
+// addSample adds the experts that were chosen at some ranks to the load estimate.
+func (g *leadership) addSample(s group.Sample) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if m.Kind == peer.GrantOrder_COLLECT {
-		g.mapInUse[name] = reply.LoadMap
+	g.planner.AddSample(s)
+}
+
+// recordReply records the map and the experts that a rank reports.
+func (g *leadership) recordReply(d dispatch, m *peer.GrantReply) {
+	if d.message.Kind != peer.GrantOrder_COLLECT {
+		return
 	}
-	if len(reply.Held) > 0 {
-		g.planner.AddSample(group.Sample{Counts: reply.Chosen, Unit: float64(reply.ChosenUnit)})
-		g.heldMapVersion[name] = reply.LoadMap
-		g.heldExperts[name] = g.heldExperts[name][:0]
-		for _, set := range reply.Held {
-			var experts []int
-			for _, e := range set.Experts {
-				experts = append(experts, int(e))
-			}
-			g.heldExperts[name] = append(g.heldExperts[name], experts)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if d.rank == g.candidate.roster.Self() {
+		g.mapInUse = m.LoadMap
+	}
+	if len(m.Held) == 0 {
+		return
+	}
+	h := heldExperts{version: m.LoadMap}
+	for _, set := range m.Held {
+		var experts []int
+		for _, e := range set.Experts {
+			experts = append(experts, int(e))
+		}
+		h.experts = append(h.experts, experts)
+	}
+	g.held[d.rank] = h
+}
+
+// needsHeldExperts reports whether the content of the map in use is not known from staging
+// it, so that it has to be reported by the ranks.
+func (g *leadership) needsHeldExperts() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	_, staged := g.stagedMap(g.mapInUse)
+	return !staged
+}
+
+// stagedMap returns the map of a version if it is one of the last two that were staged. The
+// caller holds g.mu.
+func (g *leadership) stagedMap(version uint64) (group.Map, bool) {
+	for _, m := range []group.Map{g.lastStaged, g.previousStaged} {
+		if version != 0 && m.Version == version {
+			return m, true
 		}
 	}
-	return reply, nil
+	return group.Map{}, false
 }
 
 // handleEvent is called after each event of the leader. In a steady group it
@@ -284,7 +338,9 @@
 	now := time.Now()
 	if now.Sub(g.observedAt) >= observeIntervalFor(g.shape.Ranks) {
 		g.observedAt = now
-		g.planner.Observe(l.Step(), now)
+		if shifted := g.planner.Observe(l.Step(), now); shifted && g.cancelStaging != nil {
+			g.cancelStaging() // the map was planned for other loads
+		}
 	}
 	switch {
 	case l.Phase() != group.Steady:
@@ -296,7 +352,7 @@
 			g.candidate.log.Info("map proposed", "map", g.stagedVersion, "term", g.term, "step", l.Step())
 			g.stagedVersion = 0
 		}
-	case !g.staging:
+	case g.cancelStaging == nil:
 		g.plan(ctx, l, now)
 	}
 }
@@ -306,11 +362,7 @@
 func (g *leadership) plan(ctx context.Context, l *group.Leader, now time.Time) {
 	current, ok := g.currentMap(l.Current().MapVersion)
 	if !ok {
-		// Not all ranks have switched to the latest map and reported it.
-		if now.Sub(g.polledAt) >= switchPollInterval {
-			g.polledAt = now
-			l.PollNow()
-		}
+		g.pollOwnRank(ctx, l, now)
 		return
 	}
 	if g.plannedAt == g.observedAt && g.plannedFrom == current.Version {
@@ -326,12 +378,23 @@
 	}
 	g.mapCounter++
 	next.Map.Version = g.term<<mapCounterBits | g.mapCounter
-	g.staging = true
 	moves := current.Moves(next.Map)
 	g.candidate.log.Info("map planned", "map", next.Map.Version, "from", current.Version, "moves", moves, "skew", next.Skew,
 		"planned-skew", next.PlannedSkew, "step-ms", g.planner.StepTime().Milliseconds(), "least", next.MinSaving)
-	ballot := l.Ballot()
-	go task.Once(g.candidate.log, "stage", func() { g.stage(ctx, next.Map, moves, ballot) })
+	g.startStaging(ctx, current, next.Map, moves, l.Ballot())
+}
+
+// pollOwnRank asks the own rank once per switchPollInterval whether it has switched to the
+// latest map. The other ranks switch at the same step. The caller holds g.mu.
+func (g *leadership) pollOwnRank(ctx context.Context, l *group.Leader, now time.Time) {
+	if now.Sub(g.polledAt) < switchPollInterval {
+		return
+	}
+	g.polledAt = now
+	batch := []group.OutgoingOrder{{Rank: g.candidate.roster.Self(), Order: group.Collect{Ballot: l.Ballot()}}}
+	go task.Once(g.candidate.log, "poll", func() {
+		g.send(ctx, batch, func(string, group.Order, group.Reply) {}) // send records the map
+	})
 }
 
 // keepAlive sends an order to all ranks once per keepAliveInterval, while the
@@ -341,78 +404,29 @@
 		return
 	}
 	g.keepAliveAt = now
+	var batch []group.OutgoingOrder
 	for _, name := range g.candidate.roster.Ranks() {
-		m := orders.OrderToProto(g.candidate.roster.Name(), group.Collect{Ballot: l.Ballot()})
-		// The reply is not needed, and call logs a failure.
-		go task.Once(g.candidate.log, "keep-alive", func() { _, _ = g.call(ctx, name, m) })
+		batch = append(batch, group.OutgoingOrder{Rank: name, Order: group.Collect{Ballot: l.Ballot()}})
 	}
+	go task.Once(g.candidate.log, "keep-alive", func() {
+		g.send(ctx, batch, func(string, group.Order, group.Reply) {}) // the replies are not needed
+	})
 }
 
-// currentMap returns the map of a version, and true when all ranks use it and its
-// content is known from their reports or from staging it. The caller holds g.mu.
+// currentMap returns the map of a version, and true when the ranks use it and its content
+// is known from staging it or from their reports. The caller holds g.mu.
 func (g *leadership) currentMap(version uint64) (group.Map, bool) {
+	if m, staged := g.stagedMap(version); staged {
+		// All ranks have been granted the map from the same step on, and step together.
+		return m, g.mapInUse == version
+	}
 	byRank := make([][][]int, g.shape.Ranks)
-	complete := true
 	for i := range byRank {
-		name := strconv.Itoa(i)
-		if g.mapInUse[name] != version {
+		h := g.held[strconv.Itoa(i)]
+		if h.version != version || len(h.experts) != g.shape.Layers {
 			return group.Map{}, false
 		}
-		byRank[i] = g.heldExperts[name]
-		complete = complete && len(g.heldExperts[name]) == g.shape.Layers && g.heldMapVersion[name] == version
-	}
-	switch {
-	case version != 0 && g.lastStaged.Version == version:
-		// A rank with an unreachable agent does not report its experts.
-		return g.lastStaged, true
-	case !complete:
-		return group.Map{}, false
+		byRank[i] = h.experts
 	}
 	return group.MapFromRanks(version, byRank, g.shape), true
 }
-
-// errSuperseded means that a rank refused to stage a map because it has promised to
-// follow a higher ballot than that of the order.
-var errSuperseded = errors.New("a rank refused the map: it has promised to follow a higher ballot")
-
-// stage stages a map at all ranks and records it for the next proposal when all
-// ranks have it.
-func (g *leadership) stage(ctx context.Context, m group.Map, moves int, b group.Ballot) {
-	started := time.Now()
-	err := g.stageAtAllRanks(ctx, m, b)
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.staging = false
-	if err != nil {
-		g.candidate.log.Info("map not staged at all ranks; it is dropped", "map", m.Version, "reason", err.Error())
-		return
-	}
-	g.stagedVersion, g.lastStaged = m.Version, m
-	g.candidate.metrics.expertsMoved.Add(uint64(moves))
-	g.candidate.log.Info("map staged", "map", m.Version, "took-ms", time.Since(started).Milliseconds())
-}
-
-// stageAtAllRanks sends the map to all ranks in parallel. It returns the errors of
-// the ranks that do not have it.
-func (g *leadership) stageAtAllRanks(ctx context.Context, m group.Map, b group.Ballot) error {
-	content, err := json.Marshal(m)
-	if err != nil {
-		return err
-	}
-	errs := make([]error, g.shape.Ranks)
-	var calls sync.WaitGroup
-	for i := range errs {
-		calls.Go(func() {
-			reply, err := g.candidate.controller.Call(ctx, strconv.Itoa(i), &peer.GrantOrder{
-				Group: g.candidate.roster.Name(), Kind: peer.GrantOrder_STAGE, Map: m.Version, Content: content,
-				Ballot: orders.BallotToProto(b),
-			})
-			if err == nil && !reply.Accepted {
-				err = errSuperseded
-			}
-			errs[i] = err
-		})
-	}
-	calls.Wait()
-	return errors.Join(errs...)
-}
--- a/internal/agent/direct/remote.go
+++ b/internal/agent/direct/remote.go
@@ -48,10 +48,11 @@
 
 	mu sync.Mutex
 	// repliedAt is the time of the agent's last reply, or of the first call while
-	// there is none. An unreachable agent is not called before retryAt.
-	repliedAt, retryAt time.Time
-	usingFallback      bool
-	engineUnreachable  bool
+	// there is none. failedAt is the time of the last call that failed, by this agent or
+	// by a relay. An unreachable agent is not called before retryAt.
+	repliedAt, failedAt, retryAt time.Time
+	usingFallback                bool
+	engineUnreachable            bool
 }
 
 // errNotDue means that an unreachable agent was not called, because the last call was less
@@ -81,17 +82,23 @@
 	if !c.shouldCall(time.Now()) {
 		return nil, errNotDue
 	}
-	timeout := agentCallTimeout
-	if m.Kind == peer.GrantOrder_STAGE {
-		timeout = stageCallTimeout
-	}
-	ctx, cancel := context.WithTimeout(ctx, timeout)
+	ctx, cancel := context.WithTimeout(ctx, callTimeout(m))
 	defer cancel()
 	reply, err := orders.CallAt(ctx, c.pool, c.address, m)
-	if err == nil {
-		c.recordReply(time.Now())
+	if err != nil {
+		c.recordFailure(time.Now())
+		return nil, err
 	}
-	return reply, err
+	c.recordReply(time.Now())
+	return reply, nil
+}
+
+// callTimeout returns the timeout of a call that sends an order.
+func callTimeout(m *peer.GrantOrder) time.Duration {
+	if m.Kind == peer.GrantOrder_STAGE {
+		return stageCallTimeout
+	}
+	return agentCallTimeout
 }
 
 // recordEngineResult records the outcome of a direct call to the engine and logs
@@ -116,7 +123,7 @@
 	if c.repliedAt.IsZero() {
 		c.repliedAt = now
 	}
-	if now.Sub(c.repliedAt) > unreachableAfter && now.Before(c.retryAt) {
+	if c.silentLocked(now) && now.Before(c.retryAt) {
 		return false
 	}
 	c.retryAt = now.Add(agentRetryInterval)
@@ -133,12 +140,34 @@
 	c.repliedAt, c.usingFallback = now, false
 }
 
+// recordFailure records that a call of the agent failed at now.
+func (c *remoteAgent) recordFailure(now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.repliedAt.IsZero() {
+		c.repliedAt = now
+	}
+	c.failedAt = now
+}
+
+// silent reports whether the agent has not replied for unreachableAfter although it was
+// called. Without a failed call there was no reason for it to reply.
+func (c *remoteAgent) silent(now time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.silentLocked(now)
+}
+
+func (c *remoteAgent) silentLocked(now time.Time) bool {
+	return c.failedAt.After(c.repliedAt) && now.Sub(c.repliedAt) > unreachableAfter
+}
+
 // unreachable reports whether the agent is unreachable. The first call that finds
 // it so logs the change and calls onUnreachable.
 func (c *remoteAgent) unreachable(now time.Time) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	unreachable := now.Sub(c.repliedAt) > unreachableAfter
+	unreachable := c.silentLocked(now)
 	if unreachable && !c.usingFallback {
 		c.usingFallback = true
 		c.onUnreachable()
--- a/internal/agent/direct/roster.go
+++ b/internal/agent/direct/roster.go
@@ -15,6 +15,7 @@
 	"bramleydeal/internal/process/directory"
 	"bramleydeal/internal/wire/dial"
 	"bramleydeal/internal/wire/peer"
+	"bramleydeal/internal/world/fleet"
 	"bramleydeal/internal/world/service"
 	"github.com/go-logr/logr"
 	"github.com/samber/oops"
@@ -55,7 +56,9 @@
 	service string
 	// engineAddresses maps rank names to the addresses of their engines.
 	engineAddresses map[string]netip.AddrPort
-	experts         *service.Experts
+	// relayGroups numbers the relay group of each rank.
+	relayGroups map[string]int
+	experts     *service.Experts
 	// maxGap is the smallest limit on the pause between two events of a stream that
 	// a route to the service sets, 0 when no route sets one.
 	maxGap time.Duration
@@ -135,6 +138,35 @@
 	return r.remoteAgent(name, info.engineAddresses[name]).call(ctx, m)
 }
 
+// agentAddress returns the address of the agent of a rank, and false if the rank is not in
+// the list of upstreams.
+func (r *roster) agentAddress(name string) (netip.AddrPort, bool) {
+	info := r.current.Load()
+	if info == nil || !info.engineAddresses[name].IsValid() {
+		return netip.AddrPort{}, false
+	}
+	return netip.AddrPortFrom(info.engineAddresses[name].Addr(), r.agentPort), true
+}
+
+// unreachable reports whether the agent of a rank is unreachable.
+func (r *roster) unreachable(name string, now time.Time) bool {
+	info := r.current.Load()
+	return info != nil && r.remoteAgent(name, info.engineAddresses[name]).silent(now)
+}
+
+// recordResult records that the agent of a rank replied to a relay, or that it did not.
+func (r *roster) recordResult(name string, replied bool, now time.Time) {
+	info := r.current.Load()
+	if info == nil {
+		return
+	}
+	if c := r.remoteAgent(name, info.engineAddresses[name]); replied {
+		c.recordReply(now)
+	} else {
+		c.recordFailure(now)
+	}
+}
+
 // remoteAgent returns the client of the agent beside another rank's engine. It is
 // reused until the rank's engine changes.
 func (r *roster) remoteAgent(name string, engine netip.AddrPort) *remoteAgent {
@@ -235,11 +267,14 @@
 		return len(all), nil
 	}
 	next := &groupInfo{self: *own.Membership, service: own.Service, engineAddresses: map[string]netip.AddrPort{}}
+	domains := map[string]fleet.FailureDomain{}
 	for _, u := range all {
 		if u.Membership.Group == own.Membership.Group {
-			next.engineAddresses[strconv.Itoa(u.Membership.Rank)] = u.Address
+			name := strconv.Itoa(u.Membership.Rank)
+			next.engineAddresses[name], domains[name] = u.Address, u.FailureDomain
 		}
 	}
+	next.relayGroups = relayGroups(domains)
 	if before := r.current.Load(); before != nil && before.service == next.service && before.experts != nil {
 		next.experts, next.maxGap = before.experts, before.maxGap
 	} else if err := r.readServiceConfig(ctx, next); err != nil {
--- a/internal/agent/rank/orders.go
+++ b/internal/agent/rank/orders.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"math/rand/v2"
 	"slices"
 	"strconv"
@@ -11,6 +10,7 @@
 
 	"bramleydeal/internal/core/group"
 	"bramleydeal/internal/process/clock"
+	"bramleydeal/internal/wire/orders"
 	"github.com/go-logr/logr"
 	"github.com/samber/oops"
 )
@@ -86,8 +86,14 @@
 	heldMapVersion uint64
 	// lastCounts are the counters at the last read.
 	lastCounts []uint32
+	// staged are the maps that were staged last, at most maxStagedMaps.
+	staged []group.Map
 }
 
+// maxStagedMaps is the number of maps that an adapter keeps. A leader's next map builds on
+// the one in use, after which only a few can have been staged and dropped.
+const maxStagedMaps = 4
+
 // NewOrderAdapter returns an Engine that controls o by single orders.
 func NewOrderAdapter(o OrderEngine, log logr.Logger) Engine {
 	return &orderAdapter{engine: o, log: log}
@@ -240,18 +246,19 @@
 
 // Stage implements Engine. It returns when all experts of the map have been fetched.
 func (e *orderAdapter) Stage(ctx context.Context, version uint64, content []byte) error {
-	var m group.Map
-	if err := json.Unmarshal(content, &m); err != nil {
-		return oops.Code("invalid-order").Wrapf(err, "read the map")
+	m, err := orders.DecodeMap(version, content, e.stagedMap)
+	if err != nil {
+		return err
 	}
+	e.rememberMap(m)
 	ctx, cancel := context.WithTimeout(ctx, stageTimeout)
 	defer cancel()
-	for acknowledged := false; ; {
-		done, nowAcknowledged, err := e.tryStage(ctx, version, m, acknowledged)
+	p := &preparation{version: version, content: m}
+	for {
+		done, err := e.tryStage(ctx, p)
 		if done || err != nil {
 			return err
 		}
-		acknowledged = nowAcknowledged
 		if ctx.Err() != nil {
 			return oops.Code("engine").Errorf("map %d is not there in time", version)
 		}
@@ -259,32 +266,69 @@
 	}
 }
 
-// tryStage reports whether the experts of a map have all been fetched (done). If not,
-// it sends the Prepare order, unless the engine has acknowledged an earlier one, and
-// reports whether one is acknowledged now. No map is staged during a change, since it
-// would replace the map that the rank promised to switch to.
-func (e *orderAdapter) tryStage(ctx context.Context, version uint64, m group.Map, acknowledged bool) (done, nowAcknowledged bool, err error) {
+// preparation is the state of staging one map at the engine.
+type preparation struct {
+	version uint64
+	content group.Map
+	// acknowledged is set once the engine has accepted a Prepare order, unconfirmed once
+	// one got no reply.
+	acknowledged, unconfirmed bool
+}
+
+// rememberMap keeps a staged map, so that the content of the next ones can build on it.
+func (e *orderAdapter) rememberMap(m group.Map) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if slices.ContainsFunc(e.staged, func(o group.Map) bool { return o.Version == m.Version }) {
+		return
+	}
+	e.staged = append(e.staged, m)
+	if len(e.staged) > maxStagedMaps {
+		e.staged = slices.Delete(e.staged, 0, 1)
+	}
+}
+
+// stagedMap returns a staged map that is still kept.
+func (e *orderAdapter) stagedMap(version uint64) (group.Map, bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	i := slices.IndexFunc(e.staged, func(m group.Map) bool { return m.Version == version })
+	if i < 0 {
+		return group.Map{}, false
+	}
+	return e.staged[i], true
+}
+
+// tryStage reports whether the experts of a map have all been fetched. If not, it sends
+// the Prepare order, unless the engine has acknowledged an earlier one. No map is staged
+// during a change, since it would replace the map that the rank promised to switch to.
+func (e *orderAdapter) tryStage(ctx context.Context, p *preparation) (done bool, err error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	r, err := e.report(ctx)
 	switch {
 	case err != nil:
 		e.log.V(1).Info("engine not reachable while staging a map; trying again", "reason", err.Error())
-		return false, acknowledged, nil
-	case r.Prepared == version || r.Map == version:
-		return true, acknowledged, nil
-	case r.Prepared > version || r.Map > version:
-		return false, acknowledged, oops.Code("engine").Errorf("map %d is older than one that the engine has", version)
+		return false, nil
+	case r.Prepared == p.version || r.Map == p.version:
+		return true, nil
+	case r.Prepared > p.version || r.Map > p.version:
+		return false, oops.Code("engine").Errorf("map %d is older than one that the engine has", p.version)
 	case e.state.HoldStep != 0 || e.state.Grants[len(e.state.Grants)-1].MapVersion != r.Map:
-		return false, acknowledged, oops.Code("engine").Errorf("a change of the map is under way")
-	case acknowledged:
-		return false, true, nil
+		return false, oops.Code("engine").Errorf("a change of the map is under way")
+	case p.acknowledged:
+		return false, nil
 	}
-	// An order without a reply is sent again. An engine that did receive the first one
-	// refuses the second while it fetches; its report shows the map once it is fetched.
-	ok, err := e.engine.Prepare(ctx, e.fence(r, e.state.Promised), version, m.ByLayerAndRank())
-	if err == nil && !ok {
-		return false, false, oops.Code("engine").Errorf("the engine refuses map %d", version)
+	accepted, err := e.engine.Prepare(ctx, e.fence(r, e.state.Promised), p.version, p.content.ByLayerAndRank())
+	switch {
+	case err != nil:
+		p.unconfirmed = true
+	case accepted || p.unconfirmed:
+		// An engine that did receive an order without a reply refuses the next one while it
+		// fetches the experts.
+		p.acknowledged = true
+	default:
+		return false, oops.Code("engine").Errorf("the engine refuses map %d", p.version)
 	}
-	return false, err == nil, nil
+	return false, nil
 }
--- a/internal/agent/rank/orders_test.go
+++ b/internal/agent/rank/orders_test.go
@@ -304,7 +304,7 @@
 	w.lastVersion++
 	for _, a := range w.agents {
 		// If the order is lost, this rank does not have the map and refuses the change.
-		_, _, _ = a.engine.(*orderAdapter).tryStage(context.Background(), w.lastVersion, group.Map{}, false)
+		_, _ = a.engine.(*orderAdapter).tryStage(context.Background(), &preparation{version: w.lastVersion})
 	}
 	w.leaders[i].Propose(w.lastVersion)
 }
--- a/internal/agent/rank/rank.go
+++ b/internal/agent/rank/rank.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"slices"
 	"strconv"
@@ -74,14 +75,19 @@
 
 // Order carries out one order, or refuses it. An error is a gRPC status:
 // InvalidArgument for a malformed order, else Unavailable, also for a STAGE order
-// with a malformed map. After Unavailable the order may or may not have been carried
+// with a malformed map. A STAGE order whose content builds on an unknown map is refused
+// with UnknownBase. After Unavailable the order may or may not have been carried
 // out, and may be sent again.
 func (r *Rank) Order(ctx context.Context, m *peer.GrantOrder) (*peer.GrantReply, error) {
 	if m.Kind == peer.GrantOrder_STAGE {
 		if r.superseded(m) {
 			return &peer.GrantReply{}, nil
 		}
-		if err := r.engine.Stage(ctx, m.Map, m.Content); err != nil {
+		err := r.engine.Stage(ctx, m.Map, m.Content)
+		if errors.Is(err, orders.ErrUnknownBase) {
+			return &peer.GrantReply{UnknownBase: true}, nil
+		}
+		if err != nil {
 			return nil, grpcstatus.Error(codes.Unavailable, err.Error())
 		}
 		return &peer.GrantReply{Accepted: true}, nil
@@ -92,7 +98,7 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	reply, err := r.decide(ctx, o, m.Loads)
+	reply, err := r.decide(ctx, o, m.Loads, m.Held)
 	if err != nil {
 		return nil, grpcstatus.Error(codes.Unavailable, err.Error())
 	}
@@ -114,8 +120,10 @@
 }
 
 // decide reads the rank's state from the engine, decides on the order, and applies
-// the new plan to the engine before it returns the reply. The caller holds r.mu.
-func (r *Rank) decide(ctx context.Context, o group.Order, loads bool) (*peer.GrantReply, error) {
+// the new plan to the engine before it returns the reply. With loads the reply contains
+// how often experts were chosen, with held the experts that the rank holds, if the engine
+// counts by expert. The caller holds r.mu.
+func (r *Rank) decide(ctx context.Context, o group.Order, loads, held bool) (*peer.GrantReply, error) {
 	s, err := r.engine.Read(ctx, loads)
 	if err != nil {
 		return nil, err
@@ -140,6 +148,9 @@
 	reply := orders.ReplyToProto(group.Reply{Accepted: accepted, State: next, NextStep: s.Step})
 	reply.LoadMap, reply.Loads = s.LoadMap, s.Tokens
 	reply.Chosen, reply.ChosenUnit = s.Chosen.Counts, float32(s.Chosen.Unit)
+	if !held {
+		return reply, nil
+	}
 	for _, experts := range s.HeldExperts {
 		set := &peer.ExpertSet{}
 		for _, e := range experts {
--- a/internal/core/group/leader.go
+++ b/internal/core/group/leader.go
@@ -174,14 +174,6 @@
 // ChangePending reports whether a proposed map waits for its change to begin.
 func (l *Leader) ChangePending() bool { return l.requestedVersion != 0 }
 
-// PollNow makes the next Tick poll the ranks without waiting for PollInterval. It
-// does nothing outside the Steady phase.
-func (l *Leader) PollNow() {
-	if l.phase == Steady {
-		l.lastSent = time.Time{}
-	}
-}
-
 // Tick returns the orders to send at now. It also aborts a change whose promises
 // have taken longer than PromiseTimeout.
 func (l *Leader) Tick(now time.Time) []OutgoingOrder {
--- a/internal/core/group/loads.go
+++ b/internal/core/group/loads.go
@@ -35,6 +35,34 @@
 	return s
 }
 
+// SumSamples returns the sum of samples of the same length. Samples of another length than
+// the first are left out. The sum is as precise as one sample: a share of the largest
+// count.
+func SumSamples(samples []Sample) Sample {
+	if len(samples) == 0 {
+		return Sample{}
+	}
+	sums := make([]float64, len(samples[0].Counts))
+	most := 0.0
+	for _, s := range samples {
+		if len(s.Counts) != len(sums) {
+			continue
+		}
+		for i, n := range s.Counts {
+			sums[i] += float64(n) * s.Unit
+			most = max(most, sums[i])
+		}
+	}
+	if most == 0 {
+		return Sample{}
+	}
+	out := Sample{Counts: make([]uint8, len(sums)), Unit: most / math.MaxUint8}
+	for i, x := range sums {
+		out.Counts[i] = uint8(math.Round(x / out.Unit))
+	}
+	return out
+}
+
 // LoadEstimator estimates the loads of the next steps from samples.
 type LoadEstimator struct {
 	shape Shape
@@ -83,18 +111,22 @@
 }
 
 // Update updates the estimate at now with the samples added since the last call. The
-// estimate stays as it is without any.
-func (e *LoadEstimator) Update(now time.Time) {
+// estimate stays as it is without any. It reports whether the loads have shifted, so that
+// the estimate from before was discarded.
+func (e *LoadEstimator) Update(now time.Time) (shifted bool) {
 	age := now.Sub(e.updatedAt)
 	e.updatedAt = now
-	switch {
-	case !e.hasPending:
-	case e.expected == nil || loadDistance(e.expected, e.pending) > shiftThreshold:
+	if !e.hasPending {
+		return false
+	}
+	shifted = e.expected != nil && loadDistance(e.expected, e.pending) > shiftThreshold
+	if e.expected == nil || shifted {
 		e.expected = e.pending
-	default:
+	} else {
 		e.expected = movingAverage(e.expected, e.pending, float64(age)/float64(age+loadHalfLife))
 	}
 	e.resetPending()
+	return shifted
 }
 
 // Expected returns the estimated loads, and false before there is an estimate.
--- a/internal/core/group/replanner.go
+++ b/internal/core/group/replanner.go
@@ -50,10 +50,11 @@
 func (r *Replanner) AddSample(s Sample) { r.estimator.Add(s) }
 
 // Observe updates the load estimate with the samples added since the last call, and
-// the step time with the highest step that the group has reached at now.
-func (r *Replanner) Observe(step uint64, now time.Time) {
-	r.estimator.Update(now)
+// the step time with the highest step that the group has reached at now. It reports
+// whether the loads have shifted, so that plans made before are outdated.
+func (r *Replanner) Observe(step uint64, now time.Time) (shifted bool) {
 	r.steps.record(step, now)
+	return r.estimator.Update(now)
 }
 
 // StepTime returns the moving average of the step time, 0 before it is known.
--- a/internal/wire/orders/orders.go
+++ b/internal/wire/orders/orders.go
@@ -8,6 +8,7 @@
 import (
 	"context"
 	"net/netip"
+	"sync"
 	"time"
 
 	"bramleydeal/internal/core/group"
@@ -111,6 +112,13 @@
 	CallTimeout = time.Second
 )
 
+// DeliverFunc delivers the reply of a rank to an order to the leader that sent it.
+type DeliverFunc func(rank string, o group.Order, reply group.Reply)
+
+// SendFunc sends orders and delivers the replies as they arrive. It returns when no more
+// replies are to be expected.
+type SendFunc func(ctx context.Context, batch []group.OutgoingOrder, deliver DeliverFunc)
+
 // CallFunc sends an order to a rank's agent and returns its reply.
 type CallFunc func(ctx context.Context, rank string, m *peer.GrantOrder) (*peer.GrantReply, error)
 
@@ -121,18 +129,47 @@
 	reply group.Reply
 }
 
-// RunLeader runs a leader until stop reports true or ctx is done. It calls stop after
-// each event in the calling goroutine, so stop may access the leader, for example to
-// propose a map.
+// RunLeader runs a leader that sends each order by a call, until stop reports true or ctx
+// is done. See RunLeaderBySending.
 func RunLeader(ctx context.Context, log logr.Logger, name string, ranks int, l *group.Leader, call CallFunc, stop func(*group.Leader) bool) {
+	RunLeaderBySending(ctx, log, ranks, l, func(ctx context.Context, batch []group.OutgoingOrder, deliver DeliverFunc) {
+		var calls sync.WaitGroup
+		for _, o := range batch {
+			calls.Go(func() {
+				task.Once(log, "send-order", func() {
+					// Without a reply the leader sends the order again.
+					if reply, err := call(ctx, o.Rank, OrderToProto(name, o.Order)); err == nil {
+						deliver(o.Rank, o.Order, ReplyFromProto(reply))
+					}
+				})
+			})
+		}
+		calls.Wait()
+	}, stop)
+}
+
+// RunLeaderBySending runs a leader until stop reports true or ctx is done. It calls stop
+// after each event in the calling goroutine, so stop may access the leader, for example to
+// propose a map.
+func RunLeaderBySending(ctx context.Context, log logr.Logger, ranks int, l *group.Leader, send SendFunc, stop func(*group.Leader) bool) {
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	// Each rank has at most a few orders in flight. A reply is dropped when the channel is
 	// full, and the leader then sends the order again.
 	replies := make(chan rankReply, 4*ranks)
+	deliver := func(rank string, o group.Order, reply group.Reply) {
+		select {
+		case replies <- rankReply{rank, o, reply}:
+		default:
+		}
+	}
 	for {
-		for _, s := range l.Tick(time.Now()) {
-			go task.Once(log, "send-order", func() { sendOrder(ctx, name, s, call, replies) })
+		if batch := l.Tick(time.Now()); len(batch) > 0 {
+			go task.Once(log, "send-orders", func() {
+				sendCtx, cancel := context.WithTimeout(ctx, CallTimeout)
+				defer cancel()
+				send(sendCtx, batch, deliver)
+			})
 		}
 		select {
 		case r := <-replies:
@@ -152,20 +189,6 @@
 	}
 }
 
-// sendOrder sends one order and delivers its reply, if there is one.
-func sendOrder(ctx context.Context, name string, s group.OutgoingOrder, call CallFunc, replies chan<- rankReply) {
-	ctx, cancel := context.WithTimeout(ctx, CallTimeout)
-	defer cancel()
-	reply, err := call(ctx, s.Rank, OrderToProto(name, s.Order))
-	if err != nil {
-		return // the leader sends the order again
-	}
-	select {
-	case replies <- rankReply{s.Rank, s.Order, ReplyFromProto(reply)}:
-	default:
-	}
-}
-
 // Call sends an order to the agent of a rank, whose address it takes from the settings.
 // After an error the order may or may not have been carried out.
 func Call(ctx context.Context, settings *snapshot.Snapshot, pool *dial.Pool, rank string, m *peer.GrantOrder) (*peer.GrantReply, error) {
