A handler that writes nothing closes the caller's connection

The handler took the caller for gone and returned without a response, for which net/http sends 200 with an empty body.

A handler that has written no head now closes the connection, whatever the path. A caller that may still read gets the refusal that nothing was sent.

Ruled out: an upstream's response without a signature (those are never passed on), the change of limits by generations.

--- a/internal/entry/client/forward.go
+++ b/internal/entry/client/forward.go
@@ -236,6 +236,10 @@
 		f.handler.pools.RecordOutcome(u, coreupstream.CallerLeft, 0, now)
 		f.handler.counters.ended(f.route, "caller-left")
 		f.logAttempt(u, began, "caller left", err)
+		if errors.Is(err, upstream.ErrUnsent) && !f.headSent {
+			// A caller that has only closed its sending side still reads the response.
+			f.fail(f.retryState.NoUpstream(now))
+		}
 		return nil
 	case errors.Is(err, upstream.ErrUnsent) && ctx.Err() == nil:
 		outcome := coreupstream.Unreachable
@@ -351,6 +355,7 @@
 		out["Content-Type"] = nil // prevents net/http from detecting one
 	}
 	f.handler.setConnectionClose(out)
+	f.answered = true
 	f.w.WriteHeader(head.StatusCode)
 	f.headSent = true
 }
--- a/internal/entry/client/handler.go
+++ b/internal/entry/client/handler.go
@@ -153,6 +153,8 @@
 	service                  string
 	account                  *service.Account
 	body                     []byte
+	// answered is set once the head of a response was written.
+	answered bool
 }
 
 // ServeHTTP implements http.Handler.
@@ -168,6 +170,10 @@
 	}
 	h.pools.RecordRequest(c.service, c.arrived)
 	h.forward(w, r, c)
+	if !c.answered {
+		// net/http would send a 200 response of its own.
+		panic(http.ErrAbortHandler)
+	}
 }
 
 // resolve sets the route, client account, service, deadlines and body of a
@@ -244,6 +250,7 @@
 		}
 		w.Header().Set("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', 3, 64))
 	}
+	c.answered = true
 	w.WriteHeader(row.Status)
 	// Write errors are ignored: they mean that the caller is gone.
 	_ = json.NewEncoder(w).Encode(map[string]string{"error": string(refusal.Kind), "detail": refusal.Detail})
