--- a/internal/core/upstream/pool.go
+++ b/internal/core/upstream/pool.go
@@ -48,27 +48,6 @@
 	group *poolGroup
 }
 
-// poolGroup is a group of upstreams (ranks) that compute each step together, so a
-// failure of one stalls all of them.
-type poolGroup struct {
-	health health
-	size   int
-	// listing is the state of the group in the latest list.
-	listing groupListing
-	// broken is set while the list marks the group as broken and no response of
-	// the group has arrived since.
-	broken bool
-	// outstanding is the sum over the group's members.
-	outstanding int
-}
-
-// groupListing is the state of a group according to the list, in its newest epoch.
-type groupListing struct {
-	epoch uint64
-	// broken is set if at least one rank marks the group as broken.
-	broken bool
-}
-
 // PoolConfig holds the settings of a Pool.
 type PoolConfig struct {
 	// EjectionTime is the time for which an upstream is first ejected. The time
@@ -151,60 +130,6 @@
 	p.byID, p.groups = kept, groups
 }
 
-// groupFor returns the group of a membership, or nil without a membership. A group
-// that is not yet in groups is added to it, with its state from before if it has one.
-func (p *Pool) groupFor(groups map[string]*poolGroup, m *service.Membership) *poolGroup {
-	if m == nil {
-		return nil
-	}
-	g := groups[m.Group]
-	if g == nil {
-		g = p.groups[m.Group]
-		if g == nil {
-			g = &poolGroup{}
-		}
-		g.outstanding, g.size = 0, max(m.Size, 1)
-		groups[m.Group] = g
-	}
-	return g
-}
-
-// groupListings returns the state of each group according to the list.
-func groupListings(upstreams []service.Upstream) map[string]groupListing {
-	out := map[string]groupListing{}
-	for _, u := range upstreams {
-		m := u.Membership
-		if m == nil {
-			continue
-		}
-		l := out[m.Group]
-		switch {
-		case m.Epoch > l.epoch:
-			l = groupListing{m.Epoch, m.Broken}
-		case m.Epoch == l.epoch:
-			l.broken = l.broken || m.Broken
-		}
-		out[m.Group] = l
-	}
-	return out
-}
-
-// updateListing records the group's state according to the latest list. A group that
-// is newly marked as broken counts as stalled; one that re-formed or is no longer
-// marked as broken starts with a clean health record.
-func (g *poolGroup) updateListing(l groupListing, now time.Time) {
-	previous := g.listing
-	g.listing = l
-	switch {
-	case l.epoch == previous.epoch && l.broken == previous.broken:
-	case l.broken:
-		g.broken = true
-		g.recordStall(now)
-	default:
-		g.broken, g.health = false, health{}
-	}
-}
-
 // PoolQuery describes a request for which a Pool chooses an upstream.
 type PoolQuery struct {
 	// Exclude holds the IDs of the upstreams at which an attempt was made before.
@@ -313,9 +238,6 @@
 	)
 }
 
-// load returns the group's outstanding requests per rank.
-func (g *poolGroup) load() float64 { return float64(g.outstanding) / float64(g.size) }
-
 // load returns the upstream's load as a fraction of its slots. The load from other
 // processes counts less the older its report is, and not at all for the rank of a group.
 func (m *member) load(now time.Time) float64 {
@@ -343,163 +265,6 @@
 	}
 }
 
-// PoolOutcome is how a request ended at an upstream of a Pool.
-type PoolOutcome int
-
-// The outcomes of a request at an upstream of a Pool.
-const (
-	// Answered means that a complete response arrived.
-	Answered PoolOutcome = iota
-	// UpstreamError means that the connection broke, the response timed out or was
-	// invalid, or the upstream returned a server error.
-	UpstreamError
-	// Rejected means that the upstream declined the request without running it.
-	Rejected
-	// Unreachable means that the connection failed before a timeout, for example
-	// because it was refused, or that the address now belongs to another upstream.
-	Unreachable
-	// ConnectTimeout means that connecting timed out without any reply.
-	ConnectTimeout
-	// GroupStalled means that the upstream did not run the request because its
-	// group is stalled.
-	GroupStalled
-	// CallerLeft means that the caller disconnected before the end of the response.
-	CallerLeft
-)
-
-// RecordOutcome records that a request to the upstream with the given ID ended with o
-// at now. took is the time to the complete response, or to the first event of a stream,
-// and counts for Answered only. Outcomes at upstreams that are not in the pool are
-// ignored.
-func (p *Pool) RecordOutcome(id string, o PoolOutcome, took time.Duration, now time.Time) {
-	m := p.byID[id]
-	if m == nil {
-		return
-	}
-	m.outstanding = max(m.outstanding-1, 0)
-	if m.group != nil {
-		m.group.outstanding = max(m.group.outstanding-1, 0)
-	}
-	if m.group != nil && o != GroupStalled {
-		m.group.health.probing = false
-	}
-	p.reachabilityOf(m).recordOutcome(o, now)
-	if o != Answered && o != CallerLeft && o != Rejected {
-		if p.consecutiveFailures++; p.firstFailureAt.IsZero() {
-			p.firstFailureAt = now
-		}
-	}
-	switch o {
-	case Answered:
-		p.recordSuccess(m, took, now)
-	case UpstreamError:
-		p.recordFailure(m, now)
-	case Unreachable, ConnectTimeout:
-		// The upstream cannot be reached at its address, so it is ejected even if
-		// that leaves less than half of the pool.
-		m.health.eject(p.config.EjectionTime, now)
-	case GroupStalled:
-		m.health.probing = false
-		m.group.recordStall(now)
-	case Rejected, CallerLeft:
-		m.health.probing = false
-	}
-}
-
-// recordStall ejects a stalled group until its next probe. It does nothing if g is nil.
-func (g *poolGroup) recordStall(now time.Time) {
-	if g == nil {
-		return
-	}
-	interval := groupProbeInterval
-	if g.broken {
-		interval = brokenGroupProbeInterval
-	}
-	g.health.ejections = 0 // keeps the interval from doubling with each failed probe
-	g.health.eject(interval, now)
-}
-
-// minOutageFailures is the number of consecutive failed requests from which on a
-// service counts as unavailable although some of its upstreams are healthy.
-const minOutageFailures = 3
-
-// Outage returns how long the service has been unavailable at now: since its first
-// failure if at least minOutageFailures consecutive requests failed, or since its last
-// success (or first configuration) if no upstream is healthy or lapsed. It is 0 while
-// the service is available, and for a service that never had upstreams.
-func (p *Pool) Outage(now time.Time) time.Duration {
-	switch {
-	case p.consecutiveFailures >= minOutageFailures:
-		return now.Sub(p.firstFailureAt)
-	case p.anyHealthy(now):
-		return 0
-	case p.firstConfiguredAt.IsZero():
-		return 0 // the service never had upstreams
-	case p.lastSuccessAt.IsZero():
-		return now.Sub(p.firstConfiguredAt)
-	}
-	return now.Sub(p.lastSuccessAt)
-}
-
-// anyHealthy reports whether any upstream is healthy, or lapsed but not ejected. Upstreams
-// that have MaxOutstanding requests do not count.
-func (p *Pool) anyHealthy(now time.Time) bool {
-	return slices.ContainsFunc(p.members, func(m *member) bool { return p.eligibility(m, PoolQuery{}, now) <= lapsed })
-}
-
-// recordSuccess records a complete response from m with the given latency, and ejects m
-// if it is slow.
-func (p *Pool) recordSuccess(m *member, took time.Duration, now time.Time) {
-	p.lastSuccessAt, p.firstFailureAt, p.consecutiveFailures = now, time.Time{}, 0
-	if m.group != nil {
-		m.group.health, m.group.broken = health{}, false
-	}
-	m.recordSample(0)
-	m.health.recordSuccess(took)
-	// The ranks of a group are not ejected for latency: all of them are as slow as
-	// the slowest.
-	if m.group == nil && m.health.isSlow(p.allHealth(), p.config.SlowFactor) {
-		p.eject(m, now)
-		return
-	}
-	m.health.decayEjections()
-}
-
-// recordFailure records a failure of m, and ejects m if it failed a probe, fails often
-// or failed several times in a row.
-func (p *Pool) recordFailure(m *member, now time.Time) {
-	m.recordSample(1)
-	m.health.consecutiveFailures++
-	failsOften := m.samples >= minErrorRateSamples && m.errorRate >= p.config.EjectionErrorRate
-	if m.health.probing || failsOften || m.health.consecutiveFailures >= p.config.EjectionFailures {
-		p.eject(m, now)
-	}
-}
-
-// recordSample adds one outcome to the error rate: 1 for a failure, 0 for a success.
-func (m *member) recordSample(failure float64) {
-	m.samples++
-	m.errorRate += max(errorRateGain, 1/float64(m.samples)) * (failure - m.errorRate)
-}
-
-// eject ejects m and resets its error rate, unless more than half of the pool would be
-// ejected then.
-func (p *Pool) eject(m *member, now time.Time) {
-	if mayEject(&m.health, p.allHealth()) {
-		m.health.eject(p.config.EjectionTime, now)
-		m.errorRate, m.samples = 0, 0
-	}
-}
-
-// allHealth returns the health of all upstreams.
-func (p *Pool) allHealth() []*health {
-	all := make([]*health, 0, len(p.members))
-	for _, m := range p.members {
-		all = append(all, &m.health)
-	}
-	return all
-}
-
 // MemberState is the debug state of one upstream.
 type MemberState struct {
 	ID               string              `json:"id"`
--- /dev/null
+++ b/internal/core/upstream/pool_group.go
@@ -0,0 +1,98 @@
+package upstream
+
+import (
+	"time"
+
+	"bramleydeal/internal/world/service"
+)
+
+// poolGroup is a group of upstreams (ranks) that compute each step together, so a
+// failure of one stalls all of them.
+type poolGroup struct {
+	health health
+	size   int
+	// listing is the state of the group in the latest list.
+	listing groupListing
+	// broken is set while the list marks the group as broken and no response of
+	// the group has arrived since.
+	broken bool
+	// outstanding is the sum over the group's members.
+	outstanding int
+}
+
+// groupListing is the state of a group according to the list, in its newest epoch.
+type groupListing struct {
+	epoch uint64
+	// broken is set if at least one rank marks the group as broken.
+	broken bool
+}
+
+// groupFor returns the group of a membership, or nil without a membership. A group
+// that is not yet in groups is added to it, with its state from before if it has one.
+func (p *Pool) groupFor(groups map[string]*poolGroup, m *service.Membership) *poolGroup {
+	if m == nil {
+		return nil
+	}
+	g := groups[m.Group]
+	if g == nil {
+		g = p.groups[m.Group]
+		if g == nil {
+			g = &poolGroup{}
+		}
+		g.outstanding, g.size = 0, max(m.Size, 1)
+		groups[m.Group] = g
+	}
+	return g
+}
+
+// groupListings returns the state of each group according to the list.
+func groupListings(upstreams []service.Upstream) map[string]groupListing {
+	out := map[string]groupListing{}
+	for _, u := range upstreams {
+		m := u.Membership
+		if m == nil {
+			continue
+		}
+		l := out[m.Group]
+		switch {
+		case m.Epoch > l.epoch:
+			l = groupListing{m.Epoch, m.Broken}
+		case m.Epoch == l.epoch:
+			l.broken = l.broken || m.Broken
+		}
+		out[m.Group] = l
+	}
+	return out
+}
+
+// updateListing records the group's state according to the latest list. A group that
+// is newly marked as broken counts as stalled; one that re-formed or is no longer
+// marked as broken starts with a clean health record.
+func (g *poolGroup) updateListing(l groupListing, now time.Time) {
+	previous := g.listing
+	g.listing = l
+	switch {
+	case l.epoch == previous.epoch && l.broken == previous.broken:
+	case l.broken:
+		g.broken = true
+		g.recordStall(now)
+	default:
+		g.broken, g.health = false, health{}
+	}
+}
+
+// load returns the group's outstanding requests per rank.
+func (g *poolGroup) load() float64 { return float64(g.outstanding) / float64(g.size) }
+
+// recordStall ejects a stalled group until its next probe. It does nothing if g is nil.
+func (g *poolGroup) recordStall(now time.Time) {
+	if g == nil {
+		return
+	}
+	interval := groupProbeInterval
+	if g.broken {
+		interval = brokenGroupProbeInterval
+	}
+	g.health.ejections = 0 // keeps the interval from doubling with each failed probe
+	g.health.eject(interval, now)
+}
