Entries read, log and show the limit that an upstream names

No decision uses it yet.

A limit that cannot be read leaves the one before in effect. A response lifts a limit only if its request was sent after the limit was last named: responses on several connections overtake each other.

--- a/internal/core/upstream/pool.go
+++ b/internal/core/upstream/pool.go
@@ -34,6 +34,7 @@
 type member struct {
 	service.Upstream
 	health health
+	advice advice
 	// outstanding is the number of requests of this process that have not ended.
 	outstanding int
 	// otherLoad is the number of requests of other processes, as the upstream
@@ -276,6 +277,11 @@
 	Ejected          bool                `json:"ejected"`
 	ErrorRate        float64             `json:"error-rate"`
 	AverageLatencyMS float64             `json:"typical-milliseconds"`
+	// Limit is the requests per second that the upstream takes from all processes
+	// together, nil if it has not limited them.
+	Limit *float64 `json:"limit,omitempty"`
+	// LimitAgeMS is the time in milliseconds since a response last named the limit.
+	LimitAgeMS int64 `json:"limit-age-milliseconds,omitempty"`
 }
 
 // State returns the debug state of all upstreams at now, sorted by ID.
@@ -289,6 +295,10 @@
 		if m.Membership != nil {
 			s.Group = m.Membership.Group
 		}
+		if m.advice.Limited {
+			limit := m.advice.Limit
+			s.Limit, s.LimitAgeMS = &limit, now.Sub(m.advice.namedAt).Milliseconds()
+		}
 		out = append(out, s)
 	}
 	return out
--- a/internal/entry/client/forward.go
+++ b/internal/entry/client/forward.go
@@ -143,6 +143,9 @@
 	if info.Load != nil {
 		f.handler.pools.RecordLoad(u, info.Load.Running, info.Load.Waiting, time.Now())
 	}
+	if info.ID == f.info.ID && x.Response.StatusCode != http.StatusMisdirectedRequest {
+		f.handler.pools.RecordAdvice(u, info.Advice, f.info.ID, began, time.Now())
+	}
 	switch {
 	case info.ID != "" && info.ID != f.info.ID:
 		return f.recordFailure(ctx, u, began, errors.New("the response belongs to another request"))
--- a/internal/entry/client/headercodec.go
+++ b/internal/entry/client/headercodec.go
@@ -3,6 +3,8 @@
 import (
 	"net/http"
 	"time"
+
+	"bramleydeal/internal/core/upstream"
 )
 
 // HeaderCodec maps between the names and formats of the HTTP headers that a
@@ -67,6 +69,8 @@
 	GroupFault bool
 	// Load is nil if the upstream did not report its load.
 	Load *Load
+	// Advice is what the upstream says about the requests that it takes.
+	Advice upstream.Advice
 }
 
 // Load is the load that an upstream reports: the numbers of running and waiting
--- a/internal/entry/direct/entry.go
+++ b/internal/entry/direct/entry.go
@@ -158,6 +158,17 @@
 		}
 		return float64(n)
 	})
+	gauge("bramleydeal_upstreams_limited", func() float64 {
+		n := 0
+		for _, members := range e.pools.State(time.Now()) {
+			for _, m := range members {
+				if m.Limit != nil {
+					n++
+				}
+			}
+		}
+		return float64(n)
+	})
 	gauge(`bramleydeal_log_lines_left_out{reason="reader-slow"}`, func() float64 { dropped, _ := e.log.OmittedLines(); return float64(dropped) })
 	gauge(`bramleydeal_log_lines_left_out{reason="over-the-rate"}`, func() float64 { _, suppressed := e.log.OmittedLines(); return float64(suppressed) })
 }
--- a/internal/entry/upstream/pools.go
+++ b/internal/entry/upstream/pools.go
@@ -134,6 +134,23 @@
 	p.forService(u.Service).pool.RecordLoad(u.ID, running, waiting, now)
 }
 
+// RecordAdvice records and logs what a response of an upstream to a request sent at sent
+// says about the requests that the upstream takes.
+func (p *Pools) RecordAdvice(u service.Upstream, a core.Advice, request string, sent, now time.Time) {
+	p.mu.Lock()
+	change := p.forService(u.Service).pool.RecordAdvice(u.Incarnation(), a, sent, now)
+	p.mu.Unlock()
+	switch change {
+	case core.AdviceUnchanged:
+	case core.LimitNamed, core.LimitChanged:
+		p.log.Info("upstream limits its requests", "upstream", u.ID, "service", u.Service, "limit", a.Limit, "request", request)
+	case core.LimitLifted:
+		p.log.Info("upstream no longer limits its requests", "upstream", u.ID, "service", u.Service, "request", request)
+	case core.LimitMalformed:
+		p.log.Info("upstream's limit cannot be read; the one before stays in effect", "upstream", u.ID, "service", u.Service, "limit", a.Malformed, "request", request)
+	}
+}
+
 // Outage returns how long the named service has been unavailable, 0 while it is
 // available.
 func (p *Pools) Outage(name string, now time.Time) time.Duration {
