--- a/internal/entry/client/forward.go
+++ b/internal/entry/client/forward.go
@@ -143,7 +143,7 @@
 	if info.Load != nil {
 		f.handler.pools.RecordLoad(u, info.Load.Running, info.Load.Waiting, time.Now())
 	}
-	if info.ID == f.info.ID && x.Response.StatusCode != http.StatusMisdirectedRequest {
+	if (info.ID == "" || info.ID == f.info.ID) && x.Response.StatusCode != http.StatusMisdirectedRequest {
 		f.handler.pools.RecordAdvice(u, info.Advice, f.info.ID, began, time.Now())
 	}
 	switch {
