Entries share the limit that an upstream names for all of them together

Cause: nothing that an upstream says of itself with a response decided where requests go, the load apart. Keeping to the limit at each entry would not do either: the limit is that of the fleet.

Why this works: 2 + 2*limit entries, the same by every entry's list, share the limit; each spaces its requests evenly by their number over the limit. Whatever the demand, they send at most t*limit + 2 + 2*limit in any time t, which leaves room for one or two entries with another list. The others send nothing while they hear of the limit. All sends to upstreams go by Pool.Choose, so first attempts, retries, resumed streams and probes of ejected upstreams are bound alike. Entries tell each other what upstreams said, and how long ago, on the comparisons of the list of upstreams that they make anyway, so a lifted limit reaches those that send nothing; without news for 10 s or more these probe at half of the limit together. What was said is kept for 5 minutes for an incarnation that lapses from the list, is made older by a suspension, and ends with the incarnation.

Where all upstreams left limit their requests, callers are refused at once as overloaded with the time of the next share, spread over twice that; this is no outage of the service.

--- a/internal/core/client/retry.go
+++ b/internal/core/client/retry.go
@@ -28,6 +28,7 @@
 // The reasons for which a request is not retried.
 const (
 	NoUpstreamLeft   StopReason = "no upstream left"
+	UpstreamsLimited StopReason = "the upstreams left limit their requests"
 	NoTimeLeft       StopReason = "no time left"
 	NoAttemptsLeft   StopReason = "no tries left"
 	NotRepeatable    StopReason = "may have run and is not repeatable"
@@ -138,6 +139,16 @@
 	return RefuseWith{answer.NoUpstream}
 }
 
+// Limited returns the refusal for a request that no upstream can take now because of the
+// limits that they have named.
+func (s *RetryState) Limited(now time.Time) RefuseWith {
+	s.stopReason = UpstreamsLimited
+	if s.mayHaveRun {
+		return s.refusal(now)
+	}
+	return RefuseWith{answer.Overloaded}
+}
+
 // TimedOut returns the refusal for a request whose deadline has passed. pending is true
 // if an upstream that may have received the request has not responded.
 func (s *RetryState) TimedOut(pending bool) RefuseWith {
--- a/internal/core/instance/subset.go
+++ b/internal/core/instance/subset.go
@@ -49,6 +49,16 @@
 	return slices.ContainsFunc(Watchers(instances, domain, count), func(i fleet.Instance) bool { return i.Name == self })
 }
 
+// Senders returns the entries that may send requests to an upstream that limits them, at
+// most count of them: entries of its failure domain first, which reach it if any do.
+// Draining entries are not among them.
+func Senders(instances []fleet.Instance, upstream string, domain fleet.FailureDomain, count int) []fleet.Instance {
+	entries := Filter(instances, func(i fleet.Instance) bool { return i.Role == fleet.EntryRole && !i.Leaving })
+	local := Filter(entries, func(i fleet.Instance) bool { return i.FailureDomain == domain })
+	remote := Filter(entries, func(i fleet.Instance) bool { return i.FailureDomain != domain })
+	return firstN(append(SortByHash(local, upstream), SortByHash(remote, upstream)...), count)
+}
+
 // maxContenders is the number of entries that contend for the lease of a leader task. It
 // is fixed so that the number of calls to the platform does not grow with the number of
 // entries.
--- a/internal/core/upstream/advice_test.go
+++ b/internal/core/upstream/advice_test.go
@@ -13,7 +13,7 @@
 func TestLimitIsLiftedOnlyByLaterRequest(t *testing.T) {
 	is := is.New(t)
 	start := time.Now()
-	p := NewPool(1, "z1", poolConfig)
+	p := NewPool(1, "e0", "z1", poolConfig)
 	u := service.Upstream{ID: "u1", StartedAt: start}
 	p.Configure([]service.Upstream{u}, poolConfig, start)
 	record := func(a Advice, sent, now time.Duration) AdviceChange {
@@ -36,7 +36,7 @@
 func TestAdviceOfFormerIncarnationIsIgnored(t *testing.T) {
 	is := is.New(t)
 	start := time.Now()
-	p := NewPool(1, "z1", poolConfig)
+	p := NewPool(1, "e0", "z1", poolConfig)
 	former := service.Upstream{ID: "u1", StartedAt: start}
 	p.Configure([]service.Upstream{former}, poolConfig, start)
 	successor := former
--- a/internal/core/upstream/pool.go
+++ b/internal/core/upstream/pool.go
@@ -15,11 +15,14 @@
 // they report, and on the outcomes of the requests of this process.
 type Pool struct {
 	config  PoolConfig
+	self    string
 	domain  fleet.FailureDomain
 	members []*member
 	byID    map[string]*member
 	groups  map[string]*poolGroup
-	random  *rand.Rand
+	// former holds upstreams that were in the pool until lately, by ID.
+	former map[string]formerMember
+	random *rand.Rand
 	// firstConfiguredAt is when the pool got its first upstreams.
 	firstConfiguredAt time.Time
 	// lastSuccessAt is when a request last succeeded. firstFailureAt is when the
@@ -34,7 +37,13 @@
 type member struct {
 	service.Upstream
 	health health
+	// advice is what the upstream said of the requests that it takes, share this
+	// process's share in its limit, and sentAt the time of the last request to it.
 	advice advice
+	share  limitShare
+	sentAt time.Time
+	// phase, in [0, 1), spreads the requests of several processes to one upstream.
+	phase float64
 	// outstanding is the number of requests of this process that have not ended.
 	outstanding int
 	// otherLoad is the number of requests of other processes, as the upstream
@@ -67,6 +76,9 @@
 	// MaxOutstanding is the maximum number of requests of this process that may be
 	// outstanding at one upstream, 0 for no limit.
 	MaxOutstanding int
+	// Entries are the processes that share the limits that upstreams name, this one
+	// included.
+	Entries []fleet.Instance
 }
 
 // Parameters of the choice among directly reached upstreams.
@@ -89,11 +101,11 @@
 	loadReportTTL = time.Second
 )
 
-// NewPool returns an empty pool for a process in the given failure domain. Its
-// random choices are determined by seed.
-func NewPool(seed uint64, domain fleet.FailureDomain, config PoolConfig) *Pool {
+// NewPool returns an empty pool for the process with the given name in the given failure
+// domain. Its random choices are determined by seed.
+func NewPool(seed uint64, self string, domain fleet.FailureDomain, config PoolConfig) *Pool {
 	return &Pool{
-		config: config, domain: domain, byID: map[string]*member{}, groups: map[string]*poolGroup{},
+		config: config, self: self, domain: domain, byID: map[string]*member{}, groups: map[string]*poolGroup{}, former: map[string]formerMember{},
 		reachability: map[fleet.FailureDomain]*reachability{},
 		random:       rand.New(rand.NewPCG(seed, seed^0x9e3779b97f4a7c15)),
 	}
@@ -112,7 +124,7 @@
 	for _, u := range upstreams {
 		m := p.byID[u.ID]
 		if m == nil || m.Incarnation() != u.Incarnation() {
-			m = &member{}
+			m = p.newMember(u.Incarnation())
 		}
 		m.Upstream = u
 		m.group = p.groupFor(groups, u.Membership)
@@ -125,9 +137,13 @@
 			m.group.outstanding += m.outstanding
 		}
 	}
+	for _, m := range p.members {
+		p.updateShare(m)
+	}
 	for name, l := range groupListings(upstreams) {
 		groups[name].updateListing(l, now)
 	}
+	p.keepFormer(kept, now)
 	p.byID, p.groups = kept, groups
 }
 
@@ -153,6 +169,7 @@
 		return service.Upstream{}, false
 	}
 	best.outstanding++
+	best.sentAt = now
 	best.health.recordStart(now)
 	p.reachabilityOf(best).recordStart(now)
 	if best.group != nil {
@@ -184,7 +201,7 @@
 	draws, drawn := 0, 0
 	for _, m := range p.members {
 		e := p.eligibility(m, q, now)
-		if e == ineligible || e > bestEligibility {
+		if e == ineligible || e > bestEligibility || m.limitedUntil().After(now) {
 			continue
 		}
 		if best == nil || e < bestEligibility {
@@ -280,8 +297,10 @@
 	// Limit is the requests per second that the upstream takes from all processes
 	// together, nil if it has not limited them.
 	Limit *float64 `json:"limit,omitempty"`
-	// LimitAgeMS is the time in milliseconds since a response last named the limit.
-	LimitAgeMS int64 `json:"limit-age-milliseconds,omitempty"`
+	// LimitAgeMS is the time in milliseconds since a response last named the limit, and
+	// LimitedForMS the time for which this process sends no request because of it.
+	LimitAgeMS   int64 `json:"limit-age-milliseconds,omitempty"`
+	LimitedForMS int64 `json:"limited-for-milliseconds,omitempty"`
 }
 
 // State returns the debug state of all upstreams at now, sorted by ID.
@@ -297,7 +316,8 @@
 		}
 		if m.advice.Limited {
 			limit := m.advice.Limit
-			s.Limit, s.LimitAgeMS = &limit, now.Sub(m.advice.namedAt).Milliseconds()
+			s.Limit, s.LimitAgeMS = &limit, now.Sub(m.advice.at).Milliseconds()
+			s.LimitedForMS = max(m.limitedUntil().Sub(now), 0).Milliseconds()
 		}
 		out = append(out, s)
 	}
--- a/internal/core/upstream/pool_test.go
+++ b/internal/core/upstream/pool_test.go
@@ -39,7 +39,7 @@
 
 // newTestPool returns a pool in failure domain d0.
 func newTestPool(upstreams []service.Upstream) *Pool {
-	p := NewPool(1, "d0", poolConfig)
+	p := NewPool(1, "e0", "d0", poolConfig)
 	p.Configure(upstreams, poolConfig, testNow)
 	return p
 }
@@ -244,7 +244,7 @@
 	is.Equal(p.Outage(testNow.Add(3*time.Second)), time.Duration(0))
 	p.RecordOutcome("u1", GroupStalled, 0, testNow.Add(3*time.Second))
 	is.Equal(p.Outage(testNow.Add(3*time.Second)), time.Second) // no upstream is left; counted from the last success
-	empty := NewPool(1, "d0", poolConfig)
+	empty := NewPool(1, "e0", "d0", poolConfig)
 	is.Equal(empty.Outage(testNow), time.Duration(0))
 	empty.Configure(withGroupState(upstreams, 1, true), poolConfig, testNow)
 	is.Equal(empty.Outage(testNow.Add(brokenGroupProbeInterval/2)), brokenGroupProbeInterval/2)
@@ -278,7 +278,7 @@
 	is := is.New(t)
 	config := poolConfig
 	config.MaxOutstanding = 2
-	p := NewPool(1, "d0", config)
+	p := NewPool(1, "e0", "d0", config)
 	p.Configure(ungroupedUpstreams(1), config, testNow)
 	is.Equal(chooseID(p, PoolQuery{}, testNow), "u0")
 	is.Equal(chooseID(p, PoolQuery{}, testNow), "u0")
--- a/internal/entry/client/forward.go
+++ b/internal/entry/client/forward.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/textproto"
@@ -42,6 +43,9 @@
 	events     upstream.EventSplitter
 	// headSent is true once the status and headers were sent to the caller.
 	headSent bool
+	// limitedUntil is when the first upstream may be sent a request again if all that
+	// are left are kept from it by their limits, otherwise zero.
+	limitedUntil time.Time
 	// lastFailure is the latest complete 5xx response of an upstream, nil if
 	// none.
 	lastFailure *upstreamFailure
@@ -65,7 +69,7 @@
 	for {
 		u, ok := h.pools.Choose(c.service, f.query, time.Now())
 		if !ok {
-			f.fail(f.retryState.NoUpstream(time.Now()))
+			f.fail(f.noUpstream(time.Now()))
 			return
 		}
 		outcome := f.attempt(ctx, u)
@@ -80,6 +84,16 @@
 	}
 }
 
+// noUpstream returns the refusal for a request that no upstream may be sent at now.
+func (f *forwarding) noUpstream(now time.Time) core.RefuseWith {
+	until, limited := f.handler.pools.LimitedUntil(f.service, f.query, now)
+	if !limited {
+		return f.retryState.NoUpstream(now)
+	}
+	f.limitedUntil = until
+	return f.retryState.Limited(now)
+}
+
 // takeRetry reports whether the retry quota allows another attempt. If so, it
 // counts the retry.
 func (f *forwarding) takeRetry() bool {
@@ -116,6 +130,11 @@
 // its time has too little left to be served.
 func (f *forwarding) retryAfter(k answer.Kind) time.Duration {
 	now := time.Now()
+	if wait := f.limitedUntil.Sub(now); wait > 0 {
+		// Callers that are refused in a row must not come back at once.
+		wait += rand.N(wait)
+		return min(wait, max(f.deadline.Sub(now)/3, overloadRetryAfter))
+	}
 	if outage := f.handler.pools.Outage(f.service, now); outage > 0 {
 		return min(max(outage, minOutageRetryAfter), max(f.deadline.Sub(now)/3, overloadRetryAfter))
 	}
--- a/internal/entry/direct/entry.go
+++ b/internal/entry/direct/entry.go
@@ -68,9 +68,6 @@
 	// recoveryGrace is how long upstreams whose registrations lapsed during a
 	// store outage may take to register again after it.
 	recoveryGrace = 2200 * time.Millisecond
-	// defaultEntryCount is the number of entries assumed until instances are
-	// listed.
-	defaultEntryCount = 12
 )
 
 // Dependencies holds the parts of an entry that depend on the platform that it
@@ -108,15 +105,15 @@
 	e := &Entry{config: c, log: logger, files: files, store: d.Store, expvars: new(expvar.Map).Init(), metricSet: metrics.NewSet()}
 	e.pool = dial.NewPool(files.PeerCredentials(), &e.traffic)
 	drainTime := time.Duration(c.Direct.DrainTime)
-	e.directory = directory.New(c.Name, d.Store, d.Decoder, e.pool,
-		core.PresenceConfig{RemovalGrace: time.Duration(removalGraceShare * float64(drainTime)), RecoveryGrace: recoveryGrace},
-		directory.WithSeedPeers(otherPeers(c)), directory.WithLog(logger.Component("directory")))
-	e.pools = upstream.NewPools(seed, c.FailureDomain, upstream.Config{
+	e.pools = upstream.NewPools(seed, c.Name, c.FailureDomain, upstream.Config{
 		Pool: core.PoolConfig{
 			EjectionTime: ejectionTime, EjectionFailures: ejectionFailures, EjectionErrorRate: ejectionErrorRate, SlowFactor: slowFactor,
 		},
 		Quota: retryQuotaConfig(c.Direct),
 	}, e.metricSet, logger.Component("pools"))
+	e.directory = directory.New(c.Name, d.Store, d.Decoder, e.pool,
+		core.PresenceConfig{RemovalGrace: time.Duration(removalGraceShare * float64(drainTime)), RecoveryGrace: recoveryGrace},
+		directory.WithSeedPeers(otherPeers(c)), directory.WithNews(e.pools), directory.WithLog(logger.Component("directory")))
 	e.handler = client.New(client.Config{
 		View: e.directory.View, AwaitConfirmation: e.directory.AwaitConfirmation, Pools: e.pools, HeaderCodec: d.HeaderCodec, Log: logger.Component("client"), CountSuppressed: logger.CountSuppressed, Metrics: e.metricSet,
 	})
@@ -175,7 +172,7 @@
 
 func retryQuotaConfig(d *config.Direct) core.RetryQuotaConfig {
 	return core.RetryQuotaConfig{
-		Ratio: d.RetryRatio, Slack: d.RetrySlack, Window: time.Duration(d.RetryWindow), Processes: defaultEntryCount,
+		Ratio: d.RetryRatio, Slack: d.RetrySlack, Window: time.Duration(d.RetryWindow),
 	}
 }
 
@@ -223,15 +220,12 @@
 // viewChanged applies a new view and list of instances to the pools and the
 // caller listener.
 func (e *Entry) viewChanged(v *service.View, instances map[string]fleet.Instance) {
-	entries := 0
+	var entries []fleet.Instance
 	for _, i := range instances {
 		if i.Role == fleet.EntryRole {
-			entries++
+			entries = append(entries, i)
 		}
 	}
-	if entries == 0 {
-		entries = defaultEntryCount
-	}
 	e.pools.Update(v, entries)
 	if v.Configuration != nil {
 		e.callerServer.Configure(v.Configuration.Limits)
--- /dev/null
+++ b/internal/entry/upstream/advice.go
@@ -0,0 +1,79 @@
+package upstream
+
+import (
+	"time"
+
+	core "bramleydeal/internal/core/upstream"
+	"bramleydeal/internal/wire/peer"
+	"bramleydeal/internal/world/service"
+)
+
+// RecordAdvice records and logs what a response of an upstream to a request sent at sent
+// says about the requests that the upstream takes.
+func (p *Pools) RecordAdvice(u service.Upstream, a core.Advice, request string, sent, now time.Time) {
+	p.mu.Lock()
+	change := p.forService(u.Service).pool.RecordAdvice(u.Incarnation(), a, sent, now)
+	p.mu.Unlock()
+	p.logAdvice(change, u.ID, u.Service, a, "request", request)
+}
+
+// logAdvice logs a change of what is known of an upstream. source tells where it comes
+// from, as key and value.
+func (p *Pools) logAdvice(change core.AdviceChange, upstream, service string, a core.Advice, source ...any) {
+	values := append([]any{"upstream", upstream, "service", service}, source...)
+	switch change {
+	case core.AdviceUnchanged:
+	case core.LimitNamed, core.LimitChanged:
+		p.log.Info("upstream limits its requests", append(values, "limit", a.Limit)...)
+	case core.LimitLifted:
+		p.log.Info("upstream no longer limits its requests", values...)
+	case core.LimitMalformed:
+		p.log.Info("upstream's limit cannot be read; the one before stays in effect", append(values, "limit", a.Malformed)...)
+	}
+}
+
+// LimitedUntil returns the time at which the first upstream of the named service that is
+// only kept from getting a request by its limit may get one from this entry. It returns
+// false if there is no such upstream.
+func (p *Pools) LimitedUntil(name string, q core.PoolQuery, now time.Time) (time.Time, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.forService(name).pool.LimitedUntil(q, now)
+}
+
+// News returns what this entry knows of the limits of upstreams, for its peers.
+func (p *Pools) News(now time.Time) []*peer.UpstreamNews {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var out []*peer.UpstreamNews
+	for name, s := range p.services {
+		for _, n := range s.pool.News(now) {
+			out = append(out, peer.NewsToProto(name, n, now))
+		}
+	}
+	return out
+}
+
+// RecordNews records and logs what the peer named source knows of the limits of
+// upstreams.
+func (p *Pools) RecordNews(news []*peer.UpstreamNews, source string, now time.Time) {
+	for _, m := range news {
+		n := peer.NewsFromProto(m, now)
+		p.mu.Lock()
+		change := core.AdviceUnchanged
+		if s := p.services[m.Service]; s != nil {
+			change = s.pool.RecordNews(n)
+		}
+		p.mu.Unlock()
+		p.logAdvice(change, m.Upstream, m.Service, n.Advice, "source", source)
+	}
+}
+
+// Suspended makes all that is known of the limits of upstreams older by d.
+func (p *Pools) Suspended(d time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, s := range p.services {
+		s.pool.AgeAdvice(d)
+	}
+}
--- a/internal/entry/upstream/pools.go
+++ b/internal/entry/upstream/pools.go
@@ -22,6 +22,7 @@
 
 // Pools holds the pool of upstreams and the retry quota of each service.
 type Pools struct {
+	self   string
 	domain fleet.FailureDomain
 	seed   uint64
 	log    logr.Logger
@@ -41,19 +42,21 @@
 	quota *core.RetryQuota
 }
 
-// NewPools returns Pools without services for an entry in a failure domain.
-// seed determines the random choices. Metrics are registered in metricSet.
-func NewPools(seed uint64, domain fleet.FailureDomain, config Config, metricSet *metrics.Set, log logr.Logger) *Pools {
+// NewPools returns Pools without services for the entry named self in a failure
+// domain. seed determines the random choices. Metrics are registered in metricSet.
+func NewPools(seed uint64, self string, domain fleet.FailureDomain, config Config, metricSet *metrics.Set, log logr.Logger) *Pools {
 	return &Pools{
-		domain: domain, seed: seed, log: log, started: time.Now(), config: config, services: map[string]*servicePool{},
+		self: self, domain: domain, seed: seed, log: log, started: time.Now(), config: config, services: map[string]*servicePool{},
 		series: series{set: metricSet, byUpstream: map[string]*upstreamSeries{}},
 	}
 }
 
-// Update applies a new view of the configuration and the upstreams. processes
-// is the number of entries that share the retry quota and the connections to
-// the upstreams.
-func (p *Pools) Update(v *service.View, processes int) {
+// defaultEntryCount is the number of entries assumed until instances are listed.
+const defaultEntryCount = 12
+
+// Update applies a new view of the configuration and the upstreams. entries share the
+// retry quota, the connections to the upstreams and the limits that these name.
+func (p *Pools) Update(v *service.View, entries []fleet.Instance) {
 	now := time.Now()
 	members := map[string][]service.Upstream{}
 	for _, u := range v.Upstreams {
@@ -61,7 +64,11 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.config.Quota.Processes = max(processes, 1)
+	p.config.Quota.Processes = len(entries)
+	if len(entries) == 0 {
+		p.config.Quota.Processes = defaultEntryCount
+	}
+	p.config.Pool.Entries = entries
 	p.series.prune(v.Upstreams)
 	for name := range members {
 		p.forService(name)
@@ -81,7 +88,7 @@
 func (p *Pools) forService(name string) *servicePool {
 	s := p.services[name]
 	if s == nil {
-		s = &servicePool{core.NewPool(p.seed, p.domain, p.config.Pool), core.NewRetryQuota(p.config.Quota, p.started)}
+		s = &servicePool{core.NewPool(p.seed, p.self, p.domain, p.config.Pool), core.NewRetryQuota(p.config.Quota, p.started)}
 		p.services[name] = s
 		p.series.set.GetOrCreateGauge(fmt.Sprintf(`bramleydeal_retry_quota_left{service=%q}`, name), func() float64 { return p.remainingRetries(name, time.Now()) })
 	}
@@ -134,23 +141,6 @@
 	p.forService(u.Service).pool.RecordLoad(u.ID, running, waiting, now)
 }
 
-// RecordAdvice records and logs what a response of an upstream to a request sent at sent
-// says about the requests that the upstream takes.
-func (p *Pools) RecordAdvice(u service.Upstream, a core.Advice, request string, sent, now time.Time) {
-	p.mu.Lock()
-	change := p.forService(u.Service).pool.RecordAdvice(u.Incarnation(), a, sent, now)
-	p.mu.Unlock()
-	switch change {
-	case core.AdviceUnchanged:
-	case core.LimitNamed, core.LimitChanged:
-		p.log.Info("upstream limits its requests", "upstream", u.ID, "service", u.Service, "limit", a.Limit, "request", request)
-	case core.LimitLifted:
-		p.log.Info("upstream no longer limits its requests", "upstream", u.ID, "service", u.Service, "request", request)
-	case core.LimitMalformed:
-		p.log.Info("upstream's limit cannot be read; the one before stays in effect", "upstream", u.ID, "service", u.Service, "limit", a.Malformed, "request", request)
-	}
-}
-
 // Outage returns how long the named service has been unavailable, 0 while it is
 // available.
 func (p *Pools) Outage(name string, now time.Time) time.Duration {
--- a/internal/process/directory/directory.go
+++ b/internal/process/directory/directory.go
@@ -118,6 +118,8 @@
 	seedPeers []netip.AddrPort
 	pool      *dial.Pool
 	log       logr.Logger
+	// news is nil if nothing but objects is exchanged with peers.
+	news News
 
 	view       atomic.Pointer[service.View]
 	suspension *suspension
@@ -174,6 +176,20 @@
 // WithLog sets the logger.
 func WithLog(l logr.Logger) Option { return func(d *Directory) { d.log = l } }
 
+// News is what a process and its peers tell each other of upstreams whenever they
+// compare the list of upstreams.
+type News interface {
+	News(now time.Time) []*peer.UpstreamNews
+	// RecordNews records the news of the peer named source.
+	RecordNews(news []*peer.UpstreamNews, source string, now time.Time)
+	// Suspended makes all that is known so much older: the process was suspended, which
+	// its clock may not count.
+	Suspended(d time.Duration)
+}
+
+// WithNews exchanges news with peers.
+func WithNews(n News) Option { return func(d *Directory) { d.news = n } }
+
 // New returns the directory of the instance self. It is empty until Run is called.
 func New(self string, s Store, decoder Decoder, pool *dial.Pool, config upstream.PresenceConfig, options ...Option) *Directory {
 	d := &Directory{
--- a/internal/process/directory/peers.go
+++ b/internal/process/directory/peers.go
@@ -129,10 +129,11 @@
 	revision := d.replicas[k].Revision()
 	d.mu.Unlock()
 	suspensions := d.suspension.suspensions()
-	reply, err := d.callPeer(ctx, a, &peer.CompareRequest{Instance: d.self, Kind: string(k), Revision: revision})
+	reply, err := d.callPeer(ctx, a, &peer.CompareRequest{Instance: d.self, Kind: string(k), Revision: revision, News: d.newsFor(k)})
 	if err != nil {
 		return
 	}
+	d.recordNews(reply.News, reply.Instance)
 	if reply.Revision > revision {
 		d.applyFromPeer(k, peer.UpdateFromProto(reply.From, reply.Revision, reply.Objects), reply.Instance)
 	}
@@ -162,9 +163,10 @@
 	if k := Kind(request.Kind); len(request.Objects) > 0 && slices.Contains(kinds, k) {
 		d.applyFromPeer(k, peer.UpdateFromProto(request.From, request.Revision, request.Objects), request.Instance)
 	}
+	d.recordNews(request.News, request.Instance)
+	reply := &peer.CompareReply{Instance: d.self, News: d.newsFor(Kind(request.Kind))}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	reply := &peer.CompareReply{Instance: d.self}
 	r := d.replicas[Kind(request.Kind)]
 	if r == nil || d.suspension.isUnconfirmed(Kind(request.Kind)) {
 		// Unconfirmed state must not confirm the state of another process.
@@ -178,6 +180,21 @@
 	return reply, nil
 }
 
+// newsFor returns the news of upstreams that accompany a comparison of a kind.
+func (d *Directory) newsFor(k Kind) []*peer.UpstreamNews {
+	if d.news == nil || k != Upstreams {
+		return nil
+	}
+	return d.news.News(time.Now())
+}
+
+// recordNews records the news of upstreams from the peer named source.
+func (d *Directory) recordNews(news []*peer.UpstreamNews, source string) {
+	if d.news != nil && len(news) > 0 {
+		d.news.RecordNews(news, source, time.Now())
+	}
+}
+
 // notifyCachedWatchers sends a change to the cached watchers that do not have it yet.
 // It returns before the calls are made.
 func (d *Directory) notifyCachedWatchers(ctx context.Context, k Kind) {
--- a/internal/process/directory/suspension.go
+++ b/internal/process/directory/suspension.go
@@ -148,6 +148,9 @@
 	}
 	d.log.Info("the process was suspended or stalled; its configuration and upstreams must be confirmed before use", "for-ms", suspendedFor.Milliseconds(),
 		"configuration-version", configurationVersion(d.view.Load()))
+	if d.news != nil {
+		d.news.Suspended(suspendedFor)
+	}
 	for _, k := range kinds {
 		d.endWatch(k)
 	}
--- a/internal/world/service/upstream.go
+++ b/internal/world/service/upstream.go
@@ -49,3 +49,6 @@
 
 // Incarnation returns the identity of the run that registered u.
 func (u *Upstream) Incarnation() Incarnation { return Incarnation{u.ID, u.StartedAt} }
+
+// Equal reports whether i and o identify the same run.
+func (i Incarnation) Equal(o Incarnation) bool { return i.ID == o.ID && i.StartedAt.Equal(o.StartedAt) }
