A leader keeps staging a map that still relieves the group when the counts shift

Cause: since a leader gave up the map being staged at each shift of the load estimate.

A map is now given up at a shift only if it does not lower the skew under the new estimate.

--- a/internal/agent/direct/leadership.go
+++ b/internal/agent/direct/leadership.go
@@ -193,8 +193,10 @@
 	// version of the map that it was to replace.
 	plannedAt   time.Time
 	plannedFrom uint64
-	// cancelStaging ends the staging of a map, nil while none is staged.
-	cancelStaging context.CancelFunc
+	// cancelStaging ends the staging of stagingMap in place of stagingBase, nil while no
+	// map is staged.
+	cancelStaging           context.CancelFunc
+	stagingBase, stagingMap group.Map
 	// stagedVersion is the version of a map that is staged at all ranks and waits to
 	// be proposed, 0 for none. lastStaged and previousStaged are the maps that were
 	// staged last and before.
@@ -338,8 +340,10 @@
 	now := time.Now()
 	if now.Sub(g.observedAt) >= observeIntervalFor(g.shape.Ranks) {
 		g.observedAt = now
-		if shifted := g.planner.Observe(l.Step(), now); shifted && g.cancelStaging != nil {
-			g.cancelStaging() // the map was planned for other loads
+		if shifted := g.planner.Observe(l.Step(), now); shifted && g.cancelStaging != nil && !g.planner.Improves(g.stagingBase, g.stagingMap) {
+			// The counts of one observation are few, so they shift without a change of
+			// demand. The map is given up only if it is of no use any more.
+			g.cancelStaging()
 		}
 	}
 	switch {
--- a/internal/agent/direct/staging.go
+++ b/internal/agent/direct/staging.go
@@ -26,7 +26,7 @@
 // g.mu.
 func (g *leadership) startStaging(ctx context.Context, base, m group.Map, moves int, b group.Ballot) {
 	ctx, cancel := context.WithTimeout(ctx, stageCallTimeout)
-	g.cancelStaging = cancel
+	g.cancelStaging, g.stagingBase, g.stagingMap = cancel, base, m
 	go task.Once(g.candidate.log, "stage", func() {
 		defer g.endStaging(cancel)
 		g.stage(ctx, base, m, moves, b)
--- a/internal/core/group/replanner.go
+++ b/internal/core/group/replanner.go
@@ -78,6 +78,13 @@
 	return out, changed
 }
 
+// Improves reports whether next has a lower skew than current under the estimated loads,
+// false while there is no estimate.
+func (r *Replanner) Improves(current, next Map) bool {
+	loads, known := r.estimator.Expected()
+	return known && Skew(next, loads, r.shape) < Skew(current, loads, r.shape)
+}
+
 // maxFetches returns the largest number of experts that one rank may fetch for a
 // change. It is at least 1.
 func (r *Replanner) maxFetches() int {
