An upstream's own word that it leaves, and its time to come back, hold at once

What callers would see: requests to an upstream that says in its responses that it is leaving, while the list of upstreams lags behind or is out of reach; requests to an upstream that refused one and said for how long it wants none.

What an upstream says of itself was not read.

Leaving holds for the incarnation and is told to the other entries with their comparisons. Others are chosen at once, not only at the end of the drain time. A time to come back holds for this entry only; it is no failure and does not eject. Where all upstreams left want none, callers are refused at once with the earliest end, spread. A retry that was taken from the quota and not made, as no upstream is left, is returned to it.

--- a/internal/core/client/retry.go
+++ b/internal/core/client/retry.go
@@ -28,7 +28,7 @@
 // The reasons for which a request is not retried.
 const (
 	NoUpstreamLeft   StopReason = "no upstream left"
-	UpstreamsLimited StopReason = "the upstreams left limit their requests"
+	UpstreamsHeld    StopReason = "the upstreams left asked for fewer requests"
 	NoTimeLeft       StopReason = "no time left"
 	NoAttemptsLeft   StopReason = "no tries left"
 	NotRepeatable    StopReason = "may have run and is not repeatable"
@@ -139,10 +139,10 @@
 	return RefuseWith{answer.NoUpstream}
 }
 
-// Limited returns the refusal for a request that no upstream can take now because of the
-// limits that they have named.
-func (s *RetryState) Limited(now time.Time) RefuseWith {
-	s.stopReason = UpstreamsLimited
+// Held returns the refusal for a request that no upstream can take now because of the
+// limits that they have named, or of the times for which they want no requests.
+func (s *RetryState) Held(now time.Time) RefuseWith {
+	s.stopReason = UpstreamsHeld
 	if s.mayHaveRun {
 		return s.refusal(now)
 	}
--- a/internal/core/upstream/advice.go
+++ b/internal/core/upstream/advice.go
@@ -6,16 +6,21 @@
 	"bramleydeal/internal/world/service"
 )
 
-// Advice is what an upstream says in a response about the requests that it takes. It
-// holds until a response to a later request says something else.
+// Advice is what an upstream says in a response about the requests that it takes.
 type Advice struct {
 	// Limited is set if the upstream limits the requests that it takes, to Limit
-	// requests per second from all processes together.
+	// requests per second from all processes together. It holds until a response to a
+	// later request says something else.
 	Limited bool
 	Limit   float64
-	// Malformed holds a limit that cannot be read, empty if there is none. The advice
+	// Malformed holds a limit that cannot be read, empty if there is none. The limit
 	// before it stays in effect.
 	Malformed string
+	// Leaving is set if the upstream is draining. It holds for the incarnation.
+	Leaving bool
+	// RetryAfter is the time for which the upstream wants no request of this process, 0
+	// if it said nothing of it.
+	RetryAfter time.Duration
 }
 
 // AdviceChange says how a response changed what is known of an upstream.
@@ -23,109 +28,163 @@
 
 // The changes of what is known of an upstream's advice.
 const (
-	AdviceUnchanged AdviceChange = iota
-	LimitNamed
+	LimitNamed AdviceChange = iota
 	LimitChanged
 	LimitLifted
 	LimitMalformed
+	LeavingNamed
+	SuspensionNamed
 )
 
 // liftedNewsTime is the time for which peers are told that a limit was lifted.
 const liftedNewsTime = time.Minute
 
-// advice is the latest advice of one incarnation of an upstream.
+// advice is what one incarnation of an upstream said of the requests that it takes.
 type advice struct {
-	Advice
-	// at is the time as of which the limit was last named or lifted, zero if it never
-	// was.
-	at time.Time
+	limited bool
+	limit   float64
+	// limitAt is the time as of which the limit was last named or lifted, zero if it
+	// never was.
+	limitAt time.Time
+	leaving bool
+	// suspendedUntil is the time until which this process must send no request.
+	suspendedUntil time.Time
 }
 
-// record records the advice in a response to a request sent at sent. A response that
-// names no limit lifts one only if its request was sent after the limit was last named:
-// responses on several connections overtake each other.
-func (a *advice) record(next Advice, sent, now time.Time) AdviceChange {
-	before := a.Advice
+// record records the advice in a response to a request sent at sent, and returns what
+// changed. A response that names no limit lifts one only if its request was sent after the
+// limit was last named: responses on several connections overtake each other.
+func (a *advice) record(next Advice, sent, now time.Time) []AdviceChange {
+	var changes []AdviceChange
 	switch {
 	case next.Malformed != "":
-		return LimitMalformed
+		changes = append(changes, LimitMalformed)
 	case next.Limited:
-		a.Advice, a.at = next, now
-	case before.Limited && sent.After(a.at):
-		a.Advice, a.at = Advice{}, sent
+		changes = a.setLimit(true, next.Limit, now)
+	case a.limited && sent.After(a.limitAt):
+		changes = a.setLimit(false, 0, sent)
 	}
-	return a.changeFrom(before)
+	if next.Leaving && !a.leaving {
+		a.leaving = true
+		changes = append(changes, LeavingNamed)
+	}
+	if until := now.Add(next.RetryAfter); next.RetryAfter > 0 && until.After(a.suspendedUntil) {
+		a.suspendedUntil = until
+		changes = append(changes, SuspensionNamed)
+	}
+	return changes
 }
 
-// changeFrom returns the change from the advice before to that of a.
-func (a *advice) changeFrom(before Advice) AdviceChange {
+// setLimit sets the limit as of a time and returns what changed.
+func (a *advice) setLimit(limited bool, limit float64, at time.Time) []AdviceChange {
+	before := *a
+	a.limited, a.limit, a.limitAt = limited, limit, at
 	switch {
-	case a.Limited && !before.Limited:
-		return LimitNamed
-	case before.Limited && !a.Limited:
-		return LimitLifted
-	case a.Limit != before.Limit:
-		return LimitChanged
+	case limited && !before.limited:
+		return []AdviceChange{LimitNamed}
+	case before.limited && !limited:
+		return []AdviceChange{LimitLifted}
+	case limit != before.limit:
+		return []AdviceChange{LimitChanged}
 	}
-	return AdviceUnchanged
+	return nil
 }
 
 // RecordAdvice records the advice in a response of an upstream to a request sent at
-// sent. It reports how that changed what is known. The advice of an incarnation that is
+// sent. It returns how that changed what is known. The advice of an incarnation that is
 // not in the pool is ignored.
-func (p *Pool) RecordAdvice(of service.Incarnation, next Advice, sent, now time.Time) AdviceChange {
+func (p *Pool) RecordAdvice(of service.Incarnation, next Advice, sent, now time.Time) []AdviceChange {
 	m := p.incarnation(of)
 	if m == nil {
-		return AdviceUnchanged
+		return nil
 	}
-	change := m.advice.record(next, sent, now)
-	if change == LimitNamed || change == LimitChanged {
+	changes := m.advice.record(next, sent, now)
+	if len(changes) > 0 {
 		p.updateShare(m)
 	}
-	return change
+	return changes
+}
+
+// heldUntil returns the time before which m must get no request of this process because
+// of what it said, zero or a past time if it may get one.
+func (m *member) heldUntil() time.Time {
+	until := m.limitedUntil()
+	if m.advice.suspendedUntil.After(until) {
+		return m.advice.suspendedUntil
+	}
+	return until
+}
+
+// HeldUntil returns the time at which the first upstream that is only kept from getting a
+// request by what it said may get one: from this process, or from another one if this
+// process has no share in its limit. It returns false if there is no such upstream.
+func (p *Pool) HeldUntil(q PoolQuery, now time.Time) (time.Time, bool) {
+	var first time.Time
+	for _, m := range p.members {
+		until := m.heldUntil()
+		if !until.After(now) || p.eligibility(m, q, now) > lapsed {
+			continue
+		}
+		if m.advice.limited && !m.share.sender {
+			until = now.Add(limitInterval(1, m.advice.limit))
+		}
+		if first.IsZero() || until.Before(first) {
+			first = until
+		}
+	}
+	return first, !first.IsZero()
 }
 
-// News is what a process tells its peers of an upstream's limit.
+// News is what a process tells its peers of an upstream.
 type News struct {
-	Of     service.Incarnation
-	Advice Advice
-	// At is the time as of which the upstream said so.
-	At time.Time
+	Of      service.Incarnation
+	Leaving bool
+	// Limited, Limit and LimitAt tell of the upstream's limit and as of when it said so.
+	// LimitAt is zero if it never named one.
+	Limited bool
+	Limit   float64
+	LimitAt time.Time
 }
 
-// News returns what is known at now of the upstreams that limit their requests, and of
-// those that did so lately.
+// News returns what is known at now of the upstreams that are leaving, that limit their
+// requests or that did so lately.
 func (p *Pool) News(now time.Time) []News {
 	var out []News
 	for _, m := range p.members {
-		if a := m.advice; !a.at.IsZero() && (a.Limited || now.Sub(a.at) < liftedNewsTime) {
-			out = append(out, News{m.Incarnation(), a.Advice, a.at})
+		a := m.advice
+		if a.leaving || a.limited || !a.limitAt.IsZero() && now.Sub(a.limitAt) < liftedNewsTime {
+			out = append(out, News{m.Incarnation(), a.leaving, a.limited, a.limit, a.limitAt})
 		}
 	}
 	return out
 }
 
-// RecordNews records what a peer knows of an upstream, unless this process knows
-// something later. It reports how that changed what is known.
-func (p *Pool) RecordNews(n News) AdviceChange {
+// RecordNews records what a peer knows of an upstream, except for what this process knows
+// as of a later time. It returns how that changed what is known.
+func (p *Pool) RecordNews(n News) []AdviceChange {
 	m := p.incarnation(n.Of)
-	if m == nil || !n.At.After(m.advice.at) {
-		return AdviceUnchanged
+	if m == nil {
+		return nil
+	}
+	var changes []AdviceChange
+	if n.LimitAt.After(m.advice.limitAt) {
+		changes = m.advice.setLimit(n.Limited, n.Limit, n.LimitAt)
+	}
+	if n.Leaving && !m.advice.leaving {
+		m.advice.leaving = true
+		changes = append(changes, LeavingNamed)
 	}
-	before := m.advice.Advice
-	m.advice = advice{n.Advice, n.At}
-	change := m.advice.changeFrom(before)
-	if change == LimitNamed || change == LimitChanged {
+	if len(changes) > 0 {
 		p.updateShare(m)
 	}
-	return change
+	return changes
 }
 
 // AgeAdvice makes all that is known of upstreams' limits older by d.
 func (p *Pool) AgeAdvice(d time.Duration) {
 	for _, m := range p.members {
-		if !m.advice.at.IsZero() {
-			m.advice.at = m.advice.at.Add(-d)
+		if !m.advice.limitAt.IsZero() {
+			m.advice.limitAt = m.advice.limitAt.Add(-d)
 		}
 	}
 }
--- a/internal/core/upstream/limit.go
+++ b/internal/core/upstream/limit.go
@@ -92,39 +92,19 @@
 // limitedUntil returns the time before which m must get no request of this process
 // because of its limit, zero if it has none.
 func (m *member) limitedUntil() time.Time {
-	if !m.advice.Limited {
+	if !m.advice.limited {
 		return time.Time{}
 	}
-	return m.share.notBefore(m.advice.at, m.sentAt)
+	return m.share.notBefore(m.advice.limitAt, m.sentAt)
 }
 
 // updateShare sets this process's share in the limit of m.
 func (p *Pool) updateShare(m *member) {
-	if m.advice.Limited {
-		m.share = newLimitShare(m.advice.Limit, m.ID, m.FailureDomain, p.self, p.config.Entries, m.phase)
+	if m.advice.limited {
+		m.share = newLimitShare(m.advice.limit, m.ID, m.FailureDomain, p.self, p.config.Entries, m.phase)
 	}
 }
 
-// LimitedUntil returns the time at which the first upstream that is only kept from
-// getting a request by its limit may get one: from this process, or from another one if
-// this process has no share in the limit. It returns false if there is no such upstream.
-func (p *Pool) LimitedUntil(q PoolQuery, now time.Time) (time.Time, bool) {
-	var first time.Time
-	for _, m := range p.members {
-		until := m.limitedUntil()
-		if !until.After(now) || p.eligibility(m, q, now) > lapsed {
-			continue
-		}
-		if !m.share.sender {
-			until = now.Add(limitInterval(1, m.advice.Limit))
-		}
-		if first.IsZero() || until.Before(first) {
-			first = until
-		}
-	}
-	return first, !first.IsZero()
-}
-
 // formerTime is the time for which the advice of an upstream is kept after it is no
 // longer listed. The list can lapse while its store is unavailable.
 const formerTime = 5 * time.Minute
@@ -144,7 +124,7 @@
 		}
 	}
 	for id, m := range p.byID {
-		if kept[id] != m && m.advice.Limited {
+		if kept[id] != m && m.advice != (advice{}) {
 			p.former[id] = formerMember{m, now}
 		}
 	}
--- a/internal/core/upstream/limit_test.go
+++ b/internal/core/upstream/limit_test.go
@@ -265,7 +265,7 @@
 func TestAdviceSurvivesLapseOfList(t *testing.T) {
 	is := is.New(t)
 	p := newTestPool(ungroupedUpstreams(1))
-	is.Equal(p.RecordAdvice(service.Incarnation{ID: "u0"}, Advice{Limited: true, Limit: 2}, testNow, testNow), LimitNamed)
+	is.Equal(p.RecordAdvice(service.Incarnation{ID: "u0"}, Advice{Limited: true, Limit: 2}, testNow, testNow), []AdviceChange{LimitNamed})
 	p.Configure(nil, poolConfig, testNow)
 	p.Configure(ungroupedUpstreams(1), poolConfig, testNow.Add(time.Minute))
 	is.Equal(*p.State(testNow)[0].Limit, 2.0)
@@ -285,10 +285,10 @@
 	p.RecordOutcome("u0", Answered, time.Millisecond, testNow)
 	is.Equal(chooseID(p, PoolQuery{}, testNow), "")
 	is.Equal(p.Outage(testNow), time.Duration(0))
-	until, limited := p.LimitedUntil(PoolQuery{}, testNow)
-	is.True(limited)
+	until, held := p.HeldUntil(PoolQuery{}, testNow)
+	is.True(held)
 	is.Equal(until.Sub(testNow), 3*time.Second) // its share among 12 processes, as long as it knows none
 	is.Equal(chooseID(p, PoolQuery{}, until), "u0")
-	_, limited = p.LimitedUntil(PoolQuery{Exclude: []string{"u0"}}, testNow)
-	is.True(!limited)
+	_, held = p.HeldUntil(PoolQuery{Exclude: []string{"u0"}}, testNow)
+	is.True(!held)
 }
--- a/internal/core/upstream/pool.go
+++ b/internal/core/upstream/pool.go
@@ -201,7 +201,7 @@
 	draws, drawn := 0, 0
 	for _, m := range p.members {
 		e := p.eligibility(m, q, now)
-		if e == ineligible || e > bestEligibility || m.limitedUntil().After(now) {
+		if e == ineligible || e > bestEligibility || m.heldUntil().After(now) {
 			continue
 		}
 		if best == nil || e < bestEligibility {
@@ -225,7 +225,7 @@
 // eligibility returns the eligibility of m for a request at now.
 func (p *Pool) eligibility(m *member, q PoolQuery, now time.Time) eligibility {
 	switch {
-	case m.Leaving || slices.Contains(q.Exclude, m.ID):
+	case m.leaving() || slices.Contains(q.Exclude, m.ID):
 		return ineligible
 	case p.config.MaxOutstanding > 0 && m.outstanding >= p.config.MaxOutstanding:
 		return ineligible
@@ -243,6 +243,10 @@
 	}
 }
 
+// leaving reports whether the list or the upstream itself says that it is draining. Either
+// is enough: the list lags behind, and the upstream says it only in its responses.
+func (m *member) leaving() bool { return m.Leaving || m.advice.leaving }
+
 // compare orders two upstreams of the same eligibility, the better one first.
 func (p *Pool) compare(a, b *member, now time.Time) int {
 	if a.group != b.group && a.group != nil && b.group != nil {
@@ -297,10 +301,11 @@
 	// Limit is the requests per second that the upstream takes from all processes
 	// together, nil if it has not limited them.
 	Limit *float64 `json:"limit,omitempty"`
-	// LimitAgeMS is the time in milliseconds since a response last named the limit, and
-	// LimitedForMS the time for which this process sends no request because of it.
-	LimitAgeMS   int64 `json:"limit-age-milliseconds,omitempty"`
-	LimitedForMS int64 `json:"limited-for-milliseconds,omitempty"`
+	// LimitAgeMS is the time in milliseconds since a response last named the limit.
+	LimitAgeMS int64 `json:"limit-age-milliseconds,omitempty"`
+	// HeldForMS is the time in milliseconds for which this process sends no request
+	// because of the limit or because the upstream said when to come back.
+	HeldForMS int64 `json:"held-for-milliseconds,omitempty"`
 }
 
 // State returns the debug state of all upstreams at now, sorted by ID.
@@ -308,16 +313,16 @@
 	out := make([]MemberState, 0, len(p.members))
 	for _, m := range p.members {
 		s := MemberState{
-			ID: m.ID, Address: m.Address.String(), Domain: m.FailureDomain, Outstanding: m.outstanding, Leaving: m.Leaving,
+			ID: m.ID, Address: m.Address.String(), Domain: m.FailureDomain, Outstanding: m.outstanding, Leaving: m.leaving(),
 			Ejected: m.health.ejected(now), ErrorRate: m.errorRate, AverageLatencyMS: float64(m.health.averageLatency) / float64(time.Millisecond),
 		}
 		if m.Membership != nil {
 			s.Group = m.Membership.Group
 		}
-		if m.advice.Limited {
-			limit := m.advice.Limit
-			s.Limit, s.LimitAgeMS = &limit, now.Sub(m.advice.at).Milliseconds()
-			s.LimitedForMS = max(m.limitedUntil().Sub(now), 0).Milliseconds()
+		s.HeldForMS = max(m.heldUntil().Sub(now), 0).Milliseconds()
+		if m.advice.limited {
+			limit := m.advice.limit
+			s.Limit, s.LimitAgeMS = &limit, now.Sub(m.advice.limitAt).Milliseconds()
 		}
 		out = append(out, s)
 	}
--- a/internal/core/upstream/retry_quota.go
+++ b/internal/core/upstream/retry_quota.go
@@ -64,6 +64,14 @@
 	return true
 }
 
+// ReturnRetry returns a retry that was taken at most a few milliseconds before now and was
+// not made.
+func (q *RetryQuota) ReturnRetry(now time.Time) {
+	if b := q.bucket(now); b != nil && b.retries >= 1 {
+		b.retries--
+	}
+}
+
 // Remaining returns the number of retries that may be made at now, which may include a
 // fraction of one.
 func (q *RetryQuota) Remaining(now time.Time) float64 {
--- a/internal/entry/client/forward.go
+++ b/internal/entry/client/forward.go
@@ -43,9 +43,11 @@
 	events     upstream.EventSplitter
 	// headSent is true once the status and headers were sent to the caller.
 	headSent bool
-	// limitedUntil is when the first upstream may be sent a request again if all that
-	// are left are kept from it by their limits, otherwise zero.
-	limitedUntil time.Time
+	// retryTaken is true while a retry that was taken from the quota was not made yet.
+	retryTaken bool
+	// heldUntil is when the first upstream may be sent a request again if all that are
+	// left have asked for fewer requests, otherwise zero.
+	heldUntil time.Time
 	// lastFailure is the latest complete 5xx response of an upstream, nil if
 	// none.
 	lastFailure *upstreamFailure
@@ -69,9 +71,11 @@
 	for {
 		u, ok := h.pools.Choose(c.service, f.query, time.Now())
 		if !ok {
+			f.returnRetry()
 			f.fail(f.noUpstream(time.Now()))
 			return
 		}
+		f.retryTaken = false
 		outcome := f.attempt(ctx, u)
 		if outcome == nil {
 			return
@@ -86,12 +90,12 @@
 
 // noUpstream returns the refusal for a request that no upstream may be sent at now.
 func (f *forwarding) noUpstream(now time.Time) core.RefuseWith {
-	until, limited := f.handler.pools.LimitedUntil(f.service, f.query, now)
-	if !limited {
+	until, held := f.handler.pools.HeldUntil(f.service, f.query, now)
+	if !held {
 		return f.retryState.NoUpstream(now)
 	}
-	f.limitedUntil = until
-	return f.retryState.Limited(now)
+	f.heldUntil = until
+	return f.retryState.Held(now)
 }
 
 // takeRetry reports whether the retry quota allows another attempt. If so, it
@@ -99,9 +103,18 @@
 func (f *forwarding) takeRetry() bool {
 	allowed := f.handler.pools.TakeRetry(f.service, time.Now())
 	f.handler.counters.retryDecision(allowed)
+	f.retryTaken = allowed
 	return allowed
 }
 
+// returnRetry returns a retry that was taken from the quota and not made.
+func (f *forwarding) returnRetry() {
+	if f.retryTaken {
+		f.handler.pools.ReturnRetry(f.service, time.Now())
+		f.retryTaken = false
+	}
+}
+
 // fail ends a request for which there is no successful response: it passes on an
 // error response of the last upstream or sends a refusal. If the head of a
 // stream was sent already, it aborts the connection by panicking with
@@ -130,7 +143,7 @@
 // its time has too little left to be served.
 func (f *forwarding) retryAfter(k answer.Kind) time.Duration {
 	now := time.Now()
-	if wait := f.limitedUntil.Sub(now); wait > 0 {
+	if wait := f.heldUntil.Sub(now); wait > 0 {
 		// Callers that are refused in a row must not come back at once.
 		wait += rand.N(wait)
 		return min(wait, max(f.deadline.Sub(now)/3, overloadRetryAfter))
@@ -158,7 +171,7 @@
 		return f.recordFailure(ctx, u, began, err)
 	}
 	defer x.Close()
-	info := f.handler.headerCodec.ParseResponse(x.Response.Header)
+	info := f.handler.headerCodec.ParseResponse(x.Response.StatusCode, x.Response.Header)
 	if info.Load != nil {
 		f.handler.pools.RecordLoad(u, info.Load.Running, info.Load.Waiting, time.Now())
 	}
--- a/internal/entry/client/headercodec.go
+++ b/internal/entry/client/headercodec.go
@@ -15,8 +15,9 @@
 	// SetForwardHeaders sets the entry's own headers in h, the headers of a
 	// request to an upstream.
 	SetForwardHeaders(h http.Header, f ForwardInfo)
-	// ParseResponse returns what an upstream's response headers say.
-	ParseResponse(h http.Header) ResponseInfo
+	// ParseResponse returns what the headers of an upstream's response with the given
+	// status say.
+	ParseResponse(status int, h http.Header) ResponseInfo
 	// SetRequestID sets the request's ID in the headers of a response that the
 	// entry itself produces.
 	SetRequestID(h http.Header, id string)
--- a/internal/entry/upstream/advice.go
+++ b/internal/entry/upstream/advice.go
@@ -12,36 +12,41 @@
 // says about the requests that the upstream takes.
 func (p *Pools) RecordAdvice(u service.Upstream, a core.Advice, request string, sent, now time.Time) {
 	p.mu.Lock()
-	change := p.forService(u.Service).pool.RecordAdvice(u.Incarnation(), a, sent, now)
+	changes := p.forService(u.Service).pool.RecordAdvice(u.Incarnation(), a, sent, now)
 	p.mu.Unlock()
-	p.logAdvice(change, u.ID, u.Service, a, "request", request)
+	p.logAdvice(changes, u.ID, u.Service, a, "request", request)
 }
 
-// logAdvice logs a change of what is known of an upstream. source tells where it comes
+// logAdvice logs changes of what is known of an upstream. source tells where they come
 // from, as key and value.
-func (p *Pools) logAdvice(change core.AdviceChange, upstream, service string, a core.Advice, source ...any) {
-	values := append([]any{"upstream", upstream, "service", service}, source...)
-	switch change {
-	case core.AdviceUnchanged:
-	case core.LimitNamed, core.LimitChanged:
-		p.log.Info("upstream limits its requests", append(values, "limit", a.Limit)...)
-	case core.LimitLifted:
-		p.log.Info("upstream no longer limits its requests", values...)
-	case core.LimitMalformed:
-		p.log.Info("upstream's limit cannot be read; the one before stays in effect", append(values, "limit", a.Malformed)...)
+func (p *Pools) logAdvice(changes []core.AdviceChange, upstream, service string, a core.Advice, source ...any) {
+	for _, c := range changes {
+		values := append([]any{"upstream", upstream, "service", service}, source...)
+		switch c {
+		case core.LimitNamed, core.LimitChanged:
+			p.log.Info("upstream limits its requests", append(values, "limit", a.Limit)...)
+		case core.LimitLifted:
+			p.log.Info("upstream no longer limits its requests", values...)
+		case core.LimitMalformed:
+			p.log.Info("upstream's limit cannot be read; the one before stays in effect", append(values, "limit", a.Malformed)...)
+		case core.LeavingNamed:
+			p.log.Info("upstream says that it is leaving; it gets no new requests", values...)
+		case core.SuspensionNamed:
+			p.log.Info("upstream wants no requests for a time", append(values, "for-ms", a.RetryAfter.Milliseconds())...)
+		}
 	}
 }
 
-// LimitedUntil returns the time at which the first upstream of the named service that is
-// only kept from getting a request by its limit may get one from this entry. It returns
-// false if there is no such upstream.
-func (p *Pools) LimitedUntil(name string, q core.PoolQuery, now time.Time) (time.Time, bool) {
+// HeldUntil returns the time at which the first upstream of the named service that is
+// only kept from getting a request by what it said may get one. It returns false if there
+// is no such upstream.
+func (p *Pools) HeldUntil(name string, q core.PoolQuery, now time.Time) (time.Time, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.forService(name).pool.LimitedUntil(q, now)
+	return p.forService(name).pool.HeldUntil(q, now)
 }
 
-// News returns what this entry knows of the limits of upstreams, for its peers.
+// News returns what this entry knows of the limits and the leaving of upstreams, for its peers.
 func (p *Pools) News(now time.Time) []*peer.UpstreamNews {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -54,18 +59,17 @@
 	return out
 }
 
-// RecordNews records and logs what the peer named source knows of the limits of
-// upstreams.
+// RecordNews records and logs what the peer named source knows of upstreams.
 func (p *Pools) RecordNews(news []*peer.UpstreamNews, source string, now time.Time) {
 	for _, m := range news {
 		n := peer.NewsFromProto(m, now)
 		p.mu.Lock()
-		change := core.AdviceUnchanged
+		var changes []core.AdviceChange
 		if s := p.services[m.Service]; s != nil {
-			change = s.pool.RecordNews(n)
+			changes = s.pool.RecordNews(n)
 		}
 		p.mu.Unlock()
-		p.logAdvice(change, m.Upstream, m.Service, n.Advice, "source", source)
+		p.logAdvice(changes, m.Upstream, m.Service, core.Advice{Limit: n.Limit}, "source", source)
 	}
 }
 
--- a/internal/entry/upstream/pools.go
+++ b/internal/entry/upstream/pools.go
@@ -165,6 +165,14 @@
 	return p.forService(name).quota.TakeRetry(now)
 }
 
+// ReturnRetry returns a retry that was taken from the quota of the named service and was
+// not made.
+func (p *Pools) ReturnRetry(name string, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.forService(name).quota.ReturnRetry(now)
+}
+
 // State returns the debug state of each pool's members, by service.
 func (p *Pools) State(now time.Time) map[string][]core.MemberState {
 	p.mu.Lock()
--- a/internal/wire/peer/news.go
+++ b/internal/wire/peer/news.go
@@ -12,18 +12,21 @@
 // NewsToProto converts news of an upstream of the named service for the wire. A time is
 // sent as an age, since the clocks of two processes differ.
 func NewsToProto(serviceName string, n upstream.News, now time.Time) *UpstreamNews {
-	return &UpstreamNews{
-		Service: serviceName, Upstream: n.Of.ID, StartedAt: timestamppb.New(n.Of.StartedAt),
-		Limited: n.Advice.Limited, Limit: n.Advice.Limit, Age: durationpb.New(now.Sub(n.At)),
+	m := &UpstreamNews{
+		Service: serviceName, Upstream: n.Of.ID, StartedAt: timestamppb.New(n.Of.StartedAt), Leaving: n.Leaving,
 	}
+	if !n.LimitAt.IsZero() {
+		m.Limited, m.Limit, m.LimitAge = n.Limited, n.Limit, durationpb.New(now.Sub(n.LimitAt))
+	}
+	return m
 }
 
-// NewsFromProto converts news of an upstream from the wire. An age below zero counts as
-// zero.
+// NewsFromProto converts news of an upstream from the wire. An age or a limit below zero
+// counts as zero.
 func NewsFromProto(m *UpstreamNews, now time.Time) upstream.News {
-	return upstream.News{
-		Of:     service.Incarnation{ID: m.Upstream, StartedAt: m.StartedAt.AsTime()},
-		Advice: upstream.Advice{Limited: m.Limited, Limit: max(m.Limit, 0)},
-		At:     now.Add(-max(m.Age.AsDuration(), 0)),
+	n := upstream.News{Of: service.Incarnation{ID: m.Upstream, StartedAt: m.StartedAt.AsTime()}, Leaving: m.Leaving}
+	if m.LimitAge != nil {
+		n.Limited, n.Limit, n.LimitAt = m.Limited, max(m.Limit, 0), now.Add(-max(m.LimitAge.AsDuration(), 0))
 	}
+	return n
 }
