--- a/internal/agent/entry/server.go
+++ b/internal/agent/entry/server.go
@@ -308,7 +308,7 @@
 func upstreamRequest(self string, j *job) upstream.Request {
 	r := j.request
 	u := upstream.Request{
-		ID: r.RequestId, Method: r.Method, Path: r.Path, Body: r.Body, Once: r.Once,
+		ID: r.RequestId, Method: r.Method, Path: r.Path, Body: r.Body,
 		Events: r.Events, StreamID: self + "~" + r.Key,
 	}
 	if r.Moved {
--- a/internal/agent/upstream/client.go
+++ b/internal/agent/upstream/client.go
@@ -19,9 +19,8 @@
 
 // Sizes and timeouts of the connections to the upstream.
 const (
-	readSize           = 64 << 10
-	dialTimeout        = 2 * time.Second
-	maxIdleConnections = 256
+	readSize    = 64 << 10
+	dialTimeout = 2 * time.Second
 )
 
 // ResumedHeader is the header that an engine sets on a response that starts after the
@@ -35,8 +34,6 @@
 	Path    string
 	Headers []Header
 	Body    []byte
-	// Once is true for a request that must not be sent to the upstream a second time.
-	Once bool
 	// Events is true when the response is a stream of server-sent events.
 	Events bool
 	// StreamID identifies the stream in event ids.
@@ -48,26 +45,25 @@
 // Client sends requests to one upstream.
 type Client struct {
 	base string
+	// http opens a new connection for each request. On a reused one, bytes that the
+	// upstream sent after a response would be taken for the next response, and net/http
+	// repeats some requests when a reused connection fails.
 	http *http.Client
-	// withoutReuse opens a new connection for each request. net/http repeats some
-	// requests when a reused connection fails, but never on a new one.
-	withoutReuse *http.Client
 }
 
 // NewClient returns a client of the upstream at address.
 func NewClient(address netip.AddrPort) *Client {
-	return &Client{base: "http://" + address.String(), http: newHTTPClient(false), withoutReuse: newHTTPClient(true)}
+	return &Client{base: "http://" + address.String(), http: newHTTPClient()}
 }
 
-// newHTTPClient returns an HTTP client that does not follow redirects. With newConnections
-// it opens a connection for each request.
-func newHTTPClient(newConnections bool) *http.Client {
+// newHTTPClient returns an HTTP client that opens a connection for each request and does
+// not follow redirects.
+func newHTTPClient() *http.Client {
 	return &http.Client{
 		Transport: &http.Transport{
-			DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
-			MaxIdleConnsPerHost: maxIdleConnections,
-			DisableCompression:  true,
-			DisableKeepAlives:   newConnections,
+			DialContext:        (&net.Dialer{Timeout: dialTimeout}).DialContext,
+			DisableCompression: true,
+			DisableKeepAlives:  true,
 		},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
@@ -105,9 +101,6 @@
 		request.Header.Add(h.Name, h.Value)
 	}
 	request.Header.Set("X-Request-Id", r.ID)
-	if r.Once {
-		return c.withoutReuse.Do(request)
-	}
 	return c.http.Do(request)
 }
 
--- a/internal/agent/upstream/upstream_test.go
+++ b/internal/agent/upstream/upstream_test.go
@@ -1,8 +1,10 @@
 package upstream
 
 import (
+	"bufio"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
@@ -139,7 +141,7 @@
 	c := NewClient(netip.MustParseAddrPort(server.Listener.Addr().String()))
 	c.Run(t.Context(), Request{Method: "GET", Path: "/warm"}, NewBuffer(100))
 	b := NewBuffer(100)
-	ran := c.Run(t.Context(), Request{Method: "POST", Path: "/x", Once: true, Headers: []Header{{"Idempotency-Key", "k"}}}, b)
+	ran := c.Run(t.Context(), Request{Method: "POST", Path: "/x", Headers: []Header{{"Idempotency-Key", "k"}}}, b)
 	is.True(ran) // the request may have run
 	is.True(!b.Ended().Complete)
 	is.Equal(count, 1)
@@ -148,7 +150,52 @@
 func TestRefusedConnectionMeansNotRun(t *testing.T) {
 	is := is.New(t)
 	b := NewBuffer(100)
-	ran := NewClient(netip.MustParseAddrPort("127.0.0.1:1")).Run(t.Context(), Request{Method: "POST", Path: "/", Once: true}, b)
+	ran := NewClient(netip.MustParseAddrPort("127.0.0.1:1")).Run(t.Context(), Request{Method: "POST", Path: "/"}, b)
 	is.True(!ran)
 	is.True(b.Ended().Refusal != nil)
 }
+
+// TestLateSecondResponseReachesNoOtherCaller guards against an upstream that sends a copy of
+// a response on a connection that is in use again: the next caller would get it.
+func TestLateSecondResponseReachesNoOtherCaller(t *testing.T) {
+	is := is.New(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer listener.Close()
+	go serveWithLateCopies(listener)
+	c := NewClient(netip.MustParseAddrPort(listener.Addr().String()))
+	for _, path := range []string{"/a", "/b", "/c"} {
+		b := NewBuffer(1 << 10)
+		is.True(c.Run(t.Context(), Request{ID: path, Method: http.MethodGet, Path: path}, b))
+		text, ending := readAll(t, b, 0)
+		is.Equal(text, "answer to "+path)
+		is.True(ending.Complete)
+	}
+}
+
+// serveWithLateCopies answers each request with its path. Before a further answer on the
+// same connection it sends a copy of the one before.
+func serveWithLateCopies(l net.Listener) {
+	for {
+		c, err := l.Accept()
+		if err != nil {
+			return // the test has ended
+		}
+		go func() {
+			defer c.Close()
+			reader, last := bufio.NewReader(c), ""
+			for {
+				r, err := http.ReadRequest(reader)
+				if err != nil {
+					return // the client has closed the connection
+				}
+				body := "answer to " + r.URL.Path
+				next := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+				if _, err := io.WriteString(c, last+next); err != nil {
+					return
+				}
+				last = next
+			}
+		}()
+	}
+}
