A stream's progress is its events, within the time that its callers wait

What callers saw: a stalled stream whose upstream sent a byte now and then was never given up; a sound stream with pauses of more than 1.6 s was interrupted although its route allows them and its callers wait longer.

Cause: the stall timer was a constant, and any byte set it back.

It is now four fifths of the time after which callers abandon a stream by its route's stated times (2 s, four times the latency target, eight times the longest pause, whichever is most), and only a complete event sets it back. For the routes so far it is 1.6 s as before.

--- a/internal/entry/client/forward.go
+++ b/internal/entry/client/forward.go
@@ -23,10 +23,10 @@
 	// maxHeldResponse is the size in bytes up to which a response is held back
 	// until it is complete, so that the request can still be retried.
 	maxHeldResponse = 1 << 20
-	// streamStallTimeout is how long a stream may send no bytes before its
-	// upstream is considered lost. A group needs about 1.5 s to report that it
-	// lost a rank; callers give up after 2 s.
-	streamStallTimeout = 1600 * time.Millisecond
+	// stallShare is the part of the time after which callers abandon a stream without
+	// events that its upstream may take for the next one. The rest is left for another
+	// upstream. A group needs about 1.5 s to report that it lost a rank.
+	stallShare = 0.8
 	// attemptTimeoutShare is the part of the remaining time that an attempt may
 	// take if another one can follow it.
 	attemptTimeoutShare = 0.5
@@ -192,18 +192,23 @@
 	}
 }
 
-// startStallTimer starts the timer that cancels an attempt at a stream when no
-// bytes arrive for streamStallTimeout, including before the first event. The
-// timer is stopped for requests that cannot be retried, since their stream
-// cannot continue at another upstream.
+// startStallTimer starts the timer that cancels an attempt at a stream when no event
+// arrives for stallTimeout, including the first one. The timer is stopped for requests
+// that cannot be retried, since their stream cannot continue at another upstream.
 func (f *forwarding) startStallTimer(cancel func()) *time.Timer {
-	timer := time.AfterFunc(streamStallTimeout, cancel)
+	timer := time.AfterFunc(f.stallTimeout(), cancel)
 	if f.route.Kind != service.Stream || !f.route.Repeatable() {
 		timer.Stop()
 	}
 	return timer
 }
 
+// stallTimeout returns how long the route's streams may have no event before their
+// upstream is considered lost.
+func (f *forwarding) stallTimeout() time.Duration {
+	return time.Duration(stallShare * float64(f.route.Patience()))
+}
+
 func isSuccess(r *http.Response) bool { return r.StatusCode/100 == 2 }
 
 // attemptTimeout returns the longest time that an attempt starting now may
--- a/internal/entry/client/stream.go
+++ b/internal/entry/client/stream.go
@@ -13,7 +13,7 @@
 	"bramleydeal/internal/world/service"
 )
 
-// errStalled means that a stream sent no bytes for streamStallTimeout.
+// errStalled means that a stream had no event for stallTimeout.
 var errStalled = errors.New("the stream stalled")
 
 // errTruncatedEvent means that a stream ended within an event.
@@ -29,10 +29,11 @@
 	timeToFirst := time.Duration(0)
 	for {
 		n, err := x.Read(buffer)
-		if f.route.Repeatable() {
-			stallTimer.Reset(streamStallTimeout)
-		}
 		if events := f.events.Add(buffer[:n]); len(events) > 0 {
+			if f.route.Repeatable() {
+				// Bytes alone are no progress: a stalled upstream may still send some.
+				stallTimer.Reset(f.stallTimeout())
+			}
 			if timeToFirst == 0 {
 				timeToFirst = time.Since(began)
 			}
--- a/internal/world/service/defaults.go
+++ b/internal/world/service/defaults.go
@@ -22,6 +22,19 @@
 // EffectiveTimeout returns the route's timeout, or DefaultTimeout if it has none.
 func (r *Route) EffectiveTimeout() time.Duration { return orDefault(r.Timeout, DefaultTimeout) }
 
+// Callers abandon a stream without events after the longest of these times.
+const (
+	minPatience             = 2 * time.Second
+	patienceLatencyMultiple = 4
+	patienceGapMultiple     = 8
+)
+
+// Patience returns the time after which callers abandon a stream of the route that has no
+// event, the first one included.
+func (r *Route) Patience() time.Duration {
+	return max(minPatience, patienceLatencyMultiple*r.LatencyTarget, patienceGapMultiple*r.MaxGap)
+}
+
 // orDefault returns v, or fallback if v is 0 or less.
 func orDefault[T int64 | time.Duration](v, fallback T) T {
 	if v <= 0 {
