Soak: upstreams that limit, refuse for a time or leave by their own word; a store that comes back from an older copy

The extended faults are drawn by themselves, so the schedules of seeds stay as they were; -extended=false repeats them. The checks follow the operators' rules from what callers and upstreams see; entries that had a fault since are excused.

--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -30,6 +30,7 @@
 	length             time.Duration
 	program, logs      string
 	only               string
+	extended           bool
 }
 
 func main() {
@@ -43,6 +44,7 @@
 	flag.StringVar(&f.program, "program", "", "path of bramleydeal; built when not given")
 	flag.StringVar(&f.logs, "logs", "", "folder for settings and logs, a temporary one when not given")
 	flag.StringVar(&f.only, "only", "", "kinds of faults to keep, separated by commas; all when not given")
+	flag.BoolVar(&f.extended, "extended", true, "inject the extended faults too; false repeats a seed from before there were any")
 	flag.Parse()
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	// After the first signal, restore the default, so that a second one terminates
@@ -117,6 +119,9 @@
 		}
 		options = append(options, run.WithFaults(only...))
 	}
+	if f.extended {
+		options = append(options, run.WithExtendedFaults())
+	}
 	report, err := run.New(seed, f.program, folder, options...).Run(ctx)
 	if err != nil {
 		return nil, oops.Wrapf(err, "seed %d", seed)
--- a/internal/soak/history/check.go
+++ b/internal/soak/history/check.go
@@ -59,6 +59,7 @@
 	}
 	c.checkReverts()
 	c.checkDraining()
+	c.checkAdvice()
 	c.checkRetries(slack)
 	return c.violations
 }
--- a/internal/soak/history/history.go
+++ b/internal/soak/history/history.go
@@ -104,6 +104,7 @@
 	// drainingSince is the time at which the store acknowledged that an upstream is
 	// draining, by upstream.
 	drainingSince map[string]time.Time
+	advice        []*Advice
 	// recoveredAt is the time at which the recovery time after the last fault was over,
 	// zero until then.
 	recoveredAt time.Time
--- a/internal/soak/run/faults.go
+++ b/internal/soak/run/faults.go
@@ -77,6 +77,10 @@
 		s.injectStoreFault(step)
 	case schedule.ConfigurationChange:
 		s.writeConfiguration()
+	case schedule.UpstreamAdvice:
+		s.adviseFromUpstream(slot, step)
+	case schedule.StoreRestore:
+		s.restoreStore(step)
 	}
 }
 
@@ -155,16 +159,7 @@
 func (s *Soak) drainUpstream(slot *upstreamSlot) {
 	slot.faultMu.Lock()
 	defer slot.faultMu.Unlock()
-	w := slot.upstream
-	s.store.MarkDraining(w, standin.ServiceName, slot.failureDomain, slot.address)
-	s.history.MarkDraining(w.ID)
-	time.Sleep(program.DrainTime + removalDelay)
-	s.store.RemoveWorker(w.ID)
-	end := s.history.BeginFault(history.FaultInterval{Target: w.ID, Fault: "gone"})
-	defer end()
-	slot.link.Close()
-	w.Close()
-	s.recordError(s.startUpstream(slot))
+	s.replaceDraining(slot)
 }
 
 // upstreamFaults are the behaviours among which the variant of an upstream fault
--- a/internal/soak/run/run.go
+++ b/internal/soak/run/run.go
@@ -13,6 +13,7 @@
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -72,6 +73,8 @@
 	entryCount, upstreamCount int
 	faultDuration             time.Duration
 	faultKinds                []schedule.Fault
+	// extendedFaults is true if the faults of schedule.GenerateExtended are injected too.
+	extendedFaults bool
 
 	history *history.History
 	proxies *proxy.Proxies
@@ -89,7 +92,11 @@
 	// activeStoreFaults counts the store faults in progress. The last one to end
 	// clears the fault of the store.
 	activeStoreFaults int
-	runErrors         []error
+	// copies are copies of the store's content, the latest last, one each copyInterval.
+	copies []standin.Copy
+	// restoreMu serializes the faults that bring the store back from a copy.
+	restoreMu sync.Mutex
+	runErrors []error
 }
 
 // upstreamSlot is an address at which one upstream runs at a time.
@@ -116,6 +123,9 @@
 // WithFaults restricts the run to the given kinds of faults.
 func WithFaults(kinds ...schedule.Fault) Option { return func(s *Soak) { s.faultKinds = kinds } }
 
+// WithExtendedFaults injects the faults of schedule.GenerateExtended too.
+func WithExtendedFaults() Option { return func(s *Soak) { s.extendedFaults = true } }
+
 // New returns a run whose faults the seed determines. program is the path of the
 // bramleydeal executable; the settings and logs of the entries are written to
 // folder.
@@ -180,6 +190,11 @@
 		return nil, err
 	}
 	steps := schedule.Generate(s.seed, s.faultDuration, s.faultKinds...)
+	if s.extendedFaults {
+		steps = append(steps, schedule.GenerateExtended(s.seed, s.faultDuration, s.faultKinds...)...)
+		slices.SortStableFunc(steps, func(a, b schedule.Step) int { return int(a.At - b.At) })
+		go s.keepCopies(ctx)
+	}
 	s.runSchedule(ctx, steps)
 	report := &Report{Seed: s.seed, Steps: steps, Counts: s.history.Counts(), Violations: s.history.Check(retrySlack)}
 	for _, err := range s.runErrors {
--- a/internal/soak/schedule/schedule.go
+++ b/internal/soak/schedule/schedule.go
@@ -40,8 +40,41 @@
 	StoreFault Fault = "store-fault"
 	// ConfigurationChange writes a new version of the configuration.
 	ConfigurationChange Fault = "change"
+	// UpstreamAdvice makes an upstream name a limit, refuse requests with a time to come
+	// back, or say that it is leaving before the store does.
+	UpstreamAdvice Fault = "upstream-advice"
+	// StoreRestore takes the store away for a moment and brings it back from a copy of
+	// some seconds before.
+	StoreRestore Fault = "store-restore"
 )
 
+// extendedFaults are the kinds of faults of ExtendedFaults, each as frequent as the others.
+var extendedFaults = []Fault{UpstreamAdvice, UpstreamAdvice, StoreRestore}
+
+// extendedGap is the mean time between the beginnings of two extended faults.
+const extendedGap = 1500 * time.Millisecond
+
+// GenerateExtended returns the schedule of the faults that Generate does not know, for the
+// same seed and duration. They are drawn by themselves, so that the schedules of seeds that
+// were kept stay as they were.
+func GenerateExtended(seed uint64, total time.Duration, kinds ...Fault) []Step {
+	random := rand.New(rand.NewPCG(seed, 2))
+	var steps []Step
+	for at := time.Duration(0); ; {
+		at += time.Duration(random.ExpFloat64() * float64(extendedGap))
+		if at >= total {
+			return steps
+		}
+		s := Step{
+			At: at.Round(time.Millisecond), Fault: extendedFaults[random.IntN(len(extendedFaults))], Target: random.IntN(1 << 10), Variant: random.IntN(1 << 10),
+			Duration: (minDuration + time.Duration(random.Int64N(int64(maxDuration-minDuration)))).Round(time.Millisecond),
+		}
+		if len(kinds) == 0 || slices.Contains(kinds, s.Fault) {
+			steps = append(steps, s)
+		}
+	}
+}
+
 // weights are the relative frequencies of the kinds of faults.
 var weights = []struct {
 	fault  Fault
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -24,7 +24,9 @@
 	Entries   int             `json:"entries"`
 	Upstreams int             `json:"upstreams"`
 	Length    config.Duration `json:"length"`
-	Cause     string          `json:"cause"`
+	// Extended is true if the extended faults are injected too.
+	Extended bool   `json:"extended"`
+	Cause    string `json:"cause"`
 }
 
 // readSeeds returns the runs in seeds.jsonc.
@@ -53,7 +55,11 @@
 			t.Parallel()
 			is := is.New(t)
 			is.True(s.Cause != "") // every seed must say why it is kept
-			report, err := run.New(s.Seed, program, t.TempDir(), run.WithSize(s.Entries, s.Upstreams), run.WithFaultDuration(time.Duration(s.Length))).Run(t.Context())
+			options := []run.Option{run.WithSize(s.Entries, s.Upstreams), run.WithFaultDuration(time.Duration(s.Length))}
+			if s.Extended {
+				options = append(options, run.WithExtendedFaults())
+			}
+			report, err := run.New(s.Seed, program, t.TempDir(), options...).Run(t.Context())
 			is.NoErr(err)
 			for _, v := range report.Violations {
 				t.Error(v)
