--- a/internal/agent/direct/direct_test.go
+++ b/internal/agent/direct/direct_test.go
@@ -8,6 +8,7 @@
 	"maps"
 	"net"
 	"net/netip"
+	"slices"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -24,6 +25,7 @@
 	"github.com/go-logr/logr"
 	"github.com/matryer/is"
 	"google.golang.org/grpc"
+	"pgregory.net/rapid"
 )
 
 // fixedStore is a store with fixed lists of objects, and the decoder of their JSON
@@ -265,6 +267,74 @@
 	}
 }
 
+// lossyLeases is a lease store whose writes may be executed late: one that is delayed gives
+// an error, and has its effect when flush is called, if its condition holds then. It compares
+// revisions only, as the platform's store does.
+type lossyLeases struct {
+	leaseStore
+	delay   bool
+	delayed []func()
+}
+
+func (s *lossyLeases) Put(ctx context.Context, name string, value []byte, version uint64) (store.Object, error) {
+	write := func() (store.Object, error) {
+		held := s.objects[name]
+		if store.RevisionOf(held.Version) != store.RevisionOf(version) {
+			return held, store.ErrConflict
+		}
+		return s.leaseStore.Put(ctx, name, value, held.Version)
+	}
+	if !s.delay {
+		return write()
+	}
+	s.delayed = append(s.delayed, func() {
+		// The writer has given up; the result reaches nobody.
+		_, _ = write()
+	})
+	return store.Object{}, errors.New("no response")
+}
+
+// TestTermsAreNeverUsedTwice searches for a term that two claims return, over any order of
+// claims, of writes that are executed late, and of older copies from which the store comes
+// back.
+func TestTermsAreNeverUsedTwice(t *testing.T) {
+	r := newRoster(engineAddress(0), 7100)
+	readRoster(t, r)
+	rapid.Check(t, func(t *rapid.T) {
+		s := &lossyLeases{}
+		copies := []map[string]store.Object{nil}
+		var highest uint64
+		for range rapid.IntRange(1, 30).Draw(t, "steps") {
+			switch rapid.SampledFrom([]string{"claim", "claim", "lost claim", "late write", "copy", "restore"}).Draw(t, "step") {
+			case "claim":
+				if term, err := newCandidate(r, s).claim(t.Context()); err == nil {
+					if term <= highest {
+						t.Fatalf("term %d was claimed after term %d", term, highest)
+					}
+					highest = term
+				}
+			case "lost claim":
+				s.delay = true
+				if _, err := newCandidate(r, s).claim(t.Context()); err == nil {
+					t.Fatal("a claim without a response succeeded")
+				}
+				s.delay = false
+			case "late write":
+				if n := len(s.delayed); n > 0 {
+					i := rapid.IntRange(0, n-1).Draw(t, "write")
+					s.delayed[i]()
+					s.delayed = slices.Delete(s.delayed, i, i+1)
+				}
+			case "copy":
+				copies = append(copies, maps.Clone(s.objects))
+			case "restore":
+				s.objects = maps.Clone(rapid.SampledFrom(copies).Draw(t, "copy"))
+				s.era++
+			}
+		}
+	})
+}
+
 // TestClaimExceedsPromisedTerm guards against a claim under a term that this rank knows
 // from the orders of a leader whose lease the store has lost.
 func TestClaimExceedsPromisedTerm(t *testing.T) {
