A draining entry keeps connections open until they have had their next response

What callers saw: during a planned stop a request that had just been sent on a kept connection was read and cut off without an answer.

Cause: draining called http.Server.SetKeepAlivesEnabled(false), which closes all connections in the idle state at once. A connection is in that state until its next request has been read whole, so a request that is being read is cut off; its handler then finds its caller gone.

TestDrainingEntryServesIdleConnections fails on the code before (unexpected EOF).

Draining now only makes connections close after their next response. At the end, idle ones are closed by a read deadline in the past, which ends a wait for a request but not one that is being read.

--- a/internal/entry/client/server.go
+++ b/internal/entry/client/server.go
@@ -7,8 +7,10 @@
 	"net/http"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
+	"bramleydeal/internal/process/clock"
 	"bramleydeal/internal/process/log"
 	"bramleydeal/internal/world/service"
 	"github.com/samber/oops"
@@ -28,9 +30,13 @@
 	current  *generation
 	// previous are the generations with open connections under earlier limits.
 	previous []*generation
-	// keepAlivesDisabled is true once connections are closed after each
+	// idle holds the connections that wait for a request.
+	idle   map[net.Conn]bool
+	closed bool
+
+	// closeAfterResponse is true once connections are closed after their next
 	// response.
-	keepAlivesDisabled, closed bool
+	closeAfterResponse atomic.Bool
 }
 
 // generation serves the connections that were opened under one set of limits.
@@ -49,7 +55,7 @@
 
 // NewServer returns a server that passes requests to h, with default limits.
 func NewServer(h http.Handler, l *log.Logger) *Server {
-	s := &Server{handler: h, log: l}
+	s := &Server{handler: h, log: l, idle: map[net.Conn]bool{}}
 	s.current = s.startGeneration(service.Limits{})
 	return s
 }
@@ -79,18 +85,13 @@
 	l = l.Effective()
 	g := &generation{incoming: make(chan net.Conn), closed: make(chan struct{})}
 	g.server = &http.Server{
-		Handler:           s.handler,
+		Handler:           http.HandlerFunc(s.serveRequest),
 		ReadHeaderTimeout: l.HeaderTimeout,
 		IdleTimeout:       l.IdleTimeout,
 		MaxHeaderBytes:    int(l.HeaderBytes),
 		ErrorLog:          s.log.Standard("client"),
 	}
-	g.server.ConnState = func(_ net.Conn, state http.ConnState) {
-		if state == http.StateClosed || state == http.StateHijacked {
-			s.connectionClosed(g)
-		}
-	}
-	g.server.SetKeepAlivesEnabled(!s.keepAlivesDisabled)
+	g.server.ConnState = func(c net.Conn, state http.ConnState) { s.connectionChanged(g, c, state) }
 	go func() {
 		// The error is ignored: Serve always ends with one when the generation
 		// is closed.
@@ -118,14 +119,38 @@
 	}
 }
 
-// connectionClosed counts a closed connection of g and removes g from the
-// previous generations if it was the last one.
-func (s *Server) connectionClosed(g *generation) {
+// serveRequest passes a request to the handler.
+func (s *Server) serveRequest(w http.ResponseWriter, r *http.Request) {
+	if s.closeAfterResponse.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	s.handler.ServeHTTP(w, r)
+}
+
+// connectionChanged records the state of a connection of g. It removes g from the previous
+// generations if its last connection was closed.
+func (s *Server) connectionChanged(g *generation, c net.Conn, state http.ConnState) {
+	if state == http.StateNew {
+		return // dispatch, which holds s.mu, waits for g to accept the next connection
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	g.connections--
-	if g.connections == 0 {
-		s.previous = slices.DeleteFunc(s.previous, func(f *generation) bool { return f == g })
+	switch state {
+	case http.StateIdle:
+		s.idle[c] = true
+	case http.StateActive:
+		delete(s.idle, c)
+		if s.closed {
+			// The deadline that closeIdle has set must not end this request. An error
+			// means that the connection is closed, which the handler notices.
+			_ = c.SetReadDeadline(time.Time{})
+		}
+	case http.StateClosed, http.StateHijacked:
+		delete(s.idle, c)
+		g.connections--
+		if g.connections == 0 {
+			s.previous = slices.DeleteFunc(s.previous, func(f *generation) bool { return f == g })
+		}
 	}
 }
 
@@ -174,21 +199,43 @@
 	return s.closed
 }
 
-// DisableKeepAlives closes idle connections, and the others after their current
-// response.
-func (s *Server) DisableKeepAlives() {
+// DisableKeepAlives makes connections close after their next response. Idle ones stay open
+// until Shutdown: a request may be on its way on them.
+func (s *Server) DisableKeepAlives() { s.closeAfterResponse.Store(true) }
+
+// Timing of closing idle connections.
+const (
+	idleCloseTimeout = 200 * time.Millisecond
+	idlePollInterval = 5 * time.Millisecond
+)
+
+// closeIdle closes the idle connections by a read deadline in the past. Unlike
+// http.Server.Shutdown, which closes connections until their request has been read whole,
+// it does not end a request that is being read.
+func (s *Server) closeIdle(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, idleCloseTimeout)
+	defer cancel()
+	for s.expireIdle() > 0 && ctx.Err() == nil {
+		clock.Sleep(ctx, idlePollInterval)
+	}
+}
+
+// expireIdle sets the read deadlines of the idle connections and returns their number.
+func (s *Server) expireIdle() int {
 	s.mu.Lock()
-	s.keepAlivesDisabled = true
-	s.mu.Unlock()
-	for _, g := range s.generations() {
-		g.server.SetKeepAlivesEnabled(false)
+	defer s.mu.Unlock()
+	for c := range s.idle {
+		// An error means that the connection is closed.
+		_ = c.SetReadDeadline(time.Now())
 	}
+	return len(s.idle)
 }
 
 // Shutdown stops accepting connections and waits until the requests in progress
 // are done or ctx ends.
 func (s *Server) Shutdown(ctx context.Context) error {
 	err := s.stopAccepting()
+	s.closeIdle(ctx)
 	for _, g := range s.generations() {
 		err = errors.Join(err, g.server.Shutdown(ctx))
 	}
--- a/internal/soak/history/advice.go
+++ b/internal/soak/history/advice.go
@@ -64,6 +64,9 @@
 			continue // the caller had not ended with it when the run ended
 		}
 		for _, a := range arrivals {
+			if a.Misdirected {
+				continue
+			}
 			byUpstream[a.Upstream] = append(byUpstream[a.Upstream], delivery{a, r})
 		}
 	}
--- a/internal/soak/history/history.go
+++ b/internal/soak/history/history.go
@@ -74,6 +74,9 @@
 	At       time.Time
 	// Executed reports whether the upstream executed the request.
 	Executed bool
+	// Misdirected reports whether the request named another upstream, which had the
+	// address before. Such requests do not count for what the upstream said.
+	Misdirected bool
 }
 
 // FaultInterval is a fault of an entry, an upstream or the store and the time in which
