--- a/internal/entry/client/forward.go
+++ b/internal/entry/client/forward.go
@@ -41,6 +41,8 @@
 	retryState *core.RetryState
 	query      coreupstream.PoolQuery
 	events     upstream.EventSplitter
+	// eventsBefore is the number of complete events at the start of the current attempt.
+	eventsBefore int
 	// headSent is true once the status and headers were sent to the caller.
 	headSent bool
 	// retryTaken is true while a retry that was taken from the quota was not made yet.
@@ -162,6 +164,7 @@
 // is gone.
 func (f *forwarding) attempt(ctx context.Context, u service.Upstream) core.Outcome {
 	began := time.Now()
+	f.eventsBefore = f.events.Count()
 	attemptCtx, cancel := context.WithTimeout(ctx, f.attemptTimeout(began))
 	defer cancel()
 	stallTimer := f.startStallTimer(cancel)
@@ -407,6 +410,9 @@
 		"request", f.info.ID, "route", f.route.Name, "upstream", u.ID, "address", u.Address, "outcome", outcome,
 		"took-ms", time.Since(began).Milliseconds(), "try", f.retryState.Attempts() + 1,
 	}
+	if f.route.Kind == service.Stream {
+		values = append(values, "events", f.events.Count()-f.eventsBefore, "prompt-parts", strings.Join(f.info.SharedParts, ","))
+	}
 	if err != nil {
 		values = append(values, "reason", err.Error())
 	}
--- a/internal/entry/client/headercodec.go
+++ b/internal/entry/client/headercodec.go
@@ -38,6 +38,9 @@
 	// that may be generated, LengthHint the caller's estimate of the output's
 	// length in tokens. Each is 0 if not given.
 	PromptTokens, MaxOutputTokens, LengthHint int
+	// SharedParts are the IDs of the parts of the prompt that other requests may hold
+	// too, in order, nil if none are given.
+	SharedParts []string
 }
 
 // ForwardInfo holds the values of the entry's own headers in a request to an
--- a/internal/entry/upstream/events.go
+++ b/internal/entry/upstream/events.go
@@ -9,6 +9,7 @@
 type EventSplitter struct {
 	pending []byte
 	lastID  string
+	count   int
 }
 
 // Add appends the next bytes of the stream and returns the complete events so
@@ -26,12 +27,25 @@
 	}
 	complete := bytes.Clone(e.pending[:end])
 	e.pending = append(e.pending[:0], e.pending[end:]...)
+	e.count += countEvents(complete)
 	if id, ok := lastID(complete); ok {
 		e.lastID = id
 	}
 	return complete
 }
 
+// Count returns the number of complete events so far.
+func (e *EventSplitter) Count() int { return e.count }
+
+// countEvents returns the number of events in p, which holds complete ones.
+func countEvents(p []byte) int {
+	n := 0
+	for _, b := range eventTerminators {
+		n += bytes.Count(p, b)
+	}
+	return n
+}
+
 // LastID returns the last event ID in the complete events, empty if none.
 func (e *EventSplitter) LastID() string { return e.lastID }
 
--- a/internal/entry/upstream/upstream_test.go
+++ b/internal/entry/upstream/upstream_test.go
@@ -188,3 +188,14 @@
 	// "id: 2\ndata: b\n\n"
 	// 2
 }
+
+// TestEventSplitterCountsEvents guards against a stream's progress being told by bytes or
+// pieces, which do not match its events.
+func TestEventSplitterCountsEvents(t *testing.T) {
+	is := is.New(t)
+	var e EventSplitter
+	e.Add([]byte("id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\nid: 3\n"))
+	is.Equal(e.Count(), 2)
+	e.Add([]byte("data: c\n\n"))
+	is.Equal(e.Count(), 3)
+}
