Requests with a prompt part that ends upstreams are held back, by all entries

Callers saw nearly all requests refused or cut for as long as one request in twenty (of one kind) held a part that ends each upstream as it begins to answer it: each sent to two upstreams, by choice in two groups, and again by its caller.

Cause: the loss of an attempt was the upstream's fault only. Nothing related the end of an upstream to the requests that it had and that had made no progress there, and no entry alone sees enough of them.

Now a part is implicated by each end of an upstream (its host refuses connections) while a request with it had fewer than two events there, and cleared by each request with it that makes progress, at any entry: entries exchange both at once, and when they start. One end holds the part back for 5 s, two for 30 s, each further one four times as long; then one entry at a time tries one request. From two ends on, requests with it that are already at upstreams are cancelled.

TestRequestsWithDeadlyPartStopReachingWorkers: 34 ends and 44 requests after the fifth before, 2 ends now. In the model of 1 to 149 processes at most 3 requests after the fifth end; where upstreams end by themselves 8 of 44,150 sound requests are held back.

--- a/internal/core/client/retry.go
+++ b/internal/core/client/retry.go
@@ -34,6 +34,7 @@
 	NotRepeatable    StopReason = "may have run and is not repeatable"
 	NoQuotaLeft      StopReason = "retry budget used up"
 	NoConnectionMade StopReason = "no connection made"
+	PromptHeldBack   StopReason = "a part of the prompt may end upstreams"
 )
 
 // RetryConfig holds the limits on the attempts at one request.
@@ -149,6 +150,16 @@
 	return RefuseWith{answer.Overloaded}
 }
 
+// PromptHeld returns the refusal for a request whose prompt has a part on which upstreams may
+// end.
+func (s *RetryState) PromptHeld(now time.Time) RefuseWith {
+	s.stopReason = PromptHeldBack
+	if s.mayHaveRun {
+		return s.refusal(now)
+	}
+	return RefuseWith{answer.PromptHeld}
+}
+
 // TimedOut returns the refusal for a request whose deadline has passed. pending is true
 // if an upstream that may have received the request has not responded.
 func (s *RetryState) TimedOut(pending bool) RefuseWith {
--- a/internal/entry/client/forward.go
+++ b/internal/entry/client/forward.go
@@ -8,11 +8,13 @@
 	"net/http"
 	"net/textproto"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	core "bramleydeal/internal/core/client"
 	coreupstream "bramleydeal/internal/core/upstream"
 	"bramleydeal/internal/entry/upstream"
+	"bramleydeal/internal/wire/dial"
 	"bramleydeal/internal/wire/header"
 	"bramleydeal/internal/world/answer"
 	"bramleydeal/internal/world/service"
@@ -43,6 +45,11 @@
 	events     upstream.EventSplitter
 	// eventsBefore is the number of complete events at the start of the current attempt.
 	eventsBefore int
+	// progressed is set once the current attempt has made progress. Until then it is
+	// cancelled, and heldBack set, if a part of its prompt is found to end upstreams.
+	progressed bool
+	heldBack   atomic.Bool
+	stopWatch  func()
 	// headSent is true once the status and headers were sent to the caller.
 	headSent bool
 	// retryTaken is true while a retry that was taken from the quota was not made yet.
@@ -50,6 +57,9 @@
 	// heldUntil is when the first upstream may be sent a request again if all that are
 	// left have asked for fewer requests, otherwise zero.
 	heldUntil time.Time
+	// promptHold is the time after which a request with the same parts of the prompt may be
+	// sent again if they are held back, otherwise zero.
+	promptHold time.Duration
 	// lastFailure is the latest complete 5xx response of an upstream, nil if
 	// none.
 	lastFailure *upstreamFailure
@@ -71,6 +81,12 @@
 	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
 	defer cancel()
 	for {
+		if wait, ok := h.pools.Admit(c.service, c.info.SharedParts, time.Now()); !ok {
+			f.returnRetry()
+			f.promptHold = wait
+			f.fail(f.retryState.PromptHeld(time.Now()))
+			return
+		}
 		u, ok := h.pools.Choose(c.service, f.query, time.Now())
 		if !ok {
 			f.returnRetry()
@@ -145,6 +161,9 @@
 // its time has too little left to be served.
 func (f *forwarding) retryAfter(k answer.Kind) time.Duration {
 	now := time.Now()
+	if f.promptHold > 0 {
+		return f.promptHold
+	}
 	if wait := f.heldUntil.Sub(now); wait > 0 {
 		// Callers that are refused in a row must not come back at once.
 		wait += rand.N(wait)
@@ -167,6 +186,12 @@
 	f.eventsBefore = f.events.Count()
 	attemptCtx, cancel := context.WithTimeout(ctx, f.attemptTimeout(began))
 	defer cancel()
+	f.progressed = false
+	f.stopWatch = f.handler.pools.WatchAttempt(f.service, f.info.SharedParts, func() {
+		f.heldBack.Store(true)
+		cancel()
+	}, began)
+	defer f.stopWatch()
 	stallTimer := f.startStallTimer(cancel)
 	defer stallTimer.Stop()
 	x, err := upstream.Send(attemptCtx, u.Address, f.upstreamRequest(u, began))
@@ -284,6 +309,13 @@
 			f.fail(f.retryState.NoUpstream(now))
 		}
 		return nil
+	case f.heldBack.Load():
+		f.handler.pools.RecordOutcome(u, coreupstream.CallerLeft, 0, now)
+		f.logAttempt(u, began, "held back", err)
+		if errors.Is(err, upstream.ErrUnsent) {
+			return core.Unsent{}
+		}
+		return core.Lost{}
 	case errors.Is(err, upstream.ErrUnsent) && ctx.Err() == nil:
 		outcome := coreupstream.Unreachable
 		if timeout := net.Error(nil); errors.As(err, &timeout) && timeout.Timeout() {
@@ -300,10 +332,34 @@
 	default:
 		f.handler.pools.RecordOutcome(u, coreupstream.UpstreamError, 0, now)
 		f.logAttempt(u, began, "lost", err)
+		if !f.progressed && !errors.Is(err, errStalled) {
+			f.checkEnd(ctx, u)
+		}
 		return core.Lost{}
 	}
 }
 
+// minProgress is the number of events in an attempt from which on it has made progress. The
+// first one may have left an upstream that ended on the request.
+const minProgress = 2
+
+// recordProgress records that the current attempt has made progress.
+func (f *forwarding) recordProgress() {
+	if !f.progressed {
+		f.progressed = true
+		f.stopWatch()
+		f.handler.pools.RecordProgress(f.service, f.info.SharedParts, time.Now())
+	}
+}
+
+// checkEnd checks whether an upstream that lost an attempt without progress has ended, and if
+// so, implicates the parts of the prompt.
+func (f *forwarding) checkEnd(ctx context.Context, u service.Upstream) {
+	if len(f.info.SharedParts) > 0 && dial.Refused(ctx, u.Address) {
+		f.handler.pools.RecordEnd(u, f.info.SharedParts, f.info.ID, time.Now())
+	}
+}
+
 // recordDeclined records that an upstream refused to run the request.
 func (f *forwarding) recordDeclined(u service.Upstream, began time.Time, status int, info ResponseInfo) core.Outcome {
 	f.exclude(u)
@@ -348,6 +404,9 @@
 		return core.Failed{}
 	}
 	f.handler.pools.RecordOutcome(u, coreupstream.Answered, time.Since(began), time.Now())
+	if isSuccess(x.Response) {
+		f.recordProgress()
+	}
 	if f.headSent {
 		// A stream whose head was sent cannot continue with a response of
 		// another kind; fail panics.
--- a/internal/entry/client/stream.go
+++ b/internal/entry/client/stream.go
@@ -34,6 +34,9 @@
 				// Bytes alone are no progress: a stalled upstream may still send some.
 				stallTimer.Reset(f.stallTimeout())
 			}
+			if f.events.Count()-f.eventsBefore >= minProgress {
+				f.recordProgress()
+			}
 			if timeToFirst == 0 {
 				timeToFirst = time.Since(began)
 			}
@@ -63,6 +66,7 @@
 
 // finishStream records that the caller received the complete stream.
 func (f *forwarding) finishStream(u service.Upstream, x *upstream.Exchange, timeToFirst time.Duration) core.Outcome {
+	f.recordProgress()
 	if !f.headSent {
 		f.sendHead(x.Response)
 	}
--- a/internal/entry/direct/entry.go
+++ b/internal/entry/direct/entry.go
@@ -119,6 +119,7 @@
 	e.handler = client.New(client.Config{
 		View: e.directory.View, AwaitConfirmation: e.directory.AwaitConfirmation, Pools: e.pools, HeaderCodec: d.HeaderCodec, Log: logger.Component("client"), CountSuppressed: logger.CountSuppressed, Metrics: e.metricSet,
 	})
+	e.pools.OnUrgentNews(e.directory.Announce)
 	e.callerServer = client.NewServer(e.handler, logger)
 	e.registerMetrics()
 	e.expvars.Set("upstreams", expvar.Func(func() any { return e.pools.State(time.Now()) }))
@@ -168,6 +169,17 @@
 		}
 		return float64(n)
 	})
+	gauge("bramleydeal_prompt_parts_held", func() float64 {
+		n := 0
+		for _, suspects := range e.pools.Suspects(time.Now()) {
+			for _, s := range suspects {
+				if s.HeldForMS > 0 {
+					n++
+				}
+			}
+		}
+		return float64(n)
+	})
 	gauge(`bramleydeal_log_lines_left_out{reason="reader-slow"}`, func() float64 { dropped, _ := e.log.OmittedLines(); return float64(dropped) })
 	gauge(`bramleydeal_log_lines_left_out{reason="over-the-rate"}`, func() float64 { _, suppressed := e.log.OmittedLines(); return float64(suppressed) })
 }
@@ -358,13 +370,15 @@
 	InFlight      int64                         `json:"in-flight"`
 	Directory     directory.State               `json:"directory"`
 	Upstreams     map[string][]core.MemberState `json:"upstreams"`
-	Peers         dial.TrafficState             `json:"peers"`
+	// Suspects are the parts of prompts on which upstreams may have ended, by service.
+	Suspects map[string][]core.SuspectState `json:"suspects"`
+	Peers    dial.TrafficState              `json:"peers"`
 }
 
 // State returns the entry's debug state.
 func (e *Entry) State() State {
 	return State{
 		Instance: e.config.Name, Role: fleet.EntryRole, FailureDomain: e.config.FailureDomain, Ready: e.handler.Ready(),
-		InFlight: e.handler.InFlight(), Directory: e.directory.State(), Upstreams: e.pools.State(time.Now()), Peers: e.traffic.State(),
+		InFlight: e.handler.InFlight(), Directory: e.directory.State(), Upstreams: e.pools.State(time.Now()), Suspects: e.pools.Suspects(time.Now()), Peers: e.traffic.State(),
 	}
 }
--- a/internal/entry/upstream/advice.go
+++ b/internal/entry/upstream/advice.go
@@ -46,22 +46,26 @@
 	return p.forService(name).pool.HeldUntil(q, now)
 }
 
-// News returns what this entry knows of the limits and the leaving of upstreams, for its peers.
-func (p *Pools) News(now time.Time) []*peer.UpstreamNews {
+// News returns what this entry knows of the limits and the leaving of upstreams and of
+// suspected parts of prompts, for its peers.
+func (p *Pools) News(now time.Time) (upstreams []*peer.UpstreamNews, prompts []*peer.PromptNews) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	var out []*peer.UpstreamNews
 	for name, s := range p.services {
 		for _, n := range s.pool.News(now) {
-			out = append(out, peer.NewsToProto(name, n, now))
+			upstreams = append(upstreams, peer.NewsToProto(name, n, now))
+		}
+		for _, n := range s.suspects.News(now) {
+			prompts = append(prompts, peer.PromptNewsToProto(name, n, now))
 		}
 	}
-	return out
+	return upstreams, prompts
 }
 
-// RecordNews records and logs what the peer named source knows of upstreams.
-func (p *Pools) RecordNews(news []*peer.UpstreamNews, source string, now time.Time) {
-	for _, m := range news {
+// RecordNews records and logs what the peer named source knows of upstreams and of suspected
+// parts of prompts. It reports whether requests are held back because of that.
+func (p *Pools) RecordNews(upstreams []*peer.UpstreamNews, prompts []*peer.PromptNews, source string, now time.Time) bool {
+	for _, m := range upstreams {
 		n := peer.NewsFromProto(m, now)
 		p.mu.Lock()
 		var changes []core.AdviceChange
@@ -71,13 +75,15 @@
 		p.mu.Unlock()
 		p.logAdvice(changes, m.Upstream, m.Service, core.Advice{Limit: n.Limit}, "source", source)
 	}
+	return p.recordPromptNews(prompts, source, now)
 }
 
-// Suspended makes all that is known of the limits of upstreams older by d.
+// Suspended makes all that is known of the limits of upstreams and of prompts older by d.
 func (p *Pools) Suspended(d time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, s := range p.services {
 		s.pool.AgeAdvice(d)
+		s.suspects.Age(d)
 	}
 }
--- a/internal/entry/upstream/pools.go
+++ b/internal/entry/upstream/pools.go
@@ -34,12 +34,20 @@
 	config   Config
 	services map[string]*servicePool
 	series   series
+	// announce makes the peers get the news at once.
+	announce func()
 }
 
-// servicePool is the pool and the retry quota of one service.
+// servicePool is the pool, the retry quota and the suspects of one service.
 type servicePool struct {
-	pool  *core.Pool
-	quota *core.RetryQuota
+	pool     *core.Pool
+	quota    *core.RetryQuota
+	suspects *core.Suspects
+	// unproven holds the attempts whose prompts have parts that are not known to be sound.
+	unproven map[*unprovenAttempt]bool
+	// implicated holds the parts that this entry itself has implicated and that are held
+	// back.
+	implicated map[string]bool
 }
 
 // NewPools returns Pools without services for the entry named self in a failure
@@ -47,10 +55,14 @@
 func NewPools(seed uint64, self string, domain fleet.FailureDomain, config Config, metricSet *metrics.Set, log logr.Logger) *Pools {
 	return &Pools{
 		self: self, domain: domain, seed: seed, log: log, started: time.Now(), config: config, services: map[string]*servicePool{},
-		series: series{set: metricSet, byUpstream: map[string]*upstreamSeries{}},
+		series: series{set: metricSet, byUpstream: map[string]*upstreamSeries{}}, announce: func() {},
 	}
 }
 
+// OnUrgentNews makes f be called when this entry has news that its peers must get at once.
+// It must be called before the first request. f must not call the Pools.
+func (p *Pools) OnUrgentNews(f func()) { p.announce = f }
+
 // defaultEntryCount is the number of entries assumed until instances are listed.
 const defaultEntryCount = 12
 
@@ -80,6 +92,7 @@
 		}
 		s.pool.Configure(members[name], config, now)
 		s.quota.Configure(p.config.Quota)
+		s.suspects.Configure(entries)
 	}
 }
 
@@ -88,7 +101,10 @@
 func (p *Pools) forService(name string) *servicePool {
 	s := p.services[name]
 	if s == nil {
-		s = &servicePool{core.NewPool(p.seed, p.self, p.domain, p.config.Pool), core.NewRetryQuota(p.config.Quota, p.started)}
+		s = &servicePool{
+			core.NewPool(p.seed, p.self, p.domain, p.config.Pool), core.NewRetryQuota(p.config.Quota, p.started), core.NewSuspects(p.self),
+			map[*unprovenAttempt]bool{}, map[string]bool{},
+		}
 		p.services[name] = s
 		p.series.set.GetOrCreateGauge(fmt.Sprintf(`bramleydeal_retry_quota_left{service=%q}`, name), func() float64 { return p.remainingRetries(name, time.Now()) })
 	}
--- a/internal/process/directory/directory.go
+++ b/internal/process/directory/directory.go
@@ -114,8 +114,10 @@
 	seedPeers []netip.AddrPort
 	pool      *dial.Pool
 	log       logr.Logger
-	// news is nil if nothing but objects is exchanged with peers.
-	news News
+	// news is nil if nothing but objects is exchanged with peers. announcements holds the
+	// number of peers that are to get it at once.
+	news          News
+	announcements chan int
 
 	view       atomic.Pointer[service.View]
 	suspension *suspension
@@ -172,12 +174,13 @@
 // WithLog sets the logger.
 func WithLog(l logr.Logger) Option { return func(d *Directory) { d.log = l } }
 
-// News is what a process and its peers tell each other of upstreams whenever they
-// compare the list of upstreams.
+// News is what a process and its peers tell each other of upstreams and of requests to them
+// whenever they compare the list of upstreams.
 type News interface {
-	News(now time.Time) []*peer.UpstreamNews
-	// RecordNews records the news of the peer named source.
-	RecordNews(news []*peer.UpstreamNews, source string, now time.Time)
+	News(now time.Time) ([]*peer.UpstreamNews, []*peer.PromptNews)
+	// RecordNews records the news of the peer named source. It reports whether they are to
+	// be passed on at once.
+	RecordNews(upstreams []*peer.UpstreamNews, prompts []*peer.PromptNews, source string, now time.Time) bool
 	// Suspended makes all that is known so much older: the process was suspended, which
 	// its clock may not count.
 	Suspended(d time.Duration)
@@ -195,6 +198,8 @@
 		instances:   map[string]fleet.Instance{},
 		health:      map[Kind]storeHealth{},
 		cancelWatch: map[Kind]context.CancelFunc{},
+		// One that waits covers those that come meanwhile.
+		announcements: make(chan int, 1),
 	}
 	for _, k := range kinds {
 		d.replicas[k] = store.NewReplica()
@@ -235,6 +240,7 @@
 	}
 	tasks.Go(func() { task.Run(ctx, d.log, "follow-peers", d.followPeers) })
 	tasks.Go(func() { task.Run(ctx, d.log, "checks", d.runChecks) })
+	tasks.Go(func() { task.Run(ctx, d.log, "announce", d.announceNews) })
 	tasks.Wait()
 }
 
--- a/internal/process/directory/peers.go
+++ b/internal/process/directory/peers.go
@@ -32,8 +32,11 @@
 	// peersPerPoll is the number of peers called at each peerPollInterval while the
 	// store is failing or a kind is unconfirmed.
 	peersPerPoll = 3
-	// maxPushPeers is the maximum number of peers to which a change is pushed.
+	// maxPushPeers is the maximum number of peers to which a change is pushed, and with
+	// which news is exchanged at once.
 	maxPushPeers = 64
+	// forwardPeers is the number of peers to which a peer's urgent news is passed on.
+	forwardPeers = 3
 	// peerTimeout is the timeout of a call to a peer.
 	peerTimeout = time.Second
 	// notifyJitter is the time over which the calls to cached watchers after a
@@ -129,11 +132,13 @@
 	revision := d.replicas[k].Revision()
 	d.mu.Unlock()
 	suspensions := d.suspension.suspensions()
-	reply, err := d.callPeer(ctx, a, &peer.CompareRequest{Instance: d.self, Kind: string(k), Revision: revision, News: d.newsFor(k)})
+	request := &peer.CompareRequest{Instance: d.self, Kind: string(k), Revision: revision}
+	request.News, request.PromptNews = d.newsFor(k)
+	reply, err := d.callPeer(ctx, a, request)
 	if err != nil {
 		return
 	}
-	d.recordNews(reply.News, reply.Instance)
+	d.recordNews(reply.News, reply.PromptNews, reply.Instance)
 	if reply.Revision > revision {
 		d.applyFromPeer(k, peer.UpdateFromProto(reply.From, reply.Revision, reply.Objects), reply.Instance)
 	}
@@ -163,8 +168,9 @@
 	if k := Kind(request.Kind); len(request.Objects) > 0 && slices.Contains(kinds, k) {
 		d.applyFromPeer(k, peer.UpdateFromProto(request.From, request.Revision, request.Objects), request.Instance)
 	}
-	d.recordNews(request.News, request.Instance)
-	reply := &peer.CompareReply{Instance: d.self, News: d.newsFor(Kind(request.Kind))}
+	d.recordNews(request.News, request.PromptNews, request.Instance)
+	reply := &peer.CompareReply{Instance: d.self}
+	reply.News, reply.PromptNews = d.newsFor(Kind(request.Kind))
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	r := d.replicas[Kind(request.Kind)]
@@ -180,21 +186,64 @@
 	return reply, nil
 }
 
-// newsFor returns the news of upstreams that accompany a comparison of a kind.
-func (d *Directory) newsFor(k Kind) []*peer.UpstreamNews {
+// newsFor returns the news that accompany a comparison of a kind.
+func (d *Directory) newsFor(k Kind) ([]*peer.UpstreamNews, []*peer.PromptNews) {
 	if d.news == nil || k != Upstreams {
-		return nil
+		return nil, nil
 	}
 	return d.news.News(time.Now())
 }
 
-// recordNews records the news of upstreams from the peer named source.
-func (d *Directory) recordNews(news []*peer.UpstreamNews, source string) {
-	if d.news != nil && len(news) > 0 {
-		d.news.RecordNews(news, source, time.Now())
+// recordNews records the news from the peer named source. If they are urgent, they are
+// passed on, since the source reaches maxPushPeers at most.
+func (d *Directory) recordNews(upstreams []*peer.UpstreamNews, prompts []*peer.PromptNews, source string) {
+	if d.news == nil || len(upstreams)+len(prompts) == 0 {
+		return
+	}
+	if urgent := d.news.RecordNews(upstreams, prompts, source, time.Now()); urgent && d.peerCount() > maxPushPeers {
+		d.announceTo(forwardPeers)
+	}
+}
+
+// Announce makes the directory exchange news with its peers at once.
+func (d *Directory) Announce() { d.announceTo(maxPushPeers) }
+
+// announceTo makes the directory exchange news with count peers at once. It does not wait.
+func (d *Directory) announceTo(count int) {
+	for {
+		select {
+		case d.announcements <- count:
+			return
+		case waiting := <-d.announcements:
+			count = max(count, waiting)
+		}
 	}
 }
 
+// announceNews exchanges news with peers whenever there is something to announce, until ctx
+// ends.
+func (d *Directory) announceNews(ctx context.Context) {
+	// What this process knew before a restart is known to its peers.
+	d.announceTo(forwardPeers)
+	for {
+		select {
+		case count := <-d.announcements:
+			for _, a := range d.peers(count) {
+				go task.Once(d.log, "announce", func() { d.compare(ctx, Upstreams, a) })
+			}
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// peerCount returns the number of listed instances.
+func (d *Directory) peerCount() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return len(d.instances)
+}
+
 // notifyCachedWatchers sends a change to the cached watchers that do not have it yet.
 // It returns before the calls are made.
 func (d *Directory) notifyCachedWatchers(ctx context.Context, k Kind) {
--- a/internal/wire/dial/tcp.go
+++ b/internal/wire/dial/tcp.go
@@ -40,6 +40,24 @@
 	},
 }
 
+// refusalTimeout bounds the check of whether a host refuses connections. It allows several
+// round trips between failure domains.
+const refusalTimeout = 100 * time.Millisecond
+
+// Refused reports whether the host at an address refuses connections, so that no process
+// listens there. It is false if the host does not reply.
+func Refused(ctx context.Context, address netip.AddrPort) bool {
+	ctx, cancel := context.WithTimeout(ctx, refusalTimeout)
+	defer cancel()
+	c, err := tcpDialer.DialContext(ctx, "tcp", address.String())
+	if err != nil {
+		return errors.Is(err, syscall.ECONNREFUSED)
+	}
+	// The error is ignored: nothing was sent.
+	_ = c.Close()
+	return false
+}
+
 // TCP opens a TCP connection that the kernel closes within about two seconds when its
 // peer becomes unreachable.
 func TCP(ctx context.Context, address netip.AddrPort) (net.Conn, error) {
--- a/internal/wire/peer/news.go
+++ b/internal/wire/peer/news.go
@@ -30,3 +30,31 @@
 	}
 	return n
 }
+
+// PromptNewsToProto converts news of a part of prompts of requests to the named service for
+// the wire.
+func PromptNewsToProto(serviceName string, n upstream.SuspectNews, now time.Time) *PromptNews {
+	m := &PromptNews{Service: serviceName, Part: n.Part}
+	for _, e := range n.Ends {
+		m.Ends = append(m.Ends, &UpstreamEnd{Upstream: e.Of.ID, StartedAt: timestamppb.New(e.Of.StartedAt), Age: durationpb.New(now.Sub(e.At))})
+	}
+	if !n.ProvenAt.IsZero() {
+		m.ProvenAge = durationpb.New(now.Sub(n.ProvenAt))
+	}
+	return m
+}
+
+// PromptNewsFromProto converts news of a part of prompts from the wire. An age below zero
+// counts as zero.
+func PromptNewsFromProto(m *PromptNews, now time.Time) upstream.SuspectNews {
+	n := upstream.SuspectNews{Part: m.Part}
+	for _, e := range m.Ends {
+		n.Ends = append(n.Ends, upstream.End{
+			Of: service.Incarnation{ID: e.Upstream, StartedAt: e.StartedAt.AsTime()}, At: now.Add(-max(e.Age.AsDuration(), 0)),
+		})
+	}
+	if m.ProvenAge != nil {
+		n.ProvenAt = now.Add(-max(m.ProvenAge.AsDuration(), 0))
+	}
+	return n
+}
