A group whose rank has ended gets no requests, and its streams go on elsewhere at once

Callers waited 1.6 s, most of the time after which they give a stream up, for each stream at the other ranks of a group of which one had ended: these fall silent, and neither the entries that had seen the end nor the others acted on it. New requests went there too.

Now an entry that loses an attempt checks whether the upstream's host refuses connections. If so, the upstream is ejected, its group counts as stopped, streams that can be resumed leave it if there is an upstream outside it, and the peers are told at once.

--- a/internal/core/upstream/advice.go
+++ b/internal/core/upstream/advice.go
@@ -34,6 +34,8 @@
 	LimitMalformed
 	LeavingNamed
 	SuspensionNamed
+	// Ended means that the upstream has ended without notice.
+	Ended
 )
 
 // liftedNewsTime is the time for which peers are told that a limit was lifted.
@@ -144,24 +146,26 @@
 	Limited bool
 	Limit   float64
 	LimitAt time.Time
+	// EndedAt is when the incarnation ended without notice, zero if it is not known to have.
+	EndedAt time.Time
 }
 
 // News returns what is known at now of the upstreams that are leaving, that limit their
-// requests or that did so lately.
+// requests or did so lately, or that have ended.
 func (p *Pool) News(now time.Time) []News {
 	var out []News
 	for _, m := range p.members {
 		a := m.advice
-		if a.leaving || a.limited || !a.limitAt.IsZero() && now.Sub(a.limitAt) < liftedNewsTime {
-			out = append(out, News{m.Incarnation(), a.leaving, a.limited, a.limit, a.limitAt})
+		if a.leaving || a.limited || !a.limitAt.IsZero() && now.Sub(a.limitAt) < liftedNewsTime || !m.endedAt.IsZero() {
+			out = append(out, News{m.Incarnation(), a.leaving, a.limited, a.limit, a.limitAt, m.endedAt})
 		}
 	}
 	return out
 }
 
 // RecordNews records what a peer knows of an upstream, except for what this process knows
-// as of a later time. It returns how that changed what is known.
-func (p *Pool) RecordNews(n News) []AdviceChange {
+// as of a later time. It returns how that changed what is known at now.
+func (p *Pool) RecordNews(n News, now time.Time) []AdviceChange {
 	m := p.incarnation(n.Of)
 	if m == nil {
 		return nil
@@ -177,12 +181,18 @@
 	if len(changes) > 0 {
 		p.updateShare(m)
 	}
+	if !n.EndedAt.IsZero() && p.recordEnd(m, n.EndedAt, now) {
+		changes = append(changes, Ended)
+	}
 	return changes
 }
 
-// AgeAdvice makes all that is known of upstreams' limits older by d.
+// AgeAdvice makes all that is known of upstreams' limits and ends older by d.
 func (p *Pool) AgeAdvice(d time.Duration) {
 	for _, m := range p.members {
+		if !m.endedAt.IsZero() {
+			m.endedAt = m.endedAt.Add(-d)
+		}
 		if !m.advice.limitAt.IsZero() {
 			m.advice.limitAt = m.advice.limitAt.Add(-d)
 		}
--- a/internal/core/upstream/advice_test.go
+++ b/internal/core/upstream/advice_test.go
@@ -47,7 +47,7 @@
 	p.Configure([]service.Upstream{successor}, poolConfig, start)
 	said := Advice{Limited: true, Limit: 1, Leaving: true, RetryAfter: time.Minute}
 	is.Equal(len(p.RecordAdvice(former.Incarnation(), said, start, start)), 0)
-	is.Equal(len(p.RecordNews(News{Of: former.Incarnation(), Leaving: true})), 0)
+	is.Equal(len(p.RecordNews(News{Of: former.Incarnation(), Leaving: true}, start)), 0)
 	is.Equal(p.State(start)[0].Limit, nil)
 	is.Equal(chooseID(p, PoolQuery{}, start), "u1")
 }
@@ -63,7 +63,7 @@
 	is.Equal(told.RecordAdvice(of, Advice{Leaving: true}, testNow, testNow), []AdviceChange{LeavingNamed})
 	is.Equal(len(told.RecordAdvice(of, Advice{}, testNow.Add(time.Second), testNow.Add(time.Second))), 0) // it stays so
 	for _, n := range told.News(testNow) {
-		is.Equal(other.RecordNews(n), []AdviceChange{LeavingNamed})
+		is.Equal(other.RecordNews(n, testNow), []AdviceChange{LeavingNamed})
 	}
 	for _, p := range []*Pool{told, other} {
 		for range 20 {
--- a/internal/core/upstream/limit_test.go
+++ b/internal/core/upstream/limit_test.go
@@ -140,7 +140,7 @@
 func (f *limitedFleet) exchangeNews(i, j int) {
 	for _, pair := range [][2]int{{i, j}, {j, i}} {
 		for _, n := range f.pools[pair[0]].News(f.now) {
-			f.pools[pair[1]].RecordNews(n)
+			f.pools[pair[1]].RecordNews(n, f.now)
 		}
 	}
 }
--- a/internal/core/upstream/pool.go
+++ b/internal/core/upstream/pool.go
@@ -56,6 +56,8 @@
 	samples   int
 	// group is nil for an upstream that belongs to no group.
 	group *poolGroup
+	// endedAt is when the upstream ended without notice, zero if it is not known to have.
+	endedAt time.Time
 }
 
 // PoolConfig holds the settings of a Pool.
--- a/internal/core/upstream/pool_group.go
+++ b/internal/core/upstream/pool_group.go
@@ -1,6 +1,7 @@
 package upstream
 
 import (
+	"slices"
 	"time"
 
 	"bramleydeal/internal/world/service"
@@ -96,3 +97,47 @@
 	g.health.ejections = 0 // keeps the interval from doubling with each failed probe
 	g.health.eject(interval, now)
 }
+
+// maxEndAge is the age up to which the end of an upstream says something of its group.
+// Groups re-form within some seconds.
+const maxEndAge = 2 * time.Second
+
+// RecordEnd records that an upstream has ended at now without notice. It reports whether
+// that was not known.
+func (p *Pool) RecordEnd(of service.Incarnation, now time.Time) bool {
+	m := p.incarnation(of)
+	return m != nil && p.recordEnd(m, now, now)
+}
+
+// recordEnd ejects an upstream that has ended. Its group runs nothing until it re-forms.
+func (p *Pool) recordEnd(m *member, at, now time.Time) bool {
+	if !m.endedAt.IsZero() {
+		return false
+	}
+	m.endedAt = at
+	if now.Sub(at) < maxEndAge {
+		m.health.eject(p.config.EjectionTime, now)
+		if m.group != nil && !m.leaving() {
+			m.group.broken = true
+			m.group.recordStall(now)
+		}
+	}
+	return true
+}
+
+// Membership returns the membership of an upstream in a group, nil if it has none or is not in
+// the pool.
+func (p *Pool) Membership(of service.Incarnation) *service.Membership {
+	if m := p.incarnation(of); m != nil {
+		return m.Upstream.Membership
+	}
+	return nil
+}
+
+// Alternative reports whether a request at an upstream of a group may be sent to a healthy
+// upstream outside it.
+func (p *Pool) Alternative(group string, now time.Time) bool {
+	return slices.ContainsFunc(p.members, func(m *member) bool {
+		return (m.Membership == nil || m.Membership.Group != group) && p.eligibility(m, PoolQuery{}, now) <= lapsed
+	})
+}
--- a/internal/entry/client/forward.go
+++ b/internal/entry/client/forward.go
@@ -45,11 +45,11 @@
 	events     upstream.EventSplitter
 	// eventsBefore is the number of complete events at the start of the current attempt.
 	eventsBefore int
-	// progressed is set once the current attempt has made progress. Until then it is
-	// cancelled, and heldBack set, if a part of its prompt is found to end upstreams.
+	// progressed is set once the current attempt has made progress.
 	progressed bool
-	heldBack   atomic.Bool
-	stopWatch  func()
+	// watch watches the current attempt; interruption is why it was interrupted.
+	watch        *upstream.Watch
+	interruption atomic.Int32
 	// headSent is true once the status and headers were sent to the caller.
 	headSent bool
 	// retryTaken is true while a retry that was taken from the quota was not made yet.
@@ -187,11 +187,12 @@
 	attemptCtx, cancel := context.WithTimeout(ctx, f.attemptTimeout(began))
 	defer cancel()
 	f.progressed = false
-	f.stopWatch = f.handler.pools.WatchAttempt(f.service, f.info.SharedParts, func() {
-		f.heldBack.Store(true)
+	f.interruption.Store(int32(upstream.Uninterrupted))
+	f.watch = f.handler.pools.Watch(u, f.info.SharedParts, f.route.Repeatable(), func(why upstream.Interruption) {
+		f.interruption.Store(int32(why))
 		cancel()
 	}, began)
-	defer f.stopWatch()
+	defer f.watch.Stop()
 	stallTimer := f.startStallTimer(cancel)
 	defer stallTimer.Stop()
 	x, err := upstream.Send(attemptCtx, u.Address, f.upstreamRequest(u, began))
@@ -309,13 +310,8 @@
 			f.fail(f.retryState.NoUpstream(now))
 		}
 		return nil
-	case f.heldBack.Load():
-		f.handler.pools.RecordOutcome(u, coreupstream.CallerLeft, 0, now)
-		f.logAttempt(u, began, "held back", err)
-		if errors.Is(err, upstream.ErrUnsent) {
-			return core.Unsent{}
-		}
-		return core.Lost{}
+	case ctx.Err() == nil && upstream.Interruption(f.interruption.Load()) != upstream.Uninterrupted:
+		return f.recordInterruption(u, began, err)
 	case errors.Is(err, upstream.ErrUnsent) && ctx.Err() == nil:
 		outcome := coreupstream.Unreachable
 		if timeout := net.Error(nil); errors.As(err, &timeout) && timeout.Timeout() {
@@ -332,13 +328,28 @@
 	default:
 		f.handler.pools.RecordOutcome(u, coreupstream.UpstreamError, 0, now)
 		f.logAttempt(u, began, "lost", err)
-		if !f.progressed && !errors.Is(err, errStalled) {
+		if !errors.Is(err, errStalled) {
 			f.checkEnd(ctx, u)
 		}
 		return core.Lost{}
 	}
 }
 
+// recordInterruption records an attempt that was interrupted because of what became known
+// meanwhile, which says nothing of its upstream alone.
+func (f *forwarding) recordInterruption(u service.Upstream, began time.Time, err error) core.Outcome {
+	outcome, text := coreupstream.CallerLeft, "held back"
+	if upstream.Interruption(f.interruption.Load()) == upstream.GroupStopped {
+		outcome, text = coreupstream.GroupStalled, "group stopped"
+	}
+	f.handler.pools.RecordOutcome(u, outcome, 0, time.Now())
+	f.logAttempt(u, began, text, err)
+	if errors.Is(err, upstream.ErrUnsent) {
+		return core.Unsent{}
+	}
+	return core.Lost{}
+}
+
 // minProgress is the number of events in an attempt from which on it has made progress. The
 // first one may have left an upstream that ended on the request.
 const minProgress = 2
@@ -347,17 +358,21 @@
 func (f *forwarding) recordProgress() {
 	if !f.progressed {
 		f.progressed = true
-		f.stopWatch()
-		f.handler.pools.RecordProgress(f.service, f.info.SharedParts, time.Now())
+		f.watch.RecordProgress(time.Now())
 	}
 }
 
-// checkEnd checks whether an upstream that lost an attempt without progress has ended, and if
-// so, implicates the parts of the prompt.
+// checkEnd checks whether an upstream that lost an attempt has ended. If so, and the attempt
+// had made no progress, the parts of the prompt are implicated.
 func (f *forwarding) checkEnd(ctx context.Context, u service.Upstream) {
-	if len(f.info.SharedParts) > 0 && dial.Refused(ctx, u.Address) {
-		f.handler.pools.RecordEnd(u, f.info.SharedParts, f.info.ID, time.Now())
+	if !dial.Refused(ctx, u.Address) {
+		return
+	}
+	var parts []string
+	if !f.progressed {
+		parts = f.info.SharedParts
 	}
+	f.handler.pools.RecordEnd(u, parts, f.info.ID, time.Now())
 }
 
 // recordDeclined records that an upstream refused to run the request.
--- a/internal/entry/upstream/advice.go
+++ b/internal/entry/upstream/advice.go
@@ -1,6 +1,7 @@
 package upstream
 
 import (
+	"slices"
 	"time"
 
 	core "bramleydeal/internal/core/upstream"
@@ -31,6 +32,8 @@
 			p.log.Info("upstream's limit cannot be read; the one before stays in effect", append(values, "limit", a.Malformed)...)
 		case core.LeavingNamed:
 			p.log.Info("upstream says that it is leaving; it gets no new requests", values...)
+		case core.Ended:
+			p.log.Info("upstream has ended; its group is taken to have stopped", values...)
 		case core.SuspensionNamed:
 			p.log.Info("upstream wants no requests for a time", append(values, "for-ms", a.RetryAfter.Milliseconds())...)
 		}
@@ -63,19 +66,23 @@
 }
 
 // RecordNews records and logs what the peer named source knows of upstreams and of suspected
-// parts of prompts. It reports whether requests are held back because of that.
+// parts of prompts. It reports whether requests are held back or interrupted because of that.
 func (p *Pools) RecordNews(upstreams []*peer.UpstreamNews, prompts []*peer.PromptNews, source string, now time.Time) bool {
+	urgent := false
 	for _, m := range upstreams {
 		n := peer.NewsFromProto(m, now)
 		p.mu.Lock()
 		var changes []core.AdviceChange
 		if s := p.services[m.Service]; s != nil {
-			changes = s.pool.RecordNews(n)
+			if changes = s.pool.RecordNews(n, now); slices.Contains(changes, core.Ended) {
+				urgent = true
+				s.interruptGroup(n.Of, now)
+			}
 		}
 		p.mu.Unlock()
 		p.logAdvice(changes, m.Upstream, m.Service, core.Advice{Limit: n.Limit}, "source", source)
 	}
-	return p.recordPromptNews(prompts, source, now)
+	return p.recordPromptNews(prompts, source, now) || urgent
 }
 
 // Suspended makes all that is known of the limits of upstreams and of prompts older by d.
--- a/internal/entry/upstream/pools.go
+++ b/internal/entry/upstream/pools.go
@@ -43,8 +43,8 @@
 	pool     *core.Pool
 	quota    *core.RetryQuota
 	suspects *core.Suspects
-	// unproven holds the attempts whose prompts have parts that are not known to be sound.
-	unproven map[*unprovenAttempt]bool
+	// watches holds the attempts that may be interrupted.
+	watches map[*Watch]bool
 	// implicated holds the parts that this entry itself has implicated and that are held
 	// back.
 	implicated map[string]bool
@@ -103,7 +103,7 @@
 	if s == nil {
 		s = &servicePool{
 			core.NewPool(p.seed, p.self, p.domain, p.config.Pool), core.NewRetryQuota(p.config.Quota, p.started), core.NewSuspects(p.self),
-			map[*unprovenAttempt]bool{}, map[string]bool{},
+			map[*Watch]bool{}, map[string]bool{},
 		}
 		p.services[name] = s
 		p.series.set.GetOrCreateGauge(fmt.Sprintf(`bramleydeal_retry_quota_left{service=%q}`, name), func() float64 { return p.remainingRetries(name, time.Now()) })
--- /dev/null
+++ b/internal/entry/upstream/watch.go
@@ -0,0 +1,109 @@
+package upstream
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"bramleydeal/internal/world/service"
+)
+
+// Interruption is why an attempt that has not ended is given up.
+type Interruption int32
+
+// The interruptions of an attempt.
+const (
+	// Uninterrupted attempts go on.
+	Uninterrupted Interruption = iota
+	// HeldBack means that a part of the prompt was found to end upstreams.
+	HeldBack
+	// GroupStopped means that another rank of the upstream's group has ended, so that the
+	// attempt cannot go on, and that another upstream can take the request.
+	GroupStopped
+)
+
+// Watch interrupts one attempt when what is known of its upstream or its prompt changes.
+type Watch struct {
+	pools    *Pools
+	service  *servicePool
+	upstream service.Upstream
+	// parts are the parts of the prompt, suspected those of an attempt that has made no
+	// progress and has parts that are not known to be sound.
+	parts, suspected []string
+	resumable        bool
+	interrupt        func(Interruption)
+}
+
+// Watch starts to watch an attempt at an upstream of a request whose prompt has the given
+// parts. interrupt is called at most once, until Stop is called, and must not block. An
+// attempt that is not resumable is only interrupted before it has made progress.
+func (p *Pools) Watch(u service.Upstream, parts []string, resumable bool, interrupt func(Interruption), now time.Time) *Watch {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	w := &Watch{pools: p, service: p.forService(u.Service), upstream: u, parts: parts, resumable: resumable, interrupt: interrupt}
+	if !w.service.suspects.Proven(parts, now) {
+		w.suspected = parts
+	}
+	w.service.watches[w] = true
+	return w
+}
+
+// Stop ends the watch.
+func (w *Watch) Stop() {
+	w.pools.mu.Lock()
+	defer w.pools.mu.Unlock()
+	delete(w.service.watches, w)
+}
+
+// RecordProgress records that the attempt has made progress, which proves the parts of its
+// prompt to be sound.
+func (w *Watch) RecordProgress(now time.Time) {
+	if len(w.parts) == 0 {
+		return
+	}
+	w.pools.mu.Lock()
+	w.suspected = nil
+	cleared := w.service.suspects.RecordProgress(w.parts, now)
+	for _, id := range cleared {
+		delete(w.service.implicated, id)
+	}
+	w.pools.mu.Unlock()
+	if len(cleared) > 0 {
+		w.pools.log.Info("prompt parts are sound; requests with them are no longer held back", "service", w.upstream.Service, "prompt-parts", strings.Join(cleared, ","))
+		w.pools.announce()
+	}
+}
+
+// interruptHeld interrupts the attempts with those of the given parts that are known well
+// enough to end upstreams. Pools.mu must be held.
+func (s *servicePool) interruptHeld(parts []string) {
+	for _, id := range parts {
+		if s.suspects.Conclusive(id) {
+			s.interruptAll(HeldBack, func(w *Watch) bool { return slices.Contains(w.suspected, id) })
+		}
+	}
+}
+
+// interruptGroup interrupts the attempts that can be resumed at the other ranks of the group
+// of an upstream that has ended, if there is another upstream for them. Pools.mu must be
+// held.
+func (s *servicePool) interruptGroup(ended service.Incarnation, now time.Time) {
+	m := s.pool.Membership(ended)
+	if m == nil || !s.pool.Alternative(m.Group, now) {
+		return
+	}
+	s.interruptAll(GroupStopped, func(w *Watch) bool {
+		o := w.upstream.Membership
+		return w.resumable && o != nil && o.Group == m.Group && o.Epoch == m.Epoch && w.upstream.ID != ended.ID
+	})
+}
+
+// interruptAll interrupts the attempts for which match reports true. Pools.mu must be held.
+func (s *servicePool) interruptAll(why Interruption, match func(*Watch) bool) {
+	for w := range s.watches {
+		if match(w) {
+			w.interrupt(why)
+			delete(s.watches, w)
+		}
+	}
+}
--- a/internal/wire/peer/news.go
+++ b/internal/wire/peer/news.go
@@ -18,6 +18,9 @@
 	if !n.LimitAt.IsZero() {
 		m.Limited, m.Limit, m.LimitAge = n.Limited, n.Limit, durationpb.New(now.Sub(n.LimitAt))
 	}
+	if !n.EndedAt.IsZero() {
+		m.EndedAge = durationpb.New(now.Sub(n.EndedAt))
+	}
 	return m
 }
 
@@ -28,6 +31,9 @@
 	if m.LimitAge != nil {
 		n.Limited, n.Limit, n.LimitAt = m.Limited, max(m.Limit, 0), now.Add(-max(m.LimitAge.AsDuration(), 0))
 	}
+	if m.EndedAge != nil {
+		n.EndedAt = now.Add(-max(m.EndedAge.AsDuration(), 0))
+	}
 	return n
 }
 
