Reads of upstreams, engines and the store are bounded, also where bytes never end

An upstream that sends bytes without end took an entry's memory until the request's deadline: 1.1 to 1.3 GB after 2 s of one request on for one header line or no answer at all, without a bound for an event that does not end.

Heads end after 64 KiB, interim ones included, events after 128 KiB, as a lost answer at once; bodies that are held back after 256 KiB. The clients of engines, the store and the object service have the same limit of heads and fail on bodies that are longer than any may be, where they cut them off silently before.

--- a/internal/agent/rank/engine.go
+++ b/internal/agent/rank/engine.go
@@ -21,12 +21,16 @@
 	"time"
 
 	"bramleydeal/internal/core/group"
+	"bramleydeal/internal/wire/dial"
 	"github.com/samber/oops"
 )
 
 // engineTimeout bounds one HTTP request to the engine.
 const engineTimeout = 2 * time.Second
 
+// maxStatusBytes is the longest status of an engine that is read.
+const maxStatusBytes = 16 << 20
+
 // Engine is the interface by which a Rank controls its model engine.
 type Engine interface {
 	// Read returns the engine's active plan and the next step that it would start.
@@ -52,7 +56,10 @@
 // NewPlanEngine returns a client of the engine at an address that accepts plans over
 // HTTP and stores the agent's state with them.
 func NewPlanEngine(address netip.AddrPort) Engine {
-	return &planEngine{base: "http://" + address.String(), http: &http.Client{Timeout: engineTimeout}}
+	return &planEngine{base: "http://" + address.String(), http: &http.Client{Timeout: engineTimeout, Transport: &http.Transport{
+		// A late copy of one response must not be taken for the next.
+		DisableKeepAlives: true, MaxResponseHeaderBytes: dial.MaxResponseHead,
+	}}}
 }
 
 // Plan tells the engine which map to use in which step, and the step to stop before
@@ -138,7 +145,7 @@
 		if method != http.MethodGet && path != "/rank" {
 			return s, response.StatusCode == http.StatusOK, nil
 		}
-		err = json.NewDecoder(response.Body).Decode(&s)
+		err = json.NewDecoder(http.MaxBytesReader(nil, response.Body, maxStatusBytes)).Decode(&s)
 		return s, response.StatusCode == http.StatusOK, oops.Code("engine").Wrap(err)
 	default:
 		return s, false, oops.Code("engine").Errorf("%s %s: status %d", method, path, response.StatusCode)
--- a/internal/agent/upstream/client.go
+++ b/internal/agent/upstream/client.go
@@ -12,6 +12,7 @@
 	"syscall"
 	"time"
 
+	"bramleydeal/internal/wire/dial"
 	"bramleydeal/internal/wire/header"
 	"bramleydeal/internal/world/answer"
 	"github.com/samber/oops"
@@ -64,6 +65,8 @@
 			DialContext:        (&net.Dialer{Timeout: dialTimeout}).DialContext,
 			DisableCompression: true,
 			DisableKeepAlives:  true,
+
+			MaxResponseHeaderBytes: dial.MaxResponseHead,
 		},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
@@ -155,6 +158,13 @@
 	}
 }
 
+// maxEvent is the longest event in bytes, so that an event without end does not use up the
+// memory.
+const maxEvent = 128 << 10
+
+// errEventTooLong means that a stream had an event that is longer than maxEvent.
+var errEventTooLong = errors.New("an event of the stream is too long")
+
 // copyEvents copies an event stream into the buffer. Unless the engine resumed the
 // stream, it leaves out the events that the caller already has. A stream that ends
 // without the "[DONE]" event is incomplete and returns io.ErrUnexpectedEOF.
@@ -172,6 +182,9 @@
 				return err
 			}
 		}
+		if len(s.incomplete) > maxEvent {
+			return errEventTooLong
+		}
 		switch {
 		case errors.Is(err, io.EOF) && s.sawDone:
 			return nil
--- a/internal/entry/client/forward.go
+++ b/internal/entry/client/forward.go
@@ -24,7 +24,7 @@
 const (
 	// maxHeldResponse is the size in bytes up to which a response is held back
 	// until it is complete, so that the request can still be retried.
-	maxHeldResponse = 1 << 20
+	maxHeldResponse = 256 << 10
 	// stallShare is the part of the time after which callers abandon a stream without
 	// events that its upstream may take for the next one. The rest is left for another
 	// upstream. A group needs about 1.5 s to report that it lost a rank.
--- a/internal/entry/client/stream.go
+++ b/internal/entry/client/stream.go
@@ -19,6 +19,9 @@
 // errTruncatedEvent means that a stream ended within an event.
 var errTruncatedEvent = errors.New("the stream ended within an event")
 
+// errEventTooLong means that a stream had an event that is longer than any may be.
+var errEventTooLong = errors.New("an event of the stream is too long")
+
 // relayStream sends the events of a stream to the caller as they arrive, each
 // only once it is complete. An interrupted stream can therefore resume at
 // another upstream after its last event.
@@ -51,6 +54,8 @@
 			}
 		}
 		switch {
+		case f.events.TooLong():
+			err = errEventTooLong
 		case err == nil:
 			continue
 		case err == io.EOF && !f.events.Partial():
--- a/internal/entry/upstream/events.go
+++ b/internal/entry/upstream/events.go
@@ -52,6 +52,14 @@
 // Partial reports whether the stream so far ends within an event.
 func (e *EventSplitter) Partial() bool { return len(bytes.TrimSpace(e.pending)) > 0 }
 
+// maxEvent is the longest event in bytes, so that an event without end does not use up the
+// memory.
+const maxEvent = 128 << 10
+
+// TooLong reports whether the stream so far ends within an event that is longer than any may
+// be.
+func (e *EventSplitter) TooLong() bool { return len(e.pending) > maxEvent }
+
 // DiscardPartial discards the bytes of an incomplete event.
 func (e *EventSplitter) DiscardPartial() { e.pending = e.pending[:0] }
 
--- a/internal/operator/command/fleet.go
+++ b/internal/operator/command/fleet.go
@@ -30,6 +30,9 @@
 // debugTimeout is the time limit of one call to a process's debug listener.
 const debugTimeout = 2 * time.Second
 
+// maxDebugPage is the longest page of a debug listener that is read, in bytes.
+const maxDebugPage = 64 << 20
+
 // callDebug requests a page of the debug listener at a and returns the body of the
 // response. It returns an unreachable error if there is no response or its status is
 // an error.
@@ -45,7 +48,7 @@
 		return nil, oops.Code("unreachable").Wrapf(err, "%s does not answer; give the process's debug-listen address", a)
 	}
 	defer response.Body.Close()
-	body, err := io.ReadAll(response.Body)
+	body, err := io.ReadAll(http.MaxBytesReader(nil, response.Body, maxDebugPage))
 	if err != nil || response.StatusCode >= http.StatusBadRequest {
 		return nil, oops.Code("unreachable").Errorf("%s responded to %s with status %d", a, page, response.StatusCode)
 	}
--- a/internal/store/object/client.go
+++ b/internal/store/object/client.go
@@ -17,6 +17,7 @@
 	"time"
 
 	"bramleydeal/internal/core/store"
+	"bramleydeal/internal/wire/dial"
 	"github.com/samber/oops"
 )
 
@@ -35,8 +36,7 @@
 	Objects  []Message `json:"objects"`
 }
 
-// maxResponseBytes is the longest response that can be read; a longer one is
-// truncated and fails to decode.
+// maxResponseBytes is the longest response that is read.
 const maxResponseBytes = 64 << 20
 
 // Client calls the object API at one address. It is safe for concurrent use.
@@ -48,7 +48,7 @@
 // NewClient returns a client of the platform's object API at address.
 func NewClient(address netip.AddrPort) *Client {
 	return &Client{base: "http://" + address.String(), http: &http.Client{
-		Transport: &http.Transport{MaxIdleConnsPerHost: 16, ResponseHeaderTimeout: time.Minute},
+		Transport: &http.Transport{MaxIdleConnsPerHost: 16, ResponseHeaderTimeout: time.Minute, MaxResponseHeaderBytes: dial.MaxResponseHead},
 	}}
 }
 
@@ -153,7 +153,7 @@
 		return 0, oops.Code("platform-unreachable").Wrap(err)
 	}
 	defer response.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes))
+	body, err := io.ReadAll(http.MaxBytesReader(nil, response.Body, maxResponseBytes))
 	if err != nil {
 		return 0, oops.Code("platform-unreachable").Wrap(err)
 	}
--- a/internal/wire/dial/tcp.go
+++ b/internal/wire/dial/tcp.go
@@ -28,6 +28,10 @@
 	probeCount    = 1
 )
 
+// MaxResponseHead is the longest head of an HTTP response that is read, in bytes, the interim
+// responses before it included.
+const MaxResponseHead = 64 << 10
+
 var tcpDialer = net.Dialer{
 	Timeout:         connectTimeout,
 	KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: probeIdle, Interval: probeInterval, Count: probeCount},
