What is left of the parts that an end implicates is judged again as others are found sound

On the large site the sound part of the first request took up to 1 s to be cleared at all entries, so that 20 ms after the end the deadly one was not alone, and the request with it that was in the other group ended that one 0.29 s later.

--- a/internal/core/upstream/suspects.go
+++ b/internal/core/upstream/suspects.go
@@ -322,6 +322,11 @@
 	return after > before, before > 0 && after == 0
 }
 
+// Held returns the parts that are held back.
+func (s *Suspects) Held() []string {
+	return slices.DeleteFunc(s.sorted(), func(id string) bool { return s.parts[id].evidence() == 0 })
+}
+
 // Conclusive reports whether so much speaks against a part at now that requests with it that
 // are at upstreams are to be cancelled.
 func (s *Suspects) Conclusive(id string, now time.Time) bool {
--- a/internal/entry/upstream/suspects.go
+++ b/internal/entry/upstream/suspects.go
@@ -63,7 +63,7 @@
 		// The peers that this entry has told of the part learn from it that the part is sound.
 		announce = announce || cleared && s.implicated[m.Part]
 		if cleared {
-			delete(s.implicated, m.Part)
+			s.recordCleared([]string{m.Part}, now)
 		}
 		p.mu.Unlock()
 		switch {
--- a/internal/entry/upstream/watch.go
+++ b/internal/entry/upstream/watch.go
@@ -65,9 +65,7 @@
 	w.pools.mu.Lock()
 	w.suspected = nil
 	cleared := w.service.suspects.RecordProgress(w.parts, now)
-	for _, id := range cleared {
-		delete(w.service.implicated, id)
-	}
+	w.service.recordCleared(cleared, now)
 	w.pools.mu.Unlock()
 	if len(cleared) > 0 {
 		w.pools.log.Info("prompt parts are sound; requests with them are no longer held back", "service", w.upstream.Service, "prompt-parts", strings.Join(cleared, ","))
@@ -75,6 +73,18 @@
 	}
 }
 
+// recordCleared records that parts are no longer held back. What is left of those that an end
+// implicates may be conclusive then. Pools.mu must be held.
+func (s *servicePool) recordCleared(parts []string, now time.Time) {
+	if len(parts) == 0 {
+		return
+	}
+	for _, id := range parts {
+		delete(s.implicated, id)
+	}
+	s.interruptHeld(s.suspects.Held(), now)
+}
+
 // interruptHeld interrupts the attempts with those of the given parts that are known well
 // enough to end upstreams. Pools.mu must be held.
 func (s *servicePool) interruptHeld(parts []string, now time.Time) {
