An end of an upstream has one explanation: parts beside a deadly one are not held back

The request that was cancelled at an upstream may end it all the same, tens of milliseconds later.

Attempts that were cancelled for their prompt within the last second count where their upstream ends; an end that implicates a part which ended others too speaks against no other part alone.

--- a/internal/core/upstream/suspects.go
+++ b/internal/core/upstream/suspects.go
@@ -89,9 +89,9 @@
 // Configure sets the processes that share the trials, this one included.
 func (s *Suspects) Configure(entries []fleet.Instance) { s.entries = entries }
 
-// evidence returns the number of ends that speak against the part. Ends before the last
-// proof do not count.
-func (p *suspect) evidence() int {
+// weight returns the number of ends that speak against the part by itself. Ends before the
+// last proof do not count.
+func (p *suspect) weight() int {
 	first := slices.IndexFunc(p.ends, func(e End) bool { return e.At.After(p.provenAt) })
 	if first < 0 {
 		return 0
@@ -103,6 +103,26 @@
 	return max(episodes(since)-provenAllowance, 0)
 }
 
+// implicatedBy reports whether an end implicates the part.
+func (p *suspect) implicatedBy(e End) bool {
+	return slices.ContainsFunc(p.ends, func(o End) bool { return o.Of.Equal(e.Of) })
+}
+
+// evidence returns the number of ends that speak against a part. A single one does not if
+// it has a better explanation: another part that it implicates and that others do too.
+func (s *Suspects) evidence(p *suspect) int {
+	weight := p.weight()
+	if weight != 1 {
+		return weight
+	}
+	for _, o := range s.parts {
+		if o != p && len(o.ends) >= conclusiveEnds && o.implicatedBy(p.lastEnd()) && o.weight() >= conclusiveEnds {
+			return 0
+		}
+	}
+	return weight
+}
+
 // episodes returns the number of episodes that ends, in order of time, belong to.
 func episodes(ends []End) int {
 	n := 0
@@ -139,7 +159,7 @@
 func (s *Suspects) implicated(by End) int {
 	n := 0
 	for _, p := range s.parts {
-		if slices.ContainsFunc(p.ends, func(e End) bool { return e.Of.Equal(by.Of) }) && p.evidence() > 0 {
+		if p.implicatedBy(by) && s.evidence(p) > 0 {
 			n++
 		}
 	}
@@ -149,7 +169,7 @@
 // heldUntil returns the time until which no process lets a request with a part through, zero
 // if it is not held back.
 func (s *Suspects) heldUntil(p *suspect) time.Time {
-	switch evidence := p.evidence(); evidence {
+	switch evidence := s.evidence(p); evidence {
 	case 0:
 		return time.Time{}
 	case 1:
@@ -165,7 +185,7 @@
 	var trials []*suspect
 	for _, id := range parts {
 		p := s.parts[id]
-		if p == nil || p.evidence() == 0 {
+		if p == nil || s.evidence(p) == 0 {
 			continue
 		}
 		until := s.heldUntil(p)
@@ -212,7 +232,7 @@
 	for _, id := range parts {
 		s.proven.record(id, now)
 		if p := s.parts[id]; p != nil {
-			held := p.evidence() > 0
+			held := s.evidence(p) > 0
 			p.provenAt = now
 			if held {
 				cleared = append(cleared, id)
@@ -227,7 +247,7 @@
 func (s *Suspects) RecordEnd(of service.Incarnation, parts []string, now time.Time) (held []string) {
 	for _, id := range parts {
 		p := s.suspect(id, now)
-		if p.addEnd(End{of, now}) && p.evidence() > 0 {
+		if p.addEnd(End{of, now}) && s.evidence(p) > 0 {
 			held = append(held, id)
 		}
 	}
@@ -247,7 +267,7 @@
 
 // addEnd adds an end and reports whether it was not known.
 func (p *suspect) addEnd(e End) bool {
-	if slices.ContainsFunc(p.ends, func(o End) bool { return o.Of.Equal(e.Of) }) {
+	if p.implicatedBy(e) {
 		return false
 	}
 	p.ends = append(p.ends, e)
@@ -262,7 +282,7 @@
 func (s *Suspects) forget(now time.Time) {
 	maps.DeleteFunc(s.parts, func(_ string, p *suspect) bool {
 		age := now.Sub(p.lastEnd().At)
-		if evidence := p.evidence(); evidence > 0 {
+		if evidence := s.evidence(p); evidence > 0 {
 			return age > max(2*holdTime(evidence, 1), minForgetTime)
 		}
 		return age > clearedTime
@@ -276,9 +296,12 @@
 // sorted returns the IDs of all parts, those with the most evidence and the latest end
 // first.
 func (s *Suspects) sorted() []string {
+	evidence := make(map[string]int, len(s.parts))
+	for id, p := range s.parts {
+		evidence[id] = s.evidence(p)
+	}
 	return slices.SortedFunc(maps.Keys(s.parts), func(a, b string) int {
-		p, q := s.parts[a], s.parts[b]
-		return cmp.Or(cmp.Compare(q.evidence(), p.evidence()), q.lastEnd().At.Compare(p.lastEnd().At), cmp.Compare(a, b))
+		return cmp.Or(cmp.Compare(evidence[b], evidence[a]), s.parts[b].lastEnd().At.Compare(s.parts[a].lastEnd().At), cmp.Compare(a, b))
 	})
 }
 
@@ -310,7 +333,7 @@
 		return false, false
 	}
 	p := s.suspect(n.Part, now)
-	before := p.evidence()
+	before := s.evidence(p)
 	for _, e := range n.Ends {
 		p.addEnd(e)
 	}
@@ -318,13 +341,13 @@
 		p.provenAt = n.ProvenAt
 		s.proven.record(n.Part, n.ProvenAt)
 	}
-	after := p.evidence()
+	after := s.evidence(p)
 	return after > before, before > 0 && after == 0
 }
 
 // Held returns the parts that are held back.
 func (s *Suspects) Held() []string {
-	return slices.DeleteFunc(s.sorted(), func(id string) bool { return s.parts[id].evidence() == 0 })
+	return slices.DeleteFunc(s.sorted(), func(id string) bool { return s.evidence(s.parts[id]) == 0 })
 }
 
 // Conclusive reports whether so much speaks against a part at now that requests with it that
@@ -334,7 +357,7 @@
 	if p == nil {
 		return false
 	}
-	evidence := p.evidence()
+	evidence := s.evidence(p)
 	return evidence >= conclusiveEnds || evidence > 0 && now.Sub(p.lastEnd().At) >= ClearingTime && s.implicated(p.lastEnd()) == 1
 }
 
@@ -370,7 +393,7 @@
 	var out []SuspectState
 	for _, id := range s.sorted() {
 		p := s.parts[id]
-		out = append(out, SuspectState{id, len(p.ends), p.evidence(), max(s.heldUntil(p).Sub(now), 0).Milliseconds()})
+		out = append(out, SuspectState{id, len(p.ends), s.evidence(p), max(s.heldUntil(p).Sub(now), 0).Milliseconds()})
 	}
 	return out
 }
--- a/internal/entry/upstream/advice.go
+++ b/internal/entry/upstream/advice.go
@@ -68,7 +68,7 @@
 // RecordNews records and logs what the peer named source knows of upstreams and of suspected
 // parts of prompts. It reports whether requests are held back or interrupted because of that.
 func (p *Pools) RecordNews(upstreams []*peer.UpstreamNews, prompts []*peer.PromptNews, source string, now time.Time) bool {
-	urgent := false
+	urgent, implicated := false, false
 	for _, m := range upstreams {
 		n := peer.NewsFromProto(m, now)
 		p.mu.Lock()
@@ -77,11 +77,15 @@
 			if changes = s.pool.RecordNews(n, now); slices.Contains(changes, core.Ended) {
 				urgent = true
 				s.interruptGroup(n.Of, now)
+				implicated = implicated || len(s.suspects.RecordEnd(n.Of, s.heldBackAt(n.Of, now), now)) > 0
 			}
 		}
 		p.mu.Unlock()
 		p.logAdvice(changes, m.Upstream, m.Service, core.Advice{Limit: n.Limit}, "source", source)
 	}
+	if implicated {
+		p.announce()
+	}
 	return p.recordPromptNews(prompts, source, now) || urgent
 }
 
--- a/internal/entry/upstream/pools.go
+++ b/internal/entry/upstream/pools.go
@@ -45,6 +45,9 @@
 	suspects *core.Suspects
 	// watches holds the attempts that may be interrupted.
 	watches map[*Watch]bool
+	// heldBack holds the attempts that were interrupted because of their prompts a short time
+	// ago, in order of time.
+	heldBack []heldBackAttempt
 	// implicated holds the parts that this entry itself has implicated and that are held
 	// back.
 	implicated map[string]bool
@@ -103,7 +106,7 @@
 	if s == nil {
 		s = &servicePool{
 			core.NewPool(p.seed, p.self, p.domain, p.config.Pool), core.NewRetryQuota(p.config.Quota, p.started), core.NewSuspects(p.self),
-			map[*Watch]bool{}, map[string]bool{},
+			map[*Watch]bool{}, nil, map[string]bool{},
 		}
 		p.services[name] = s
 		p.series.set.GetOrCreateGauge(fmt.Sprintf(`bramleydeal_retry_quota_left{service=%q}`, name), func() float64 { return p.remainingRetries(name, time.Now()) })
--- a/internal/entry/upstream/suspects.go
+++ b/internal/entry/upstream/suspects.go
@@ -1,6 +1,7 @@
 package upstream
 
 import (
+	"slices"
 	"strings"
 	"time"
 
@@ -26,6 +27,7 @@
 	p.mu.Lock()
 	s := p.forService(u.Service)
 	ended := s.pool.RecordEnd(u.Incarnation(), now)
+	parts = append(slices.Clip(parts), s.heldBackAt(u.Incarnation(), now)...)
 	held := s.suspects.RecordEnd(u.Incarnation(), parts, now)
 	for _, id := range held {
 		s.implicated[id] = true
--- a/internal/entry/upstream/watch.go
+++ b/internal/entry/upstream/watch.go
@@ -73,6 +73,31 @@
 	}
 }
 
+// heldBackAttempt is an attempt that was interrupted because of its prompt. Its upstream may
+// end on it all the same if it had begun to answer.
+type heldBackAttempt struct {
+	of    service.Incarnation
+	parts []string
+	at    time.Time
+}
+
+// heldBackTime is the time after its interruption within which an attempt may still end its
+// upstream.
+const heldBackTime = time.Second
+
+// heldBackAt returns the parts of the attempts at an upstream that were interrupted because
+// of their prompts a short time ago. Pools.mu must be held.
+func (s *servicePool) heldBackAt(of service.Incarnation, now time.Time) []string {
+	s.heldBack = slices.DeleteFunc(s.heldBack, func(a heldBackAttempt) bool { return now.Sub(a.at) > heldBackTime })
+	var parts []string
+	for _, a := range s.heldBack {
+		if a.of.Equal(of) {
+			parts = append(parts, a.parts...)
+		}
+	}
+	return parts
+}
+
 // recordCleared records that parts are no longer held back. What is left of those that an end
 // implicates may be conclusive then. Pools.mu must be held.
 func (s *servicePool) recordCleared(parts []string, now time.Time) {
@@ -90,7 +115,13 @@
 func (s *servicePool) interruptHeld(parts []string, now time.Time) {
 	for _, id := range parts {
 		if s.suspects.Conclusive(id, now) {
-			s.interruptAll(HeldBack, func(w *Watch) bool { return slices.Contains(w.suspected, id) })
+			s.interruptAll(HeldBack, func(w *Watch) bool {
+				if !slices.Contains(w.suspected, id) {
+					return false
+				}
+				s.heldBack = append(s.heldBack, heldBackAttempt{w.upstream.Incarnation(), w.suspected, now})
+				return true
+			})
 		}
 	}
 }
