--- a/internal/soak/caller/caller.go
+++ b/internal/soak/caller/caller.go
@@ -39,6 +39,10 @@
 	// requestsPerEntry is the number of requests that a caller sends to one entry
 	// before it chooses another one.
 	requestsPerEntry = 12
+	// sharedParts is the number of parts that the prompts of streams share. One stream in
+	// deadlyEvery has the part on which upstreams end.
+	sharedParts = 3
+	deadlyEvery = 12
 )
 
 // Host is the host of all routes.
@@ -56,6 +60,8 @@
 	KeyVersions func() (accepted, newest int)
 	// StreamBody is the complete body of a stream.
 	StreamBody string
+	// DeadlyPart returns the part of prompts on which upstreams end, empty if there is none.
+	DeadlyPart func() string
 
 	requestCount atomic.Int64
 	mu           sync.Mutex
@@ -139,6 +145,12 @@
 		r.Key = []int{accepted, newest, newest - 2}[random.IntN(3)]
 	case r.Kind == history.Draft:
 		call.Stream = true
+		shared := fmt.Sprintf("shared%d:40,", len(r.ID)%sharedParts)
+		if part := c.DeadlyPart(); part != "" && random.IntN(deadlyEvery) == 0 {
+			r.Deadly = true
+			shared += part + ":9,"
+		}
+		call.Prompt = shared + r.ID + ":100"
 	}
 	r.Key = max(r.Key, 1)
 	call.Key = KeyName(r.Key)
--- a/internal/soak/run/extended.go
+++ b/internal/soak/run/extended.go
@@ -108,3 +108,40 @@
 	w.Close()
 	s.recordError(s.startUpstream(slot))
 }
+
+// deadlyPartID is the part of prompts on which upstreams end.
+const deadlyPartID = "deadly"
+
+// deadlyRestart is the time after which an upstream that ended on a prompt is back.
+const deadlyRestart = time.Second
+
+// activeDeadlyPart implements caller.Callers.DeadlyPart.
+func (s *Soak) activeDeadlyPart() string {
+	if s.deadlyActive.Load() {
+		return deadlyPartID
+	}
+	return ""
+}
+
+// endUpstream is called when an upstream ends on a prompt, before its connections are closed.
+// Another upstream starts in its slot after deadlyRestart.
+func (s *Soak) endUpstream(slot *upstreamSlot, id string) {
+	s.history.AddDeadlyEnd()
+	end := s.history.BeginFault(history.FaultInterval{Target: id, Fault: string(schedule.DeadlyPart)})
+	s.mu.Lock()
+	link := slot.link
+	s.mu.Unlock()
+	link.Close()
+	go func() {
+		defer end()
+		time.Sleep(deadlyRestart)
+		slot.faultMu.Lock()
+		defer slot.faultMu.Unlock()
+		if slot.upstream.ID != id {
+			return // replaced by another fault meanwhile
+		}
+		slot.upstream.Close()
+		time.AfterFunc(removalDelay, func() { s.store.RemoveWorker(id) })
+		s.recordError(s.startUpstream(slot))
+	}()
+}
--- a/internal/soak/run/run.go
+++ b/internal/soak/run/run.go
@@ -15,6 +15,7 @@
 	"net/netip"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -73,6 +74,10 @@
 	entryCount, upstreamCount int
 	faultDuration             time.Duration
 	faultKinds                []schedule.Fault
+	// deadlyPart is true if upstreams end on a part of prompts for a time, deadlyActive
+	// while requests with it are sent.
+	deadlyPart   bool
+	deadlyActive atomic.Bool
 	// extendedFaults is true if the faults of schedule.GenerateExtended are injected too.
 	extendedFaults bool
 
@@ -126,6 +131,9 @@
 // WithExtendedFaults injects the faults of schedule.GenerateExtended too.
 func WithExtendedFaults() Option { return func(s *Soak) { s.extendedFaults = true } }
 
+// WithDeadlyPart makes upstreams end on a part of prompts that some requests have.
+func WithDeadlyPart() Option { return func(s *Soak) { s.deadlyPart = true } }
+
 // New returns a run whose faults the seed determines. program is the path of the
 // bramleydeal executable; the settings and logs of the entries are written to
 // folder.
@@ -195,6 +203,10 @@
 		slices.SortStableFunc(steps, func(a, b schedule.Step) int { return int(a.At - b.At) })
 		go s.keepCopies(ctx)
 	}
+	if s.deadlyPart {
+		steps = append(steps, schedule.GenerateDeadlyPart(s.seed, s.faultDuration))
+		slices.SortStableFunc(steps, func(a, b schedule.Step) int { return int(a.At - b.At) })
+	}
 	s.runSchedule(ctx, steps)
 	report := &Report{Seed: s.seed, Steps: steps, Counts: s.history.Counts(), Violations: s.history.Check(retrySlack)}
 	for _, err := range s.runErrors {
@@ -211,7 +223,7 @@
 func (s *Soak) runSchedule(ctx context.Context, steps []schedule.Step) {
 	calls, stop := context.WithCancel(ctx)
 	defer stop()
-	callers := &caller.Callers{History: s.history, Entries: s.entries, KeyVersions: s.keyVersions, StreamBody: s.upstreamSlots[0].upstream.StreamBody()}
+	callers := &caller.Callers{History: s.history, Entries: s.entries, KeyVersions: s.keyVersions, StreamBody: s.upstreamSlots[0].upstream.StreamBody(), DeadlyPart: s.activeDeadlyPart}
 	var running sync.WaitGroup
 	running.Go(func() { callers.Run(calls, s.seed, callersPerEntry*len(s.entries)) })
 	start := time.Now()
@@ -288,7 +300,7 @@
 	s.mu.Unlock()
 	w := standin.NewWorker(id, standin.WithProcessingTime(processingTime), standin.WithObserver(func(a standin.Arrival) {
 		s.history.AddArrival(a.ID, history.Arrival{Upstream: a.Worker, At: a.At, Executed: a.Executed, Misdirected: a.Misdirected})
-	}))
+	}), standin.WithDeadlyPart(deadlyPartID, func() { s.endUpstream(slot, id) }))
 	link, err := s.proxies.NewLink(id, slot.address, w.Address())
 	for end := time.Now().Add(addressTimeout); errors.Is(err, syscall.EADDRINUSE) && time.Now().Before(end); {
 		// The listener of the previous link is closed asynchronously.
@@ -299,7 +311,9 @@
 		w.Close()
 		return err
 	}
+	s.mu.Lock()
 	slot.upstream, slot.link = w, link
+	s.mu.Unlock()
 	s.store.RegisterWorker(w, standin.ServiceName, slot.failureDomain, slot.address)
 	return nil
 }
--- a/internal/soak/schedule/schedule.go
+++ b/internal/soak/schedule/schedule.go
@@ -46,6 +46,9 @@
 	// StoreRestore takes the store away for a moment and brings it back from a copy of
 	// some seconds before.
 	StoreRestore Fault = "store-restore"
+	// DeadlyPart makes upstreams end as they begin to answer a request with one part of
+	// prompts.
+	DeadlyPart Fault = "deadly-part"
 )
 
 // extendedFaults are the kinds of faults of ExtendedFaults, each as frequent as the others.
@@ -75,6 +78,14 @@
 	}
 }
 
+// GenerateDeadlyPart returns the one DeadlyPart step of a seed. It begins in the second fifth
+// of the duration and lasts until its end.
+func GenerateDeadlyPart(seed uint64, total time.Duration) Step {
+	random := rand.New(rand.NewPCG(seed, 3))
+	at := (total/5 + time.Duration(random.Int64N(int64(total/5)))).Round(time.Millisecond)
+	return Step{At: at, Fault: DeadlyPart, Variant: random.IntN(1 << 10), Duration: total - at}
+}
+
 // weights are the relative frequencies of the kinds of faults.
 var weights = []struct {
 	fault  Fault
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -25,8 +25,10 @@
 	Upstreams int             `json:"upstreams"`
 	Length    config.Duration `json:"length"`
 	// Extended is true if the extended faults are injected too.
-	Extended bool   `json:"extended"`
-	Cause    string `json:"cause"`
+	Extended bool `json:"extended"`
+	// Prompts is true if upstreams end on a part of prompts too.
+	Prompts bool   `json:"prompts"`
+	Cause   string `json:"cause"`
 }
 
 // readSeeds returns the runs in seeds.jsonc.
@@ -59,6 +61,9 @@
 			if s.Extended {
 				options = append(options, run.WithExtendedFaults())
 			}
+			if s.Prompts {
+				options = append(options, run.WithDeadlyPart())
+			}
 			report, err := run.New(s.Seed, program, t.TempDir(), options...).Run(t.Context())
 			is.NoErr(err)
 			for _, v := range report.Violations {
