--- a/internal/entry/client/forward.go
+++ b/internal/entry/client/forward.go
@@ -201,6 +201,7 @@
 	}
 	defer x.Close()
 	info := f.handler.headerCodec.ParseResponse(x.Response.StatusCode, x.Response.Header)
+	f.handler.unreadHeaders(info.Unread, u.ID, f.info.ID)
 	if info.Load != nil {
 		f.handler.pools.RecordLoad(u, info.Load.Running, info.Load.Waiting, time.Now())
 	}
--- a/internal/entry/client/handler.go
+++ b/internal/entry/client/handler.go
@@ -12,6 +12,7 @@
 	"math/rand/v2"
 	"net/http"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -68,6 +69,10 @@
 	countSuppressed func()
 	counters        counters
 
+	// unreadMu guards unread, the headers of upstreams that are counted as not read.
+	unreadMu sync.Mutex
+	unread   map[string]bool
+
 	draining atomic.Bool
 	inFlight atomic.Int64
 	// exitAt is when the process will exit, nil if it is not draining.
@@ -93,7 +98,7 @@
 // New returns a Handler and registers its metrics in c.Metrics.
 func New(c Config) *Handler {
 	h := &Handler{
-		view: c.View, awaitConfirmation: c.AwaitConfirmation, pools: c.Pools, headerCodec: c.HeaderCodec, log: c.Log, successLogRate: log.NewRateLimiter(successLogsPerSecond), countSuppressed: c.CountSuppressed, counters: counters{c.Metrics},
+		view: c.View, awaitConfirmation: c.AwaitConfirmation, pools: c.Pools, headerCodec: c.HeaderCodec, log: c.Log, successLogRate: log.NewRateLimiter(successLogsPerSecond), countSuppressed: c.CountSuppressed, counters: counters{c.Metrics}, unread: map[string]bool{},
 	}
 	c.Metrics.NewGauge("bramleydeal_requests_in_flight", func() float64 { return float64(h.InFlight()) })
 	return h
--- a/internal/entry/client/headercodec.go
+++ b/internal/entry/client/headercodec.go
@@ -75,6 +75,8 @@
 	Load *Load
 	// Advice is what the upstream says about the requests that it takes.
 	Advice upstream.Advice
+	// Unread holds the names of the headers that this codec does not know.
+	Unread []string
 }
 
 // Load is the load that an upstream reports: the numbers of running and waiting
--- a/internal/entry/client/metrics.go
+++ b/internal/entry/client/metrics.go
@@ -40,6 +40,30 @@
 	c.set.GetOrCreateCounter(fmt.Sprintf(`bramleydeal_failed_tries_total{outcome=%q}`, outcome)).Inc()
 }
 
+// maxUnreadHeaders limits the names of headers that are counted.
+const maxUnreadHeaders = 64
+
+// unreadHeaders counts the headers of an upstream's response that mean nothing to this
+// system, and logs each name once: a new one may say what upstreams expect.
+func (h *Handler) unreadHeaders(names []string, upstream, request string) {
+	for _, name := range names {
+		h.unreadMu.Lock()
+		known := h.unread[name]
+		if !known && len(h.unread) < maxUnreadHeaders {
+			h.unread[name] = true
+		}
+		counted := h.unread[name]
+		h.unreadMu.Unlock()
+		if !counted {
+			continue
+		}
+		h.counters.set.GetOrCreateCounter(fmt.Sprintf(`bramleydeal_unread_headers_total{name=%q}`, name)).Inc()
+		if !known {
+			h.log.Info("an upstream's response has a header that is not read", "header", name, "upstream", upstream, "request", request)
+		}
+	}
+}
+
 // retryDecision counts a retry that the retry quota allowed or denied.
 func (c counters) retryDecision(allowed bool) {
 	c.set.GetOrCreateCounter(fmt.Sprintf(`bramleydeal_repeats_total{allowed="%t"}`, allowed)).Inc()
--- a/internal/soak/run/extended.go
+++ b/internal/soak/run/extended.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"time"
 
 	"bramleydeal/internal/soak/history"
@@ -37,19 +36,19 @@
 	switch step.Variant % 3 {
 	case 0:
 		defer s.history.BeginAdvice(history.Advice{Upstream: w.ID, Limit: adviceLimit})()
-		w.SetAdvice("Server-Limit", fmt.Sprint(adviceLimit))
+		w.SetLimit(adviceLimit)
 		time.Sleep(step.Duration + 2*history.SettleTime)
-		w.SetAdvice("Server-Limit", "")
+		w.SetLimit(0)
 	case 1:
-		w.SetAdvice("Retry-After", fmt.Sprint(adviceRetryAfter.Seconds()))
+		w.SetRetryAfter(adviceRetryAfter)
 		w.SetBehaviour(standin.Decline)
 		defer s.history.BeginAdvice(history.Advice{Upstream: w.ID, RetryAfter: adviceRetryAfter})()
 		time.Sleep(step.Duration)
-		w.SetAdvice("Retry-After", "")
+		w.SetRetryAfter(0)
 		w.SetBehaviour(standin.Serve)
 	default:
 		defer s.history.BeginAdvice(history.Advice{Upstream: w.ID, Leaving: true})()
-		w.SetAdvice("Server-Leaving", "1")
+		w.SetLeaving()
 		time.Sleep(step.Duration)
 		s.replaceDraining(slot)
 	}
