Each process has its turn to try a held part within 20 s while the evidence is weak

In a fleet of 149 entries the last turn came 298 s after the hold: the callers of a sound part who know one entry only waited for it. A trial without an outcome is followed by one of each other process. TestEachProcessHasATrialSoon; TestOneTrialAtATime as before. What an entry has implicated itself is forgotten with the hold.

--- a/internal/core/upstream/suspects.go
+++ b/internal/core/upstream/suspects.go
@@ -67,9 +67,12 @@
 	// A sound request makes progress within that time.
 	episodeGap = time.Second
 	// trialInterval is the time between the trials of two processes, trialTime the time
-	// that a trial may take.
-	trialInterval = 2 * time.Second
-	trialTime     = 3 * time.Second
+	// that a trial may take. While the evidence is below strongEvidence, all processes have
+	// their turn within trialSpread: callers of a sound part may know one process only.
+	trialInterval  = 2 * time.Second
+	trialTime      = 3 * time.Second
+	trialSpread    = 20 * time.Second
+	strongEvidence = 3
 	// minForgetTime is the shortest time after its last end for which a part is known.
 	// A part that is not held back is forgotten after clearedTime.
 	minForgetTime = 10 * time.Minute
@@ -211,8 +214,13 @@
 	if turn < 0 {
 		turn = len(s.entries)
 	}
-	from := until.Add(time.Duration(turn) * trialInterval)
-	if next := p.trialAt.Add(trialTime); !p.trialAt.IsZero() && next.After(from) {
+	interval := trialInterval
+	if s.evidence(p) < strongEvidence {
+		interval = min(interval, trialSpread/time.Duration(max(len(s.entries), 1)))
+	}
+	from := until.Add(time.Duration(turn) * interval)
+	// A trial without an outcome is followed by one of each other process.
+	if next := p.trialAt.Add(max(trialTime, interval*time.Duration(len(s.entries)))); !p.trialAt.IsZero() && next.After(from) {
 		return next
 	}
 	return from
--- a/internal/core/upstream/suspects_test.go
+++ b/internal/core/upstream/suspects_test.go
@@ -129,6 +129,24 @@
 	}
 }
 
+// TestEachProcessHasATrialSoon guards against a sound part that stays held back for the
+// callers of one process until it is the turn of that process, in a large fleet.
+func TestEachProcessHasATrialSoon(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	var entries []fleet.Instance
+	for i := range 149 {
+		entries = append(entries, fleet.Instance{Name: fmt.Sprint("e", i), Role: fleet.EntryRole})
+	}
+	for _, e := range entries {
+		s := NewSuspects(e.Name)
+		s.Configure(entries)
+		s.RecordEnd(endOf(1), []string{"a"}, now)
+		_, ok := s.Admit([]string{"a"}, now.Add(firstHold+trialSpread))
+		is.True(ok)
+	}
+}
+
 // TestNewsOfSuspects guards against a process that does not learn from its peers which parts
 // are held back, or that they are sound: one that has restarted or had no request there.
 func TestNewsOfSuspects(t *testing.T) {
--- a/internal/entry/upstream/suspects.go
+++ b/internal/entry/upstream/suspects.go
@@ -1,6 +1,7 @@
 package upstream
 
 import (
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -29,9 +30,7 @@
 	ended := s.pool.RecordEnd(u.Incarnation(), now)
 	parts = append(slices.Clip(parts), s.heldBackAt(u.Incarnation(), now)...)
 	held := s.suspects.RecordEnd(u.Incarnation(), parts, now)
-	for _, id := range held {
-		s.implicated[id] = true
-	}
+	s.recordImplicated(held)
 	s.interruptHeld(held, now)
 	if ended {
 		s.interruptGroup(u.Incarnation(), now)
@@ -50,6 +49,19 @@
 	}
 }
 
+// recordImplicated records that this entry has implicated parts, and forgets those that are no
+// longer held back. Pools.mu must be held.
+func (s *servicePool) recordImplicated(parts []string) {
+	if len(parts) == 0 {
+		return
+	}
+	stillHeld := s.suspects.Held()
+	maps.DeleteFunc(s.implicated, func(id string, _ bool) bool { return !slices.Contains(stillHeld, id) })
+	for _, id := range parts {
+		s.implicated[id] = true
+	}
+}
+
 // recordPromptNews records and logs what the peer named source knows of parts of prompts. It
 // reports whether requests are held back because of that.
 func (p *Pools) recordPromptNews(news []*peer.PromptNews, source string, now time.Time) bool {
