Parts that the same ends implicate are told apart by requests that have some of them

Cause: each part was judged by its own ends, and cancelling the sound attempts took away the proof. What is certain is that one of the parts that an end implicates has ended the upstream: requests that have all of them are held back and cancelled, others wait for 5 s, are not cancelled, and are let through one at a time. TestPartsOfTheSameEndsAreToldApart (on the code before, the sound request is refused after 6 s and its attempt counts as conclusive).

--- a/internal/core/upstream/suspects.go
+++ b/internal/core/upstream/suspects.go
@@ -45,18 +45,18 @@
 
 // Parameters of the suspicion of parts.
 const (
-	// firstHold is the time for which requests with a part are held back after one end that
-	// implicates no other part. Parts that an end implicates together share it, down to
-	// minHold for each: at most one of them has ended the upstream.
-	firstHold = 30 * time.Second
-	minHold   = 5 * time.Second
+	// firstHold is the time for which requests with a part are held back after one end. If
+	// the end implicates other parts too that a request does not have, the request is held
+	// back for ambiguousHold only: it may be sound, and then tells the parts apart.
+	firstHold     = 30 * time.Second
+	ambiguousHold = 5 * time.Second
 	// The time after two ends is holdGrowth times firstHold, and so on with each further
 	// one, up to maxHold.
 	holdGrowth = 4
 	maxHold    = 24 * time.Hour
 	// conclusiveEnds is the number of ends from which on requests with the part that are
-	// already at upstreams are cancelled. One is enough if it implicates no other part once
-	// peers have had ClearingTime to say which parts are sound.
+	// already at upstreams are cancelled at once. After one, they are cancelled once peers
+	// have had ClearingTime to say which parts are sound.
 	conclusiveEnds = 2
 	// proofTime is the time for which a proof still counts for a part that is implicated
 	// after it.
@@ -140,13 +140,10 @@
 }
 
 // holdTime returns the time for which a part is held back after its last end, given the
-// evidence against it and the number of parts, itself included, that this end implicates.
-func holdTime(evidence, implicated int) time.Duration {
-	switch evidence {
-	case 0:
+// evidence against it.
+func holdTime(evidence int) time.Duration {
+	if evidence == 0 {
 		return 0
-	case 1:
-		return max(firstHold/time.Duration(max(implicated, 1)), minHold)
 	}
 	hold := firstHold
 	for range evidence - 1 {
@@ -158,28 +155,29 @@
 // lastEnd returns the last end that implicates the part.
 func (p *suspect) lastEnd() End { return p.ends[len(p.ends)-1] }
 
-// implicated returns the number of parts that are held back and that an end implicates.
-func (s *Suspects) implicated(by End) int {
-	n := 0
-	for _, p := range s.parts {
-		if p.implicatedBy(by) && s.evidence(p) > 0 {
-			n++
+// explained reports whether parts, p's among them, include all parts that are held back and
+// that p's last end implicates: one of these has ended the upstream.
+func (s *Suspects) explained(p *suspect, parts []string) bool {
+	for id, o := range s.parts {
+		if o != p && o.implicatedBy(p.lastEnd()) && s.evidence(o) > 0 && !slices.Contains(parts, id) {
+			return false
 		}
 	}
-	return n
+	return true
 }
 
-// heldUntil returns the time until which no process lets a request with a part through, zero
-// if it is not held back.
-func (s *Suspects) heldUntil(p *suspect) time.Time {
-	switch evidence := s.evidence(p); evidence {
-	case 0:
+// heldUntil returns the time until which no process lets a request with the given parts, p's
+// among them, through because of p, zero if p is not held back.
+func (s *Suspects) heldUntil(p *suspect, parts []string) time.Time {
+	evidence := s.evidence(p)
+	if evidence == 0 {
 		return time.Time{}
-	case 1:
-		return p.lastEnd().At.Add(holdTime(evidence, s.implicated(p.lastEnd())))
-	default:
-		return p.lastEnd().At.Add(holdTime(evidence, 1))
 	}
+	hold := holdTime(evidence)
+	if !s.explained(p, parts) {
+		hold = ambiguousHold
+	}
+	return p.lastEnd().At.Add(hold)
 }
 
 // Admit reports whether a request whose prompt has the given parts may be sent at now. If
@@ -191,7 +189,7 @@
 		if p == nil || s.evidence(p) == 0 {
 			continue
 		}
-		until := s.heldUntil(p)
+		until := s.heldUntil(p, parts)
 		if s.trialFrom(id, p, until).After(now) {
 			wait = max(wait, until.Sub(now), episodeGap)
 			continue
@@ -291,7 +289,7 @@
 	maps.DeleteFunc(s.parts, func(_ string, p *suspect) bool {
 		age := now.Sub(p.lastEnd().At)
 		if evidence := s.evidence(p); evidence > 0 {
-			return age > max(2*holdTime(evidence, 1), minForgetTime)
+			return age > max(2*holdTime(evidence), minForgetTime)
 		}
 		return age > clearedTime
 	})
@@ -353,20 +351,23 @@
 	return after > before, before > 0 && after == 0
 }
 
-// Held returns the parts that are held back.
+// Held returns the parts because of which requests are held back.
 func (s *Suspects) Held() []string {
 	return slices.DeleteFunc(s.sorted(), func(id string) bool { return s.evidence(s.parts[id]) == 0 })
 }
 
-// Conclusive reports whether so much speaks against a part at now that requests with it that
-// are at upstreams are to be cancelled.
-func (s *Suspects) Conclusive(id string, now time.Time) bool {
-	p := s.parts[id]
-	if p == nil {
-		return false
-	}
-	evidence := s.evidence(p)
-	return evidence >= conclusiveEnds || evidence > 0 && now.Sub(p.lastEnd().At) >= ClearingTime && s.implicated(p.lastEnd()) == 1
+// Conclusive reports whether so much speaks against the parts of a request at now that it is to
+// be cancelled if it is at an upstream.
+func (s *Suspects) Conclusive(parts []string, now time.Time) bool {
+	return slices.ContainsFunc(parts, func(id string) bool {
+		p := s.parts[id]
+		if p == nil {
+			return false
+		}
+		evidence := s.evidence(p)
+		settled := evidence >= conclusiveEnds || evidence > 0 && now.Sub(p.lastEnd().At) >= ClearingTime
+		return settled && s.explained(p, parts)
+	})
 }
 
 // ClearingTime is the time that peers have after an end to say which of the parts that it
@@ -401,7 +402,7 @@
 	var out []SuspectState
 	for _, id := range s.sorted() {
 		p := s.parts[id]
-		out = append(out, SuspectState{id, len(p.ends), s.evidence(p), max(s.heldUntil(p).Sub(now), 0).Milliseconds()})
+		out = append(out, SuspectState{id, len(p.ends), s.evidence(p), max(s.heldUntil(p, s.Held()).Sub(now), 0).Milliseconds()})
 	}
 	return out
 }
--- a/internal/core/upstream/suspects_test.go
+++ b/internal/core/upstream/suspects_test.go
@@ -85,6 +85,29 @@
 	is.True(!ok)
 }
 
+// TestPartsOfTheSameEndsAreToldApart guards against holding back the sound requests that share
+// a part with deadly ones for as long as these, when no process knows yet that it is sound:
+// all have restarted, and two upstreams ended at once (soak seed 42043).
+func TestPartsOfTheSameEndsAreToldApart(t *testing.T) {
+	is := is.New(t)
+	s, now := listedSuspects(), time.Now()
+	sound, deadly := []string{"shared"}, []string{"shared", "deadly"}
+	s.RecordEnd(endOf(1), deadly, now)
+	s.RecordEnd(endOf(2), deadly, now.Add(time.Millisecond))
+	is.True(s.Conclusive(deadly, now.Add(time.Millisecond)))
+	is.True(!s.Conclusive(sound, now.Add(time.Second))) // goes on and may prove its part
+	now = now.Add(ambiguousHold + time.Second)
+	_, ok := s.Admit(deadly, now)
+	is.True(!ok)
+	_, ok = s.Admit(sound, now)
+	is.True(ok)
+	is.Equal(s.RecordProgress(sound, now), sound)
+	_, ok = s.Admit(sound, now)
+	is.True(ok)
+	_, ok = s.Admit(deadly, now)
+	is.True(!ok)
+}
+
 // TestPartThatTurnsDeadlyIsHeldBack guards against a part that was sound and ends upstreams
 // from some time on, as after a change of the model.
 func TestPartThatTurnsDeadlyIsHeldBack(t *testing.T) {
@@ -178,7 +201,7 @@
 	_, ok = proves.Admit([]string{"deadly"}, now)
 	is.True(!ok)
 	restarted.RecordEnd(endOf(2), []string{"deadly"}, now)
-	is.True(restarted.Conclusive("deadly", now))
+	is.True(restarted.Conclusive([]string{"deadly"}, now))
 }
 
 // TestSuspectsAreBounded guards against memory that grows with what callers send.
@@ -328,7 +351,7 @@
 		}
 	}
 	f.running = slices.DeleteFunc(f.running, func(r *fleetRequest) bool {
-		return slices.ContainsFunc(r.parts, func(id string) bool { return f.processes[r.process].Conclusive(id, f.now) })
+		return f.processes[r.process].Conclusive(r.parts, f.now)
 	})
 	for {
 		i := slices.IndexFunc(f.running, func(r *fleetRequest) bool { return !r.progressAt.After(f.now) })
--- a/internal/entry/upstream/suspects.go
+++ b/internal/entry/upstream/suspects.go
@@ -31,7 +31,9 @@
 	parts = append(slices.Clip(parts), s.heldBackAt(u.Incarnation(), now)...)
 	held := s.suspects.RecordEnd(u.Incarnation(), parts, now)
 	s.recordImplicated(held)
-	s.interruptHeld(held, now)
+	if len(held) > 0 {
+		s.interruptHeld(now)
+	}
 	if ended {
 		s.interruptGroup(u.Incarnation(), now)
 	}
@@ -42,7 +44,7 @@
 	if len(held) > 0 {
 		p.log.Info("an upstream ended on a request without progress; requests with its prompt parts are held back", "upstream", u.ID, "service", u.Service,
 			"request", request, "prompt-parts", strings.Join(held, ","))
-		p.interruptHeldLater(s, held)
+		p.interruptHeldLater(s)
 	}
 	if ended || len(held) > 0 {
 		p.announce()
@@ -71,8 +73,8 @@
 		s := p.forService(m.Service)
 		held, cleared := s.suspects.RecordNews(peer.PromptNewsFromProto(m, now), now)
 		if held {
-			s.interruptHeld([]string{m.Part}, now)
-			p.interruptHeldLater(s, []string{m.Part})
+			s.interruptHeld(now)
+			p.interruptHeldLater(s)
 		}
 		// The peers that this entry has told of the part learn from it that the part is sound.
 		announce = announce || cleared && s.implicated[m.Part]
--- a/internal/entry/upstream/watch.go
+++ b/internal/entry/upstream/watch.go
@@ -107,32 +107,27 @@
 	for _, id := range parts {
 		delete(s.implicated, id)
 	}
-	s.interruptHeld(s.suspects.Held(), now)
+	s.interruptHeld(now)
 }
 
-// interruptHeld interrupts the attempts with those of the given parts that are known well
-// enough to end upstreams. Pools.mu must be held.
-func (s *servicePool) interruptHeld(parts []string, now time.Time) {
-	for _, id := range parts {
-		if s.suspects.Conclusive(id, now) {
-			s.interruptAll(HeldBack, func(w *Watch) bool {
-				if !slices.Contains(w.suspected, id) {
-					return false
-				}
-				s.heldBack = append(s.heldBack, heldBackAttempt{w.upstream.Incarnation(), w.suspected, now})
-				return true
-			})
+// interruptHeld interrupts the attempts whose prompts are known well enough to end upstreams.
+// Pools.mu must be held.
+func (s *servicePool) interruptHeld(now time.Time) {
+	s.interruptAll(HeldBack, func(w *Watch) bool {
+		if !s.suspects.Conclusive(w.suspected, now) {
+			return false
 		}
-	}
+		s.heldBack = append(s.heldBack, heldBackAttempt{w.upstream.Incarnation(), w.suspected, now})
+		return true
+	})
 }
 
-// interruptHeldLater does the same once peers have had the time to say which of the parts are
-// sound.
-func (p *Pools) interruptHeldLater(s *servicePool, parts []string) {
+// interruptHeldLater does the same once peers have had the time to say which parts are sound.
+func (p *Pools) interruptHeldLater(s *servicePool) {
 	time.AfterFunc(core.ClearingTime, func() {
 		p.mu.Lock()
 		defer p.mu.Unlock()
-		s.interruptHeld(parts, time.Now())
+		s.interruptHeld(time.Now())
 	})
 }
 
