A suspicion cancels no stream that has begun, and none soon after a start

Cause: what has no proof was taken for suspicious also where nothing can have one, and an attempt counted as cancellable until its second event, though its caller had the first. Attempts are cancelled for their prompt only before their first event, and after a single end only by a process that has known proofs for 3 s.

--- a/internal/core/upstream/suspects.go
+++ b/internal/core/upstream/suspects.go
@@ -24,6 +24,8 @@
 	entries []fleet.Instance
 	parts   map[string]*suspect
 	proven  provenParts
+	// firstProofAt is when the first request of this process made progress, zero before.
+	firstProofAt time.Time
 }
 
 // End is the end of an upstream's process without notice.
@@ -58,6 +60,9 @@
 	// already at upstreams are cancelled at once. After one, they are cancelled once peers
 	// have had ClearingTime to say which parts are sound.
 	conclusiveEnds = 2
+	// minHistory is the time since its first proof after which a process knows enough for
+	// one end to be conclusive: after a start no part is proven.
+	minHistory = 3 * time.Second
 	// proofTime is the time for which a proof still counts for a part that is implicated
 	// after it.
 	proofTime = time.Minute
@@ -235,6 +240,9 @@
 // RecordProgress records that a request with the given parts made progress at an upstream.
 // It returns the parts that were held back until now.
 func (s *Suspects) RecordProgress(parts []string, now time.Time) (cleared []string) {
+	if s.firstProofAt.IsZero() {
+		s.firstProofAt = now
+	}
 	for _, id := range parts {
 		s.proven.record(id, now)
 		if p := s.parts[id]; p != nil {
@@ -357,15 +365,16 @@
 }
 
 // Conclusive reports whether so much speaks against the parts of a request at now that it is to
-// be cancelled if it is at an upstream.
+// be cancelled if it is at an upstream that has not begun to answer.
 func (s *Suspects) Conclusive(parts []string, now time.Time) bool {
+	knowsProofs := !s.firstProofAt.IsZero() && now.Sub(s.firstProofAt) >= minHistory
 	return slices.ContainsFunc(parts, func(id string) bool {
 		p := s.parts[id]
 		if p == nil {
 			return false
 		}
 		evidence := s.evidence(p)
-		settled := evidence >= conclusiveEnds || evidence > 0 && now.Sub(p.lastEnd().At) >= ClearingTime
+		settled := evidence >= conclusiveEnds || evidence > 0 && knowsProofs && now.Sub(p.lastEnd().At) >= ClearingTime
 		return settled && s.explained(p, parts)
 	})
 }
--- a/internal/core/upstream/suspects_test.go
+++ b/internal/core/upstream/suspects_test.go
@@ -108,6 +108,20 @@
 	is.True(!ok)
 }
 
+// TestOneEndSoonAfterStartIsNotConclusive guards against cancelling sound requests because an
+// upstream ended before this process knew any part to be sound (soak seed 43001).
+func TestOneEndSoonAfterStartIsNotConclusive(t *testing.T) {
+	is := is.New(t)
+	s, now := listedSuspects(), time.Now()
+	s.RecordEnd(endOf(1), []string{"a"}, now)
+	is.True(!s.Conclusive([]string{"a"}, now.Add(ClearingTime)))
+	s.RecordProgress([]string{"b"}, now)
+	is.True(!s.Conclusive([]string{"a"}, now.Add(ClearingTime)))
+	now = now.Add(minHistory)
+	s.RecordEnd(endOf(2), []string{"c"}, now)
+	is.True(s.Conclusive([]string{"c"}, now.Add(ClearingTime)))
+}
+
 // TestPartThatTurnsDeadlyIsHeldBack guards against a part that was sound and ends upstreams
 // from some time on, as after a change of the model.
 func TestPartThatTurnsDeadlyIsHeldBack(t *testing.T) {
--- a/internal/entry/client/stream.go
+++ b/internal/entry/client/stream.go
@@ -41,6 +41,7 @@
 				f.recordProgress()
 			}
 			if timeToFirst == 0 {
+				f.watch.RecordBegin()
 				timeToFirst = time.Since(began)
 			}
 			if !f.headSent {
--- a/internal/entry/upstream/watch.go
+++ b/internal/entry/upstream/watch.go
@@ -28,8 +28,8 @@
 	pools    *Pools
 	service  *servicePool
 	upstream service.Upstream
-	// parts are the parts of the prompt, suspected those of an attempt that has made no
-	// progress and has parts that are not known to be sound.
+	// parts are the parts of the prompt, suspected those of an attempt without any event
+	// that has parts which are not known to be sound.
 	parts, suspected []string
 	resumable        bool
 	interrupt        func(Interruption)
@@ -37,7 +37,7 @@
 
 // Watch starts to watch an attempt at an upstream of a request whose prompt has the given
 // parts. interrupt is called at most once, until Stop is called, and must not block. An
-// attempt that is not resumable is only interrupted before it has made progress.
+// attempt that is not resumable is only interrupted before it has begun.
 func (p *Pools) Watch(u service.Upstream, parts []string, resumable bool, interrupt func(Interruption), now time.Time) *Watch {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -56,6 +56,18 @@
 	delete(w.service.watches, w)
 }
 
+// RecordBegin records that the first part of the answer has arrived. The attempt is no longer
+// interrupted because of its prompt: an upstream that it ends does so before that, and what
+// the caller has got must not be cut off on a suspicion.
+func (w *Watch) RecordBegin() {
+	if len(w.parts) == 0 {
+		return
+	}
+	w.pools.mu.Lock()
+	defer w.pools.mu.Unlock()
+	w.suspected = nil
+}
+
 // RecordProgress records that the attempt has made progress, which proves the parts of its
 // prompt to be sound.
 func (w *Watch) RecordProgress(now time.Time) {
