Requests have an identity that all entries agree on; lost attempts are logged with it

The identity is a hash of what a request asks for, under a key that the entries share: each offers one to the store as it registers and takes the one that is there (one call a start). No path or body can be read from it.

--- a/internal/entry/client/forward.go
+++ b/internal/entry/client/forward.go
@@ -442,7 +442,7 @@
 func (f *forwarding) logAttempt(u service.Upstream, began time.Time, outcome string, err error, more ...any) {
 	values := []any{
 		"request", f.info.ID, "route", f.route.Name, "upstream", u.ID, "address", u.Address, "outcome", outcome,
-		"took-ms", time.Since(began).Milliseconds(), "try", f.retryState.Attempts() + 1,
+		"took-ms", time.Since(began).Milliseconds(), "try", f.retryState.Attempts() + 1, "request-identity", f.identity,
 	}
 	if f.route.Kind == service.Stream {
 		values = append(values, "events", f.events.Count()-f.eventsBefore, "prompt-parts", strings.Join(f.info.SharedParts, ","))
--- a/internal/entry/client/handler.go
+++ b/internal/entry/client/handler.go
@@ -16,6 +16,7 @@
 	"sync/atomic"
 	"time"
 
+	core "bramleydeal/internal/core/client"
 	"bramleydeal/internal/entry/upstream"
 	"bramleydeal/internal/process/log"
 	"bramleydeal/internal/world/answer"
@@ -73,6 +74,9 @@
 	unreadMu sync.Mutex
 	unread   map[string]bool
 
+	// identityKey is the key under which requests are identified.
+	identityKey atomic.Pointer[core.IdentityKey]
+
 	draining atomic.Bool
 	inFlight atomic.Int64
 	// exitAt is when the process will exit, nil if it is not draining.
@@ -104,6 +108,10 @@
 	return h
 }
 
+// SetIdentityKey sets the key under which requests are identified from now on. It must be
+// called before the first request.
+func (h *Handler) SetIdentityKey(k core.IdentityKey) { h.identityKey.Store(&k) }
+
 // Drain makes the handler report that it is not ready and ask callers to close
 // their connections. exit is when the process will exit, even if requests are
 // still in progress.
@@ -158,6 +166,8 @@
 	service                  string
 	account                  *service.Account
 	body                     []byte
+	// identity tells the request apart from others with other content.
+	identity string
 	// answered is set once the head of a response was written.
 	answered bool
 }
@@ -173,6 +183,7 @@
 		h.refuse(w, c, refusal)
 		return
 	}
+	c.identity = h.identify(r, c)
 	h.pools.RecordRequest(c.service, c.arrived)
 	h.forward(w, r, c)
 	if !c.answered {
@@ -205,6 +216,15 @@
 	return h.readBody(w, r, c)
 }
 
+// identify returns the identity of a resolved request.
+func (h *Handler) identify(r *http.Request, c *callerRequest) string {
+	content := core.Content{Method: r.Method, Host: r.Host, Target: r.RequestURI, Prompt: c.info.Prompt, Body: c.body}
+	if c.account != nil {
+		content.Account = c.account.Name
+	}
+	return h.identityKey.Load().Identify(content)
+}
+
 // setDeadlines derives the deadlines from the route's timeout and the caller's.
 func (c *callerRequest) setDeadlines() {
 	c.deadline = c.arrived.Add(c.route.EffectiveTimeout())
--- a/internal/entry/client/headercodec.go
+++ b/internal/entry/client/headercodec.go
@@ -41,6 +41,9 @@
 	// SharedParts are the IDs of the parts of the prompt that other requests may hold
 	// too, in order, nil if none are given.
 	SharedParts []string
+	// Prompt describes the model and the prompt with all its parts, empty if there is none.
+	// Equal requests have equal ones.
+	Prompt string
 }
 
 // ForwardInfo holds the values of the entry's own headers in a request to an
--- a/internal/entry/direct/entry.go
+++ b/internal/entry/direct/entry.go
@@ -14,6 +14,7 @@
 	"net/netip"
 	"time"
 
+	coreclient "bramleydeal/internal/core/client"
 	"bramleydeal/internal/core/store"
 	core "bramleydeal/internal/core/upstream"
 	"bramleydeal/internal/entry/client"
@@ -92,6 +93,9 @@
 	callerServer *client.Server
 	expvars      *expvar.Map
 	metricSet    *metrics.Set
+	// identityKey is the key under which requests are identified. Only keepRegistered uses it
+	// once Run was called.
+	identityKey coreclient.IdentityKey
 	// unlisted signals that this process is missing from the list of instances.
 	unlisted chan struct{}
 }
@@ -119,6 +123,8 @@
 	e.handler = client.New(client.Config{
 		View: e.directory.View, AwaitConfirmation: e.directory.AwaitConfirmation, Pools: e.pools, HeaderCodec: d.HeaderCodec, Log: logger.Component("client"), CountSuppressed: logger.CountSuppressed, Metrics: e.metricSet,
 	})
+	e.identityKey = coreclient.NewIdentityKey()
+	e.handler.SetIdentityKey(e.identityKey)
 	e.pools.OnUrgentNews(e.directory.Announce)
 	e.callerServer = client.NewServer(e.handler, logger)
 	e.registerMetrics()
@@ -291,11 +297,12 @@
 }
 
 // keepRegistered writes this process into the store's list of instances, so that other
-// instances find it, and again whenever the list has other instances only: a store that
+// instances find it, shares the key under which requests are identified, and does both again whenever the list has other instances only: a store that
 // came back from an older copy has lost it. It returns when ctx ends.
 func (e *Entry) keepRegistered(ctx context.Context) {
 	for ctx.Err() == nil {
 		e.register(ctx)
+		e.shareIdentityKey(ctx)
 		clock.Sleep(ctx, registerRetryDelay)
 		select {
 		case <-e.unlisted:
