Equal requests that end upstreams are held back from the second end on

Cause: what a request consists of was told apart by the parts of its prompt only. A request without any had nothing by which its loss at one upstream could be related to its loss at the next, and neither had a stream whose deadly content is its own and not one of the shared parts.

Now an end also implicates the identities of the requests that had made no progress there. Entries exchange them like parts. A single end does not hold a request back, since nearly all requests that are lost to one are sound: it is sent to another upstream, as before. Two ends do, for two minutes, then longer with each; copies of it that are at upstreams are cancelled. A complete answer proves it to be sound; one that made progress within the last minute is suspected from the second episode only, so that a poll that is at each upstream that ends is not refused.

--- a/internal/core/client/retry.go
+++ b/internal/core/client/retry.go
@@ -35,6 +35,7 @@
 	NoQuotaLeft      StopReason = "retry budget used up"
 	NoConnectionMade StopReason = "no connection made"
 	PromptHeldBack   StopReason = "a part of the prompt may end upstreams"
+	RequestHeldBack  StopReason = "equal requests have ended upstreams"
 )
 
 // RetryConfig holds the limits on the attempts at one request.
@@ -160,6 +161,15 @@
 	return RefuseWith{answer.PromptHeld}
 }
 
+// RequestHeld returns the refusal for a request on which, as a whole, upstreams may end.
+func (s *RetryState) RequestHeld(now time.Time) RefuseWith {
+	s.stopReason = RequestHeldBack
+	if s.mayHaveRun {
+		return s.refusal(now)
+	}
+	return RefuseWith{answer.RequestHeld}
+}
+
 // TimedOut returns the refusal for a request whose deadline has passed. pending is true
 // if an upstream that may have received the request has not responded.
 func (s *RetryState) TimedOut(pending bool) RefuseWith {
--- a/internal/core/upstream/suspects.go
+++ b/internal/core/upstream/suspects.go
@@ -11,16 +11,17 @@
 	"bramleydeal/internal/world/service"
 )
 
-// Suspects tracks the parts of prompts on which upstreams may end. A part is implicated
-// each time that an upstream ends without notice while a request with the part had made no
-// progress there, and proven sound by each request with it that makes progress. Requests
-// with an implicated part are held back for a time that grows with each end, and are then
-// tried one at a time.
+// Suspects tracks what requests consist of on which upstreams may end: the parts of their
+// prompts, or the requests as a whole. A part is implicated each time that an upstream ends
+// without notice while a request with the part had made no progress there, and proven sound
+// by each request with it that makes progress. Requests with an implicated part are held back
+// for a time that grows with each end, and are then tried one at a time.
 //
 // The processes tell each other what they know, since each sees only some of the requests
 // that an upstream had when it ended.
 type Suspects struct {
 	self    string
+	subject Subject
 	entries []fleet.Instance
 	parts   map[string]*suspect
 	proven  provenParts
@@ -28,22 +29,20 @@
 	firstProofAt time.Time
 }
 
-// End is the end of an upstream's process without notice.
-type End struct {
-	Of service.Incarnation
-	At time.Time
-}
+// Subject is what Suspects track: PromptParts or WholeRequests.
+type Subject interface{ subject() }
 
-// suspect is what is known of a part that was implicated.
-type suspect struct {
-	// ends are the ends that implicate the part, in order of time.
-	ends []End
-	// provenAt is when a request with the part last made progress, zero if not known.
-	provenAt time.Time
-	// trialAt is when this process last let a request with the part through, zero if it
-	// did not since the last end.
-	trialAt time.Time
-}
+// PromptParts are the parts of prompts. Many requests, no two alike, have the same part, so one
+// end that a part is implicated in is enough to hold them back.
+type PromptParts struct{}
+
+// WholeRequests are identities of requests, each the only part of its request. Few requests are
+// ever repeated, so one that was lost to a single end is more likely to be sound, and may be
+// sent to another upstream.
+type WholeRequests struct{}
+
+func (PromptParts) subject()   {}
+func (WholeRequests) subject() {}
 
 // Parameters of the suspicion of parts.
 const (
@@ -66,8 +65,13 @@
 	// proofTime is the time for which a proof still counts for a part that is implicated
 	// after it.
 	proofTime = time.Minute
-	// provenAllowance is the number of episodes for which such a part is not suspected.
-	provenAllowance = 2
+	// provenAllowance is the number of episodes for which such a part is not suspected,
+	// provenRequestAllowance that for such a request. A request that is often repeated is at
+	// each upstream that ends, but it makes progress at others between two episodes.
+	provenAllowance        = 2
+	provenRequestAllowance = 1
+	// minRequestEnds is the number of ends from which on a whole request is held back.
+	minRequestEnds = 2
 	// episodeGap is the time after an end within which others belong to the same episode.
 	// A sound request makes progress within that time.
 	episodeGap = time.Second
@@ -79,9 +83,11 @@
 	trialSpread    = 20 * time.Second
 	strongEvidence = 3
 	// minForgetTime is the shortest time after its last end for which a part is known.
-	// A part that is not held back is forgotten after clearedTime.
+	// A part that is not held back is forgotten after clearedTime, or after singleEndTime if
+	// another end may still be enough to hold it back.
 	minForgetTime = 10 * time.Minute
 	clearedTime   = 30 * time.Second
+	singleEndTime = time.Hour
 	// maxSuspects and maxEnds limit the implicated parts and the ends kept for each.
 	maxSuspects = 512
 	maxEnds     = 12
@@ -89,77 +95,14 @@
 	maxSuspectNews = 64
 )
 
-// NewSuspects returns Suspects without any part, for the process named self.
-func NewSuspects(self string) *Suspects {
-	return &Suspects{self: self, parts: map[string]*suspect{}}
+// NewSuspects returns Suspects of a subject without any part, for the process named self.
+func NewSuspects(self string, subject Subject) *Suspects {
+	return &Suspects{self: self, subject: subject, parts: map[string]*suspect{}}
 }
 
 // Configure sets the processes that share the trials, this one included.
 func (s *Suspects) Configure(entries []fleet.Instance) { s.entries = entries }
 
-// weight returns the number of ends that speak against the part by itself. Ends before the
-// last proof do not count.
-func (p *suspect) weight() int {
-	first := slices.IndexFunc(p.ends, func(e End) bool { return e.At.After(p.provenAt) })
-	if first < 0 {
-		return 0
-	}
-	since := p.ends[first:]
-	if p.provenAt.IsZero() || since[0].At.Sub(p.provenAt) >= proofTime {
-		return len(since)
-	}
-	return max(episodes(since)-provenAllowance, 0)
-}
-
-// implicatedBy reports whether an end implicates the part.
-func (p *suspect) implicatedBy(e End) bool {
-	return slices.ContainsFunc(p.ends, func(o End) bool { return o.Of.Equal(e.Of) })
-}
-
-// evidence returns the number of ends that speak against a part. A single one does not if
-// it has a better explanation: another part that it implicates and that others do too.
-func (s *Suspects) evidence(p *suspect) int {
-	weight := p.weight()
-	if weight != 1 {
-		return weight
-	}
-	for _, o := range s.parts {
-		if o != p && len(o.ends) >= conclusiveEnds && o.implicatedBy(p.lastEnd()) && o.weight() >= conclusiveEnds {
-			return 0
-		}
-	}
-	return weight
-}
-
-// episodes returns the number of episodes that ends, in order of time, belong to.
-func episodes(ends []End) int {
-	n := 0
-	var last time.Time
-	for _, e := range ends {
-		if n == 0 || e.At.Sub(last) >= episodeGap {
-			n++
-			last = e.At
-		}
-	}
-	return n
-}
-
-// holdTime returns the time for which a part is held back after its last end, given the
-// evidence against it.
-func holdTime(evidence int) time.Duration {
-	if evidence == 0 {
-		return 0
-	}
-	hold := firstHold
-	for range evidence - 1 {
-		hold = min(hold*holdGrowth, maxHold)
-	}
-	return hold
-}
-
-// lastEnd returns the last end that implicates the part.
-func (p *suspect) lastEnd() End { return p.ends[len(p.ends)-1] }
-
 // explained reports whether parts, p's among them, include all parts that are held back and
 // that p's last end implicates: one of these has ended the upstream.
 func (s *Suspects) explained(p *suspect, parts []string) bool {
@@ -188,7 +131,17 @@
 // Admit reports whether a request whose prompt has the given parts may be sent at now. If
 // not, it returns the time after which one with them may be sent by some process.
 func (s *Suspects) Admit(parts []string, now time.Time) (wait time.Duration, ok bool) {
-	var trials []*suspect
+	trials, wait := s.trials(parts, now)
+	if wait > 0 {
+		return wait, false
+	}
+	recordTrials(trials, now)
+	return 0, true
+}
+
+// trials returns the suspects of which a request with the given parts would be a trial at now,
+// or the time after which one may be sent.
+func (s *Suspects) trials(parts []string, now time.Time) (trials []*suspect, wait time.Duration) {
 	for _, id := range parts {
 		p := s.parts[id]
 		if p == nil || s.evidence(p) == 0 {
@@ -201,13 +154,13 @@
 		}
 		trials = append(trials, p)
 	}
-	if wait > 0 {
-		return wait, false
-	}
+	return trials, wait
+}
+
+func recordTrials(trials []*suspect, now time.Time) {
 	for _, p := range trials {
 		p.trialAt = now
 	}
-	return 0, true
 }
 
 // trialFrom returns the time from which on this process may let a request with a part
@@ -257,15 +210,20 @@
 }
 
 // RecordEnd records that an upstream ended at now while a request with the given parts had
-// made no progress there. It returns the parts that are held back because of it.
-func (s *Suspects) RecordEnd(of service.Incarnation, parts []string, now time.Time) (held []string) {
+// made no progress there. It returns the parts that are held back because of it, and whether
+// there is anything in it that peers do not know.
+func (s *Suspects) RecordEnd(of service.Incarnation, parts []string, now time.Time) (held []string, learned bool) {
 	for _, id := range parts {
 		p := s.suspect(id, now)
-		if p.addEnd(End{of, now}) && s.evidence(p) > 0 {
+		if !p.addEnd(End{of, now}) {
+			continue
+		}
+		learned = true
+		if s.evidence(p) > 0 {
 			held = append(held, id)
 		}
 	}
-	return held
+	return held, learned
 }
 
 // suspect returns the state of a part and adds it if necessary.
@@ -279,18 +237,6 @@
 	return p
 }
 
-// addEnd adds an end and reports whether it was not known.
-func (p *suspect) addEnd(e End) bool {
-	if p.implicatedBy(e) {
-		return false
-	}
-	p.ends = append(p.ends, e)
-	slices.SortStableFunc(p.ends, func(a, b End) int { return a.At.Compare(b.At) })
-	p.ends = p.ends[max(len(p.ends)-maxEnds, 0):]
-	p.trialAt = time.Time{}
-	return true
-}
-
 // forget removes the parts that were not implicated for long, and the one implicated first
 // if there are too many.
 func (s *Suspects) forget(now time.Time) {
@@ -299,6 +245,9 @@
 		if evidence := s.evidence(p); evidence > 0 {
 			return age > max(2*holdTime(evidence), minForgetTime)
 		}
+		if _, whole := s.subject.(WholeRequests); whole && p.lastEnd().At.After(p.provenAt) {
+			return age > singleEndTime
+		}
 		return age > clearedTime
 	})
 	if len(s.parts) >= maxSuspects {
@@ -319,46 +268,6 @@
 	})
 }
 
-// SuspectNews is what a process tells its peers of a part.
-type SuspectNews struct {
-	Part string
-	Ends []End
-	// ProvenAt is zero if the process knows of no request with the part that made
-	// progress.
-	ProvenAt time.Time
-}
-
-// News returns what is known of implicated parts at now.
-func (s *Suspects) News(now time.Time) []SuspectNews {
-	s.forget(now)
-	ids := s.sorted()
-	var out []SuspectNews
-	for _, id := range ids[:min(len(ids), maxSuspectNews)] {
-		p := s.parts[id]
-		out = append(out, SuspectNews{id, slices.Clone(p.ends), p.provenAt})
-	}
-	return out
-}
-
-// RecordNews records what a peer knows of a part. held and cleared say whether requests
-// with it are held back because of that, or no longer.
-func (s *Suspects) RecordNews(n SuspectNews, now time.Time) (held, cleared bool) {
-	if len(n.Ends) == 0 {
-		return false, false
-	}
-	p := s.suspect(n.Part, now)
-	before := s.evidence(p)
-	for _, e := range n.Ends {
-		p.addEnd(e)
-	}
-	if n.ProvenAt.After(p.provenAt) {
-		p.provenAt = n.ProvenAt
-		s.proven.record(n.Part, n.ProvenAt)
-	}
-	after := s.evidence(p)
-	return after > before, before > 0 && after == 0
-}
-
 // Held returns the parts because of which requests are held back.
 func (s *Suspects) Held() []string {
 	return slices.DeleteFunc(s.sorted(), func(id string) bool { return s.evidence(s.parts[id]) == 0 })
@@ -382,74 +291,3 @@
 // ClearingTime is the time that peers have after an end to say which of the parts that it
 // implicates are sound.
 const ClearingTime = 20 * time.Millisecond
-
-// Age makes all that is known older by d.
-func (s *Suspects) Age(d time.Duration) {
-	for _, p := range s.parts {
-		for i := range p.ends {
-			p.ends[i].At = p.ends[i].At.Add(-d)
-		}
-		if !p.provenAt.IsZero() {
-			p.provenAt = p.provenAt.Add(-d)
-		}
-	}
-	s.proven.age(d)
-}
-
-// SuspectState is the debug state of a part.
-type SuspectState struct {
-	Part string `json:"part"`
-	// Ends is the number of upstreams that ended and may have done so because of the part.
-	Ends int `json:"ends"`
-	// Evidence is the number of those that speak against it, after the last proof.
-	Evidence  int   `json:"evidence"`
-	HeldForMS int64 `json:"held-for-milliseconds"`
-}
-
-// State returns the debug state of all implicated parts at now.
-func (s *Suspects) State(now time.Time) []SuspectState {
-	var out []SuspectState
-	for _, id := range s.sorted() {
-		p := s.parts[id]
-		out = append(out, SuspectState{id, len(p.ends), s.evidence(p), max(s.heldUntil(p, s.Held()).Sub(now), 0).Milliseconds()})
-	}
-	return out
-}
-
-// provenParts holds when requests with a part last made progress, for at least proofTime or
-// the last maxProven parts.
-type provenParts struct {
-	current, previous map[string]time.Time
-	// begun is the time of the first record in current.
-	begun time.Time
-}
-
-// maxProven limits each of the two generations of proven parts.
-const maxProven = 4096
-
-// last returns when a part was last proven, zero if not known.
-func (p *provenParts) last(id string) time.Time {
-	if at, ok := p.current[id]; ok {
-		return at
-	}
-	return p.previous[id]
-}
-
-// record records that a part was proven at a time.
-func (p *provenParts) record(id string, at time.Time) {
-	if p.current == nil || len(p.current) >= maxProven || at.Sub(p.begun) >= proofTime {
-		p.current, p.previous, p.begun = map[string]time.Time{}, p.current, at
-	}
-	if at.After(p.last(id)) {
-		p.current[id] = at
-	}
-}
-
-func (p *provenParts) age(d time.Duration) {
-	for _, generation := range []map[string]time.Time{p.current, p.previous} {
-		for id, at := range generation {
-			generation[id] = at.Add(-d)
-		}
-	}
-	p.begun = p.begun.Add(-d)
-}
--- a/internal/core/upstream/suspects_test.go
+++ b/internal/core/upstream/suspects_test.go
@@ -19,11 +19,17 @@
 
 // listedSuspects returns Suspects of the only entry.
 func listedSuspects() *Suspects {
-	s := NewSuspects("e0")
+	s := NewSuspects("e0", PromptParts{})
 	s.Configure([]fleet.Instance{{Name: "e0", Role: fleet.EntryRole}})
 	return s
 }
 
+// recordEnd records an end and returns the parts that are held back because of it.
+func recordEnd(s *Suspects, of service.Incarnation, parts []string, now time.Time) []string {
+	held, _ := s.RecordEnd(of, parts, now)
+	return held
+}
+
 // TestPartIsHeldBackLongerWithEachEnd guards against requests with a part that go on ending
 // upstreams: each end lengthens the time until the next one is tried.
 func TestPartIsHeldBackLongerWithEachEnd(t *testing.T) {
@@ -40,7 +46,7 @@
 		}
 		gaps = append(gaps, now.Sub(began))
 		s.RecordProgress([]string{"first"}, now)
-		is.Equal(s.RecordEnd(endOf(n), []string{"deadly"}, now), []string{"deadly"})
+		is.Equal(recordEnd(s, endOf(n), []string{"deadly"}, now), []string{"deadly"})
 	}
 	is.True(slices.IsSorted(gaps))
 	after := time.Duration(0)
@@ -59,16 +65,16 @@
 func TestProgressClearsPart(t *testing.T) {
 	is := is.New(t)
 	s, now := listedSuspects(), time.Now()
-	is.Equal(s.RecordEnd(endOf(1), []string{"a"}, now), []string{"a"})
+	is.Equal(recordEnd(s, endOf(1), []string{"a"}, now), []string{"a"})
 	_, ok := s.Admit([]string{"a"}, now)
 	is.True(!ok)
 	is.Equal(s.RecordProgress([]string{"a"}, now.Add(time.Millisecond)), []string{"a"})
 	_, ok = s.Admit([]string{"a"}, now.Add(time.Millisecond))
 	is.True(ok)
 	// A part that was proven lately is not suspected after a few ends at once.
-	is.Equal(len(s.RecordEnd(endOf(2), []string{"a"}, now.Add(time.Second))), 0)
-	is.Equal(len(s.RecordEnd(endOf(3), []string{"a"}, now.Add(time.Second))), 0)
-	is.Equal(len(s.RecordEnd(endOf(4), []string{"a"}, now.Add(time.Second))), 0)
+	is.Equal(len(recordEnd(s, endOf(2), []string{"a"}, now.Add(time.Second))), 0)
+	is.Equal(len(recordEnd(s, endOf(3), []string{"a"}, now.Add(time.Second))), 0)
+	is.Equal(len(recordEnd(s, endOf(4), []string{"a"}, now.Add(time.Second))), 0)
 }
 
 // TestEndIsExplainedByPartThatEndedOthers guards against holding back a sound part that few
@@ -76,9 +82,9 @@
 func TestEndIsExplainedByPartThatEndedOthers(t *testing.T) {
 	is := is.New(t)
 	s, now := listedSuspects(), time.Now()
-	s.RecordEnd(endOf(1), []string{"deadly"}, now)
-	is.Equal(s.RecordEnd(endOf(2), []string{"rare"}, now), []string{"rare"})
-	s.RecordEnd(endOf(2), []string{"deadly"}, now)
+	recordEnd(s, endOf(1), []string{"deadly"}, now)
+	is.Equal(recordEnd(s, endOf(2), []string{"rare"}, now), []string{"rare"})
+	recordEnd(s, endOf(2), []string{"deadly"}, now)
 	_, ok := s.Admit([]string{"rare"}, now)
 	is.True(ok)
 	_, ok = s.Admit([]string{"deadly"}, now)
@@ -92,8 +98,8 @@
 	is := is.New(t)
 	s, now := listedSuspects(), time.Now()
 	sound, deadly := []string{"shared"}, []string{"shared", "deadly"}
-	s.RecordEnd(endOf(1), deadly, now)
-	s.RecordEnd(endOf(2), deadly, now.Add(time.Millisecond))
+	recordEnd(s, endOf(1), deadly, now)
+	recordEnd(s, endOf(2), deadly, now.Add(time.Millisecond))
 	is.True(s.Conclusive(deadly, now.Add(time.Millisecond)))
 	is.True(!s.Conclusive(sound, now.Add(time.Second))) // goes on and may prove its part
 	now = now.Add(ambiguousHold + time.Second)
@@ -113,12 +119,12 @@
 func TestOneEndSoonAfterStartIsNotConclusive(t *testing.T) {
 	is := is.New(t)
 	s, now := listedSuspects(), time.Now()
-	s.RecordEnd(endOf(1), []string{"a"}, now)
+	recordEnd(s, endOf(1), []string{"a"}, now)
 	is.True(!s.Conclusive([]string{"a"}, now.Add(ClearingTime)))
 	s.RecordProgress([]string{"b"}, now)
 	is.True(!s.Conclusive([]string{"a"}, now.Add(ClearingTime)))
 	now = now.Add(minHistory)
-	s.RecordEnd(endOf(2), []string{"c"}, now)
+	recordEnd(s, endOf(2), []string{"c"}, now)
 	is.True(s.Conclusive([]string{"c"}, now.Add(ClearingTime)))
 }
 
@@ -130,10 +136,10 @@
 	s.RecordProgress([]string{"a"}, now)
 	for n := range provenAllowance {
 		now = now.Add(2 * time.Second)
-		is.Equal(len(s.RecordEnd(endOf(n), []string{"a"}, now)), 0)
+		is.Equal(len(recordEnd(s, endOf(n), []string{"a"}, now)), 0)
 	}
 	now = now.Add(2 * time.Second)
-	is.Equal(s.RecordEnd(endOf(9), []string{"a"}, now), []string{"a"})
+	is.Equal(recordEnd(s, endOf(9), []string{"a"}, now), []string{"a"})
 }
 
 // TestOneTrialAtATime guards against a trial of a part at each of the processes when the time
@@ -144,12 +150,12 @@
 	var processes []*Suspects
 	var entries []fleet.Instance
 	for i := range 20 {
-		processes = append(processes, NewSuspects(fmt.Sprint("e", i)))
+		processes = append(processes, NewSuspects(fmt.Sprint("e", i), PromptParts{}))
 		entries = append(entries, fleet.Instance{Name: fmt.Sprint("e", i), Role: fleet.EntryRole})
 	}
 	for _, s := range processes {
 		s.Configure(entries)
-		s.RecordEnd(endOf(1), []string{"a"}, now)
+		recordEnd(s, endOf(1), []string{"a"}, now)
 	}
 	var trials []time.Time
 	for at := now; at.Before(now.Add(firstHold + 3*trialInterval)); at = at.Add(10 * time.Millisecond) {
@@ -176,9 +182,9 @@
 		entries = append(entries, fleet.Instance{Name: fmt.Sprint("e", i), Role: fleet.EntryRole})
 	}
 	for _, e := range entries {
-		s := NewSuspects(e.Name)
+		s := NewSuspects(e.Name, PromptParts{})
 		s.Configure(entries)
-		s.RecordEnd(endOf(1), []string{"a"}, now)
+		recordEnd(s, endOf(1), []string{"a"}, now)
 		_, ok := s.Admit([]string{"a"}, now.Add(firstHold+trialSpread))
 		is.True(ok)
 	}
@@ -192,13 +198,13 @@
 	knows, restarted, proves := listedSuspects(), listedSuspects(), listedSuspects()
 	tell := func(from, to *Suspects) (held, cleared bool) {
 		for _, n := range from.News(now) {
-			h, c := to.RecordNews(n, now)
-			held, cleared = held || h, cleared || c
+			c := to.RecordNews(n, now)
+			held, cleared = held || c.Held, cleared || c.Cleared
 		}
 		return held, cleared
 	}
 	proves.RecordProgress([]string{"sound"}, now.Add(-time.Second))
-	knows.RecordEnd(endOf(1), []string{"sound", "deadly"}, now)
+	recordEnd(knows, endOf(1), []string{"sound", "deadly"}, now)
 	held, _ := tell(knows, restarted)
 	is.True(held)
 	_, ok := restarted.Admit([]string{"deadly"}, now)
@@ -214,7 +220,7 @@
 	is.True(ok)
 	_, ok = proves.Admit([]string{"deadly"}, now)
 	is.True(!ok)
-	restarted.RecordEnd(endOf(2), []string{"deadly"}, now)
+	recordEnd(restarted, endOf(2), []string{"deadly"}, now)
 	is.True(restarted.Conclusive([]string{"deadly"}, now))
 }
 
@@ -226,7 +232,7 @@
 		s.RecordProgress([]string{fmt.Sprint("sound", n)}, now)
 	}
 	for n := range maxSuspects + 64 {
-		s.RecordEnd(endOf(n), []string{fmt.Sprint("part", n), "deadly"}, now)
+		recordEnd(s, endOf(n), []string{fmt.Sprint("part", n), "deadly"}, now)
 	}
 	is.True(len(s.parts) <= maxSuspects)
 	is.True(len(s.proven.current)+len(s.proven.previous) <= 2*maxProven)
@@ -273,7 +279,7 @@
 	f := &deadlyFleet{random: rand.New(rand.NewPCG(seed, 7)), now: time.Now(), downUntil: make([]time.Time, groups)}
 	var entries []fleet.Instance
 	for i := range processes {
-		f.processes = append(f.processes, NewSuspects(fmt.Sprint("e", i)))
+		f.processes = append(f.processes, NewSuspects(fmt.Sprint("e", i), PromptParts{}))
 		entries = append(entries, fleet.Instance{Name: fmt.Sprint("e", i), Role: fleet.EntryRole})
 	}
 	for _, s := range f.processes {
@@ -333,8 +339,10 @@
 	f.ends = append(f.ends, f.now)
 	f.downUntil[group] = f.now.Add(groupDown)
 	f.running = slices.DeleteFunc(f.running, func(r *fleetRequest) bool {
-		if r.group == group && r.upstream == upstream && len(f.processes[r.process].RecordEnd(of, r.parts, f.now)) > 0 {
-			f.announce(r.process)
+		if r.group == group && r.upstream == upstream {
+			if _, learned := f.processes[r.process].RecordEnd(of, r.parts, f.now); learned {
+				f.announce(r.process)
+			}
 		}
 		return r.group == group
 	})
@@ -352,8 +360,7 @@
 		}
 		urgent := false
 		for _, m := range f.processes[n.from].News(f.now) {
-			held, _ := f.processes[n.to].RecordNews(m, f.now)
-			urgent = urgent || held
+			urgent = f.processes[n.to].RecordNews(m, f.now).Learned || urgent
 		}
 		if urgent && len(f.processes) > announcedPeers {
 			f.exchange(n.to, forwardedPeers)
--- a/internal/entry/client/forward.go
+++ b/internal/entry/client/forward.go
@@ -56,9 +56,9 @@
 	// heldUntil is when the first upstream may be sent a request again if all that are
 	// left have asked for fewer requests, otherwise zero.
 	heldUntil time.Time
-	// promptHold is the time after which a request with the same parts of the prompt may be
-	// sent again if they are held back, otherwise zero.
-	promptHold time.Duration
+	// contentHold is the time after which a request like this one may be sent again if such
+	// requests are held back, otherwise zero.
+	contentHold time.Duration
 	// lastFailure is the latest complete 5xx response of an upstream, nil if
 	// none.
 	lastFailure *upstreamFailure
@@ -80,10 +80,10 @@
 	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
 	defer cancel()
 	for {
-		if wait, ok := h.pools.Admit(c.service, c.info.SharedParts, time.Now()); !ok {
+		if why, wait := h.pools.Admit(c.service, f.content(), time.Now()); why != coreupstream.NothingHeld {
 			f.returnRetry()
-			f.promptHold = wait
-			f.fail(f.retryState.PromptHeld(time.Now()))
+			f.contentHold = wait
+			f.fail(f.contentHeld(why, time.Now()))
 			return
 		}
 		u, ok := h.pools.Choose(c.service, f.query, time.Now())
@@ -105,6 +105,14 @@
 	}
 }
 
+// contentHeld returns the refusal for a request that is held back because of its content.
+func (f *forwarding) contentHeld(why coreupstream.HeldContent, now time.Time) core.RefuseWith {
+	if why == coreupstream.RequestHeld {
+		return f.retryState.RequestHeld(now)
+	}
+	return f.retryState.PromptHeld(now)
+}
+
 // noUpstream returns the refusal for a request that no upstream may be sent at now.
 func (f *forwarding) noUpstream(now time.Time) core.RefuseWith {
 	until, held := f.handler.pools.HeldUntil(f.service, f.query, now)
@@ -160,8 +168,8 @@
 // its time has too little left to be served.
 func (f *forwarding) retryAfter(k answer.Kind) time.Duration {
 	now := time.Now()
-	if f.promptHold > 0 {
-		return f.promptHold
+	if f.contentHold > 0 {
+		return f.contentHold
 	}
 	if wait := f.heldUntil.Sub(now); wait > 0 {
 		// Callers that are refused in a row must not come back at once.
@@ -187,7 +195,7 @@
 	defer cancel()
 	f.progressed = false
 	f.interruption.Store(int32(upstream.Uninterrupted))
-	f.watch = f.handler.pools.Watch(u, f.info.SharedParts, f.route.Repeatable(), func(why upstream.Interruption) {
+	f.watch = f.handler.pools.Watch(u, f.content(), f.route.Repeatable(), func(why upstream.Interruption) {
 		f.interruption.Store(int32(why))
 		cancel()
 	}, began)
@@ -240,6 +248,16 @@
 
 func isSuccess(r *http.Response) bool { return r.StatusCode/100 == 2 }
 
+// isCallerError reports whether a status tells that the upstream has handled the request and
+// that the caller is at fault.
+func isCallerError(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests:
+		return false
+	}
+	return status/100 == 4
+}
+
 // attemptTimeout returns the longest time that an attempt starting now may
 // take. An attempt that another one can follow leaves time for it; streams are
 // limited by the stall timer instead.
@@ -366,6 +384,7 @@
 // sent as it arrives. A 5xx response that is not longer is kept in lastFailure
 // instead, since the request may be retried.
 func (f *forwarding) relayResponse(ctx context.Context, u service.Upstream, x *upstream.Exchange, began time.Time) core.Outcome {
+	f.watch.RecordBegin()
 	body, more, err := x.ReadBody(maxHeldResponse)
 	if err != nil {
 		return f.recordFailure(ctx, u, began, err)
@@ -379,8 +398,11 @@
 		return core.Failed{}
 	}
 	f.handler.pools.RecordOutcome(u, coreupstream.Answered, time.Since(began), time.Now())
-	if isSuccess(x.Response) {
+	switch {
+	case isSuccess(x.Response):
 		f.recordProgress()
+	case isCallerError(status):
+		f.watch.RecordError(time.Now())
 	}
 	if f.headSent {
 		// A stream whose head was sent cannot continue with a response of
--- a/internal/entry/client/progress.go
+++ b/internal/entry/client/progress.go
@@ -31,6 +31,11 @@
 // first one may have left an upstream that ended on the request.
 const minProgress = 2
 
+// content returns what the request consists of.
+func (f *forwarding) content() coreupstream.Content {
+	return coreupstream.Content{Identity: f.identity, Parts: f.info.SharedParts}
+}
+
 // recordProgress records that the current attempt has made progress.
 func (f *forwarding) recordProgress() {
 	if !f.progressed {
@@ -40,14 +45,14 @@
 }
 
 // checkEnd checks whether an upstream that lost an attempt has ended. If so, and the attempt
-// had made no progress, the parts of the prompt are implicated.
+// had made no progress, the content of the request is implicated.
 func (f *forwarding) checkEnd(ctx context.Context, u service.Upstream) {
 	if !dial.Refused(ctx, u.Address) {
 		return
 	}
-	var parts []string
+	var content coreupstream.Content
 	if !f.progressed {
-		parts = f.info.SharedParts
+		content = f.content()
 	}
-	f.handler.pools.RecordEnd(u, parts, f.info.ID, time.Now())
+	f.handler.pools.RecordEnd(u, content, f.info.ID, time.Now())
 }
--- a/internal/entry/direct/entry.go
+++ b/internal/entry/direct/entry.go
@@ -176,20 +176,29 @@
 		return float64(n)
 	})
 	gauge("bramleydeal_prompt_parts_held", func() float64 {
-		n := 0
-		for _, suspects := range e.pools.Suspects(time.Now()) {
-			for _, s := range suspects {
-				if s.HeldForMS > 0 {
-					n++
-				}
-			}
-		}
-		return float64(n)
+		return e.countHeld(func(s upstream.SuspectStates) []core.SuspectState { return s.Parts })
+	})
+	gauge("bramleydeal_requests_held", func() float64 {
+		return e.countHeld(func(s upstream.SuspectStates) []core.SuspectState { return s.Requests })
 	})
 	gauge(`bramleydeal_log_lines_left_out{reason="reader-slow"}`, func() float64 { dropped, _ := e.log.OmittedLines(); return float64(dropped) })
 	gauge(`bramleydeal_log_lines_left_out{reason="over-the-rate"}`, func() float64 { _, suppressed := e.log.OmittedLines(); return float64(suppressed) })
 }
 
+// countHeld returns the number of suspects for which requests are held back, of those that
+// kind selects.
+func (e *Entry) countHeld(kind func(upstream.SuspectStates) []core.SuspectState) float64 {
+	n := 0
+	for _, states := range e.pools.Suspects(time.Now()) {
+		for _, s := range kind(states) {
+			if s.HeldForMS > 0 {
+				n++
+			}
+		}
+	}
+	return float64(n)
+}
+
 func retryQuotaConfig(d *config.Direct) core.RetryQuotaConfig {
 	return core.RetryQuotaConfig{
 		Ratio: d.RetryRatio, Slack: d.RetrySlack, Window: time.Duration(d.RetryWindow),
@@ -377,9 +386,9 @@
 	InFlight      int64                         `json:"in-flight"`
 	Directory     directory.State               `json:"directory"`
 	Upstreams     map[string][]core.MemberState `json:"upstreams"`
-	// Suspects are the parts of prompts on which upstreams may have ended, by service.
-	Suspects map[string][]core.SuspectState `json:"suspects"`
-	Peers    dial.TrafficState              `json:"peers"`
+	// Suspects are the contents of requests on which upstreams may have ended, by service.
+	Suspects map[string]upstream.SuspectStates `json:"suspects"`
+	Peers    dial.TrafficState                 `json:"peers"`
 }
 
 // State returns the entry's debug state.
--- a/internal/entry/upstream/advice.go
+++ b/internal/entry/upstream/advice.go
@@ -50,7 +50,7 @@
 }
 
 // News returns what this entry knows of the limits and the leaving of upstreams and of
-// suspected parts of prompts, for its peers.
+// suspected contents of requests, for its peers.
 func (p *Pools) News(now time.Time) (upstreams []*peer.UpstreamNews, prompts []*peer.PromptNews) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -58,15 +58,18 @@
 		for _, n := range s.pool.News(now) {
 			upstreams = append(upstreams, peer.NewsToProto(name, n, now))
 		}
-		for _, n := range s.suspects.News(now) {
-			prompts = append(prompts, peer.PromptNewsToProto(name, n, now))
+		for _, n := range s.suspects.Parts.News(now) {
+			prompts = append(prompts, peer.PromptNewsToProto(name, core.PromptParts{}, n, now))
+		}
+		for _, n := range s.suspects.Requests.News(now) {
+			prompts = append(prompts, peer.PromptNewsToProto(name, core.WholeRequests{}, n, now))
 		}
 	}
 	return upstreams, prompts
 }
 
 // RecordNews records and logs what the peer named source knows of upstreams and of suspected
-// parts of prompts. It reports whether requests are held back or interrupted because of that.
+// contents of requests. It reports whether requests are held back or interrupted because of that.
 func (p *Pools) RecordNews(upstreams []*peer.UpstreamNews, prompts []*peer.PromptNews, source string, now time.Time) bool {
 	urgent, implicated := false, false
 	for _, m := range upstreams {
@@ -77,7 +80,7 @@
 			if changes = s.pool.RecordNews(n, now); slices.Contains(changes, core.Ended) {
 				urgent = true
 				s.interruptGroup(n.Of, now)
-				implicated = implicated || len(s.suspects.RecordEnd(n.Of, s.heldBackAt(n.Of, now), now)) > 0
+				implicated = implicated || s.suspects.RecordEnd(n.Of, s.heldBackAt(n.Of, now), now).Learned
 			}
 		}
 		p.mu.Unlock()
@@ -86,7 +89,7 @@
 	if implicated {
 		p.announce()
 	}
-	return p.recordPromptNews(prompts, source, now) || urgent
+	return p.recordContentNews(prompts, source, now) || urgent
 }
 
 // Suspended makes all that is known of the limits of upstreams and of prompts older by d.
--- a/internal/entry/upstream/pools.go
+++ b/internal/entry/upstream/pools.go
@@ -42,14 +42,14 @@
 type servicePool struct {
 	pool     *core.Pool
 	quota    *core.RetryQuota
-	suspects *core.Suspects
+	suspects *core.ContentSuspects
 	// watches holds the attempts that may be interrupted.
 	watches map[*Watch]bool
-	// heldBack holds the attempts that were interrupted because of their prompts a short time
+	// heldBack holds the attempts that were interrupted because of their contents a short time
 	// ago, in order of time.
 	heldBack []heldBackAttempt
-	// implicated holds the parts that this entry itself has implicated and that are held
-	// back.
+	// implicated holds the parts and requests that this entry itself has implicated and that
+	// are held back.
 	implicated map[string]bool
 }
 
@@ -105,7 +105,7 @@
 	s := p.services[name]
 	if s == nil {
 		s = &servicePool{
-			core.NewPool(p.seed, p.self, p.domain, p.config.Pool), core.NewRetryQuota(p.config.Quota, p.started), core.NewSuspects(p.self),
+			core.NewPool(p.seed, p.self, p.domain, p.config.Pool), core.NewRetryQuota(p.config.Quota, p.started), core.NewContentSuspects(p.self),
 			map[*Watch]bool{}, nil, map[string]bool{},
 		}
 		p.services[name] = s
--- a/internal/entry/upstream/watch_test.go
+++ b/internal/entry/upstream/watch_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	core "bramleydeal/internal/core/upstream"
 	"bramleydeal/internal/world/service"
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/go-logr/logr"
@@ -19,12 +20,12 @@
 	u := service.Upstream{ID: "u1", Service: "stock"}
 	interrupted := map[string]bool{}
 	watch := func(name string) *Watch {
-		return p.Watch(u, []string{"a"}, true, func(Interruption) { interrupted[name] = true }, now)
+		return p.Watch(u, core.Content{Parts: []string{"a"}}, true, func(Interruption) { interrupted[name] = true }, now)
 	}
 	begun, waiting := watch("begun"), watch("waiting")
 	begun.RecordBegin()
 	for _, id := range []string{"u2", "u3"} {
-		p.RecordEnd(service.Upstream{ID: id, Service: "stock"}, []string{"a"}, "r", now)
+		p.RecordEnd(service.Upstream{ID: id, Service: "stock"}, core.Content{Parts: []string{"a"}}, "r", now)
 	}
 	is.True(!interrupted["begun"])
 	is.True(interrupted["waiting"])
--- a/internal/wire/peer/news.go
+++ b/internal/wire/peer/news.go
@@ -37,10 +37,11 @@
 	return n
 }
 
-// PromptNewsToProto converts news of a part of prompts of requests to the named service for
-// the wire.
-func PromptNewsToProto(serviceName string, n upstream.SuspectNews, now time.Time) *PromptNews {
-	m := &PromptNews{Service: serviceName, Part: n.Part}
+// PromptNewsToProto converts news of a subject, a part of prompts or a whole request to the
+// named service, for the wire.
+func PromptNewsToProto(serviceName string, subject upstream.Subject, n upstream.SuspectNews, now time.Time) *PromptNews {
+	_, whole := subject.(upstream.WholeRequests)
+	m := &PromptNews{Service: serviceName, Part: n.Part, WholeRequest: whole}
 	for _, e := range n.Ends {
 		m.Ends = append(m.Ends, &UpstreamEnd{Upstream: e.Of.ID, StartedAt: timestamppb.New(e.Of.StartedAt), Age: durationpb.New(now.Sub(e.At))})
 	}
@@ -50,8 +51,8 @@
 	return m
 }
 
-// PromptNewsFromProto converts news of a part of prompts from the wire. An age below zero
-// counts as zero.
+// PromptNewsFromProto converts news of a part of prompts or a whole request from the wire. An
+// age below zero counts as zero.
 func PromptNewsFromProto(m *PromptNews, now time.Time) upstream.SuspectNews {
 	n := upstream.SuspectNews{Part: m.Part}
 	for _, e := range m.Ends {
--- a/internal/world/answer/kind.go
+++ b/internal/world/answer/kind.go
@@ -34,6 +34,7 @@
 	QueueTimeout     Kind = "queue-timeout"
 	NoUpstream       Kind = "no-upstream"
 	PromptHeld       Kind = "prompt-held"
+	RequestHeld      Kind = "request-held"
 	Leaving          Kind = "leaving"
 	Sealed           Kind = "sealed"
 	Undecided        Kind = "undecided"
@@ -75,6 +76,7 @@
 	{QueueTimeout, http.StatusServiceUnavailable, NotRun, true, time.Second, "overloaded_error", "The request waited for queue-wait without being started."},
 	{NoUpstream, http.StatusServiceUnavailable, NotRun, true, 2 * time.Second, "overloaded_error", "No upstream of this service or model can be reached."},
 	{PromptHeld, http.StatusServiceUnavailable, NotRun, true, 5 * time.Second, "overloaded_error", "Upstreams ended as they began to answer requests with a part of this prompt; such requests are held back for a time."},
+	{RequestHeld, http.StatusServiceUnavailable, NotRun, true, 5 * time.Second, "overloaded_error", "Upstreams ended as they ran requests equal to this one; such requests are held back for a time."},
 	{Leaving, http.StatusServiceUnavailable, NotRun, true, time.Second, "overloaded_error", "The upstream or the entry is leaving and takes no new work."},
 	{Sealed, http.StatusConflict, NotRun, true, time.Second, "conflict_error", "This attempt was refused earlier and arrived late; a new attempt may run."},
 	{Undecided, http.StatusServiceUnavailable, RunUnknown, true, 2 * time.Second, "overloaded_error", "This attempt was refused, but an earlier one with the same key may have run. Retry with the same key."},
