An agent releases only holds that it has ordered itself

Cause: an agent took every hold that it did not know for a late one of its own. It relied on the engine to refuse the release by its fencing token, but an agent that has promised nothing since the group re-formed has none, and two attempts of one term by different proposers have equal ones.

An adapter now remembers the steps of the holds that it has ordered in this epoch. A hold that is not among them starts a new incarnation that holds at that step, which a leader finds and ends with the change that it belongs to.

--- a/internal/agent/rank/orders.go
+++ b/internal/agent/rank/orders.go
@@ -88,8 +88,15 @@
 	lastCounts []uint32
 	// staged are the maps that were staged last, at most maxStagedMaps.
 	staged []group.Map
+	// ordered are the steps of the last maxOrderedHolds holds that this adapter has ordered in
+	// this epoch. They may be carried out late.
+	ordered []uint64
 }
 
+// maxOrderedHolds is far above the number of holds that are ordered in the seconds after which
+// an engine has carried out an order or never will.
+const maxOrderedHolds = 256
+
 // maxStagedMaps is the number of maps that an adapter keeps. A leader's next map builds on
 // the one in use, after which only a few can have been staged and dropped.
 const maxStagedMaps = 4
@@ -135,8 +142,8 @@
 }
 
 // report reads the engine's report. When the report does not agree with the state, it
-// starts a new incarnation from the report. It also releases a hold that belongs to
-// no change. The caller holds e.mu.
+// starts a new incarnation from the report. It also releases a hold of its own that belongs
+// to no change any more. The caller holds e.mu.
 func (e *orderAdapter) report(ctx context.Context) (Report, error) {
 	r, err := e.engine.Report(ctx)
 	if err != nil {
@@ -145,9 +152,16 @@
 	if e.state == nil || r.Epoch != e.epoch || e.contradictedBy(r) {
 		e.startIncarnation(r)
 	}
-	if r.Hold != 0 && r.Hold != e.state.HoldStep {
+	switch {
+	case r.Hold == 0 || r.Hold == e.state.HoldStep:
+	case !slices.Contains(e.ordered, r.Hold):
+		// Another agent controls the rank and has a change under way, or did before it
+		// stopped. Releasing its hold would let this rank alone begin the step. A leader
+		// finds the hold in the new incarnation and ends it.
+		e.startIncarnation(r)
+	default:
 		// The hold was carried out after its order had been given up. If another agent
-		// that controls this rank sent it, its fencing token is higher, and the engine
+		// holds the rank at the same step, its fencing token is higher, and the engine
 		// refuses this release.
 		e.log.Info("releasing a hold that belongs to no change", "step", r.Hold, "next", r.NextStep)
 		if _, err := e.engine.Release(ctx, e.fence(r, e.state.Promised), r.Hold); err != nil {
@@ -186,6 +200,9 @@
 	if r.Armed != 0 {
 		s.Grants = append(s.Grants, group.Grant{FromStep: r.ArmedStep, MapVersion: r.Armed})
 	}
+	if r.Epoch != e.epoch {
+		e.ordered = nil
+	}
 	e.log.Info("rank incarnation started from the engine's report", "incarnation", s.Incarnation, "epoch", r.Epoch, "map", r.Map, "armed", r.Armed, "hold", r.Hold)
 	e.state, e.epoch, e.heldExperts = s, r.Epoch, nil
 }
@@ -224,6 +241,8 @@
 		if requiredMap != r.Prepared && requiredMap != r.Map {
 			return false, nil
 		}
+		e.ordered = append(e.ordered, next.HoldStep)
+		e.ordered = e.ordered[max(len(e.ordered)-maxOrderedHolds, 0):]
 		return e.engine.Hold(ctx, fence, next.HoldStep)
 	}
 	last := next.Grants[len(next.Grants)-1]
