--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -31,7 +31,7 @@
 	program, logs      string
 	only               string
 	extended           bool
-	prompts            bool
+	prompts, requests  bool
 }
 
 func main() {
@@ -47,6 +47,7 @@
 	flag.StringVar(&f.only, "only", "", "kinds of faults to keep, separated by commas; all when not given")
 	flag.BoolVar(&f.extended, "extended", true, "inject the extended faults too; false repeats a seed from before there were any")
 	flag.BoolVar(&f.prompts, "prompts", true, "have upstreams end on a part of prompts; false repeats a seed from before they did")
+	flag.BoolVar(&f.requests, "requests", true, "have upstreams end on requests that are sent again and again; false repeats a seed from before they did")
 	flag.Parse()
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	// After the first signal, restore the default, so that a second one terminates
@@ -127,6 +128,9 @@
 	if f.prompts {
 		options = append(options, run.WithDeadlyPart())
 	}
+	if f.requests {
+		options = append(options, run.WithDeadlyRequests())
+	}
 	report, err := run.New(seed, f.program, folder, options...).Run(ctx)
 	if err != nil {
 		return nil, oops.Wrapf(err, "seed %d", seed)
--- a/internal/soak/caller/caller.go
+++ b/internal/soak/caller/caller.go
@@ -39,8 +39,8 @@
 	// requestsPerEntry is the number of requests that a caller sends to one entry
 	// before it chooses another one.
 	requestsPerEntry = 12
-	// sharedParts is the number of parts that the prompts of streams share. One stream in
-	// deadlyEvery has the part on which upstreams end.
+	// sharedParts is the number of parts that the prompts of streams share. Upstreams end on
+	// one request in deadlyEvery.
 	sharedParts = 3
 	deadlyEvery = 12
 )
@@ -48,6 +48,9 @@
 // Host is the host of all routes.
 const Host = "books.example"
 
+// DeadlySuffix ends the paths of the requests without a prompt on which upstreams end.
+const DeadlySuffix = "/deadly"
+
 // KeyName returns the API key that a version of the configuration adds.
 func KeyName(version int) string { return fmt.Sprintf("k-%d", version) }
 
@@ -60,8 +63,10 @@
 	KeyVersions func() (accepted, newest int)
 	// StreamBody is the complete body of a stream.
 	StreamBody string
-	// DeadlyPart returns the part of prompts on which upstreams end, empty if there is none.
-	DeadlyPart func() string
+	// DeadlyPart is the part of prompts on which upstreams end.
+	DeadlyPart string
+	// Deadly reports whether requests are sent on which upstreams end for the given cause.
+	Deadly func(history.DeadlyCause) bool
 
 	requestCount atomic.Int64
 	mu           sync.Mutex
@@ -140,17 +145,21 @@
 	switch {
 	case r.Kind == history.Check:
 		call.Method, call.Body = http.MethodGet, ""
+		if c.drawDeadly(random, &r, history.DeadlyCheck) {
+			call.Path += DeadlySuffix
+		}
 		// Only requests of this kind may be denied without harm, so only they are sent
 		// with keys that an entry may deny.
 		r.Key = []int{accepted, newest, newest - 2}[random.IntN(3)]
 	case r.Kind == history.Draft:
 		call.Stream = true
 		shared := fmt.Sprintf("shared%d:40,", len(r.ID)%sharedParts)
-		if part := c.DeadlyPart(); part != "" && random.IntN(deadlyEvery) == 0 {
-			r.Deadly = true
-			shared += part + ":9,"
+		if c.drawDeadly(random, &r, history.DeadlyPart) {
+			shared += c.DeadlyPart + ":9,"
 		}
 		call.Prompt = shared + r.ID + ":100"
+	case c.drawDeadly(random, &r, history.DeadlyConfirm):
+		call.Path, call.Body = call.Path+DeadlySuffix, "slot=deadly"
 	}
 	r.Key = max(r.Key, 1)
 	call.Key = KeyName(r.Key)
@@ -172,6 +181,15 @@
 	c.History.AddRequest(r)
 }
 
+// drawDeadly reports whether upstreams are to end on a request for a cause, and records that.
+func (c *Callers) drawDeadly(random *rand.Rand, r *history.Request, why history.DeadlyCause) bool {
+	if !c.Deadly(why) || random.IntN(deadlyEvery) != 0 {
+		return false
+	}
+	r.Deadly = why
+	return true
+}
+
 // transportOutcome returns the outcome of a request that ended with an error of the
 // transport and no response.
 func transportOutcome(err error) history.Outcome {
--- a/internal/soak/history/check.go
+++ b/internal/soak/history/check.go
@@ -60,7 +60,7 @@
 	c.checkReverts()
 	c.checkDraining()
 	c.checkAdvice()
-	c.checkDeadlyPart()
+	c.checkDeadly()
 	c.checkRetries(slack)
 	return c.violations
 }
@@ -263,7 +263,7 @@
 // the last fault is over. A request may be denied if its key has been dropped.
 func (c *checker) checkRecovery(r *Request) {
 	denied := r.Outcome == Denied && !c.versions[r.Key+2].WriteStarted.IsZero()
-	if !c.recoveredAt.IsZero() && r.Sent.After(c.recoveredAt) && r.Outcome != Answered && !denied && !r.Deadly {
+	if !c.recoveredAt.IsZero() && r.Sent.After(c.recoveredAt) && r.Outcome != Answered && !denied && r.Deadly == "" {
 		c.addViolation("everything is served again", "%v", r)
 	}
 }
--- a/internal/soak/history/history.go
+++ b/internal/soak/history/history.go
@@ -63,8 +63,8 @@
 	// Status is the HTTP status, 0 without a response.
 	Status  int
 	Outcome Outcome
-	// Deadly is set if the prompt has the part on which upstreams end.
-	Deadly bool
+	// Deadly is why upstreams end on the request, empty if they do not.
+	Deadly DeadlyCause
 	// Detail is the error, the wrong content, the body of the error response,
 	// or the upstream that answered.
 	Detail string
@@ -110,8 +110,8 @@
 	// draining, by upstream.
 	drainingSince map[string]time.Time
 	advice        []*Advice
-	// deadlyEnds are the times at which upstreams ended on a prompt.
-	deadlyEnds []time.Time
+	// deadlyEnds are the times at which upstreams ended on requests, by cause.
+	deadlyEnds map[DeadlyCause][]time.Time
 	// recoveredAt is the time at which the recovery time after the last fault was over,
 	// zero until then.
 	recoveredAt time.Time
--- a/internal/soak/run/extended.go
+++ b/internal/soak/run/extended.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"net/http"
+	"strings"
 	"time"
 
+	"bramleydeal/internal/soak/caller"
 	"bramleydeal/internal/soak/history"
 	"bramleydeal/internal/soak/program"
 	"bramleydeal/internal/soak/schedule"
@@ -111,21 +114,35 @@
 // deadlyPartID is the part of prompts on which upstreams end.
 const deadlyPartID = "deadly"
 
-// deadlyRestart is the time after which an upstream that ended on a prompt is back.
+// deadlyCause returns why upstreams end on a request, empty if they do not.
+func deadlyCause(r standin.Run) string {
+	switch {
+	case standin.HasPart(deadlyPartID)(r) != "":
+		return string(history.DeadlyPart)
+	case !strings.HasSuffix(r.Target, caller.DeadlySuffix):
+		return ""
+	case r.Method == http.MethodGet:
+		return string(history.DeadlyCheck)
+	default:
+		return string(history.DeadlyConfirm)
+	}
+}
+
+// deadlyRestart is the time after which an upstream that ended on a request is back.
 const deadlyRestart = time.Second
 
-// activeDeadlyPart implements caller.Callers.DeadlyPart.
-func (s *Soak) activeDeadlyPart() string {
-	if s.deadlyActive.Load() {
-		return deadlyPartID
+// sendsDeadly implements caller.Callers.Deadly.
+func (s *Soak) sendsDeadly(why history.DeadlyCause) bool {
+	if why == history.DeadlyPart {
+		return s.deadlyPart && s.deadlyActive.Load()
 	}
-	return ""
+	return s.deadlyRequests && s.deadlyActive.Load()
 }
 
-// endUpstream is called when an upstream ends on a prompt, before its connections are closed.
+// endUpstream is called when an upstream ends on a request, before its connections are closed.
 // Another upstream starts in its slot after deadlyRestart.
-func (s *Soak) endUpstream(slot *upstreamSlot, id string) {
-	s.history.AddDeadlyEnd()
+func (s *Soak) endUpstream(slot *upstreamSlot, id, why string) {
+	s.history.AddDeadlyEnd(history.DeadlyCause(why))
 	end := s.history.BeginFault(history.FaultInterval{Target: id, Fault: string(schedule.DeadlyPart)})
 	s.mu.Lock()
 	link := slot.link
--- a/internal/soak/run/run.go
+++ b/internal/soak/run/run.go
@@ -74,10 +74,10 @@
 	entryCount, upstreamCount int
 	faultDuration             time.Duration
 	faultKinds                []schedule.Fault
-	// deadlyPart is true if upstreams end on a part of prompts for a time, deadlyActive
-	// while requests with it are sent.
-	deadlyPart   bool
-	deadlyActive atomic.Bool
+	// deadlyPart is true if upstreams end on a part of prompts for a time, deadlyRequests if
+	// they end on equal requests, deadlyActive while such requests are sent.
+	deadlyPart, deadlyRequests bool
+	deadlyActive               atomic.Bool
 	// extendedFaults is true if the faults of schedule.GenerateExtended are injected too.
 	extendedFaults bool
 
@@ -134,6 +134,9 @@
 // WithDeadlyPart makes upstreams end on a part of prompts that some requests have.
 func WithDeadlyPart() Option { return func(s *Soak) { s.deadlyPart = true } }
 
+// WithDeadlyRequests makes upstreams end on two requests that are sent again and again.
+func WithDeadlyRequests() Option { return func(s *Soak) { s.deadlyRequests = true } }
+
 // New returns a run whose faults the seed determines. program is the path of the
 // bramleydeal executable; the settings and logs of the entries are written to
 // folder.
@@ -203,7 +206,7 @@
 		slices.SortStableFunc(steps, func(a, b schedule.Step) int { return int(a.At - b.At) })
 		go s.keepCopies(ctx)
 	}
-	if s.deadlyPart {
+	if s.deadlyPart || s.deadlyRequests {
 		steps = append(steps, schedule.GenerateDeadlyPart(s.seed, s.faultDuration))
 		slices.SortStableFunc(steps, func(a, b schedule.Step) int { return int(a.At - b.At) })
 	}
@@ -223,7 +226,7 @@
 func (s *Soak) runSchedule(ctx context.Context, steps []schedule.Step) {
 	calls, stop := context.WithCancel(ctx)
 	defer stop()
-	callers := &caller.Callers{History: s.history, Entries: s.entries, KeyVersions: s.keyVersions, StreamBody: s.upstreamSlots[0].upstream.StreamBody(), DeadlyPart: s.activeDeadlyPart}
+	callers := &caller.Callers{History: s.history, Entries: s.entries, KeyVersions: s.keyVersions, StreamBody: s.upstreamSlots[0].upstream.StreamBody(), DeadlyPart: deadlyPartID, Deadly: s.sendsDeadly}
 	var running sync.WaitGroup
 	running.Go(func() { callers.Run(calls, s.seed, callersPerEntry*len(s.entries)) })
 	start := time.Now()
@@ -300,7 +303,7 @@
 	s.mu.Unlock()
 	w := standin.NewWorker(id, standin.WithProcessingTime(processingTime), standin.WithObserver(func(a standin.Arrival) {
 		s.history.AddArrival(a.ID, history.Arrival{Upstream: a.Worker, At: a.At, Executed: a.Executed, Misdirected: a.Misdirected})
-	}), standin.WithDeadlyPart(deadlyPartID, func() { s.endUpstream(slot, id) }))
+	}), standin.WithDeadlyRequests(deadlyCause, func(why string) { s.endUpstream(slot, id, why) }))
 	link, err := s.proxies.NewLink(id, slot.address, w.Address())
 	for end := time.Now().Add(addressTimeout); errors.Is(err, syscall.EADDRINUSE) && time.Now().Before(end); {
 		// The listener of the previous link is closed asynchronously.
--- a/internal/soak/schedule/schedule.go
+++ b/internal/soak/schedule/schedule.go
@@ -47,7 +47,7 @@
 	// some seconds before.
 	StoreRestore Fault = "store-restore"
 	// DeadlyPart makes upstreams end as they begin to answer a request with one part of
-	// prompts.
+	// prompts, or one of some requests that are sent again and again.
 	DeadlyPart Fault = "deadly-part"
 )
 
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -27,8 +27,10 @@
 	// Extended is true if the extended faults are injected too.
 	Extended bool `json:"extended"`
 	// Prompts is true if upstreams end on a part of prompts too.
-	Prompts bool   `json:"prompts"`
-	Cause   string `json:"cause"`
+	Prompts bool `json:"prompts"`
+	// Requests adds the requests that are sent again and again and end upstreams.
+	Requests bool   `json:"requests"`
+	Cause    string `json:"cause"`
 }
 
 // readSeeds returns the runs in seeds.jsonc.
@@ -64,6 +66,9 @@
 			if s.Prompts {
 				options = append(options, run.WithDeadlyPart())
 			}
+			if s.Requests {
+				options = append(options, run.WithDeadlyRequests())
+			}
 			report, err := run.New(s.Seed, program, t.TempDir(), options...).Run(t.Context())
 			is.NoErr(err)
 			for _, v := range report.Violations {
