--- a/internal/core/upstream/requests_test.go
+++ b/internal/core/upstream/requests_test.go
@@ -56,6 +56,7 @@
 		now = now.Add(20 * time.Minute)
 	}
 	is.True(!admits(s, "rare", now.Add(-19*time.Minute)))
+	is.Equal(len(s.News(now.Add(-time.Minute))), 1) // the requests lost to one end are not told for an hour
 }
 
 // TestSoundPollIsNotHeldBack guards against refusing a request that is sound and so often
--- a/internal/core/upstream/suspect_news.go
+++ b/internal/core/upstream/suspect_news.go
@@ -14,14 +14,19 @@
 	ProvenAt time.Time
 }
 
-// News returns what is known of implicated parts at now.
+// News returns what is known of implicated parts at now. Parts that nothing speaks against are
+// news for clearedTime only: the peers have been told by then.
 func (s *Suspects) News(now time.Time) []SuspectNews {
 	s.forget(now)
-	ids := s.sorted()
 	var out []SuspectNews
-	for _, id := range ids[:min(len(ids), maxSuspectNews)] {
+	for _, id := range s.sorted() {
 		p := s.parts[id]
-		out = append(out, SuspectNews{id, slices.Clone(p.ends), p.provenAt})
+		if len(out) == maxSuspectNews {
+			break
+		}
+		if s.evidence(p) > 0 || now.Sub(p.lastEnd().At) <= clearedTime {
+			out = append(out, SuspectNews{id, slices.Clone(p.ends), p.provenAt})
+		}
 	}
 	return out
 }
