--- a/internal/core/upstream/requests_test.go
+++ b/internal/core/upstream/requests_test.go
@@ -44,19 +44,24 @@
 	is.True(trials[3].Sub(trials[0]) > 2*time.Hour)
 }
 
-// TestRareRequestIsHeldBack guards against forgetting the first end before a request that comes
-// every few minutes, and is not retried, ends the second upstream.
+// TestRareRequestIsHeldBack guards against forgetting the ends of a request that comes every
+// twenty minutes and is not retried, and against telling peers for hours of all requests that were
+// ever lost to an end.
 func TestRareRequestIsHeldBack(t *testing.T) {
 	is := is.New(t)
 	s, now := requestSuspects(), time.Now()
-	for n := range minRequestEnds {
-		recordEnd(s, endOf(n), []string{"rare"}, now)
-		s.RecordProgress([]string{"other"}, now)
+	var ends []time.Time
+	for n := range 18 {
+		if admits(s, "rare", now) {
+			recordEnd(s, endOf(n), []string{"rare"}, now)
+			ends = append(ends, now)
+		}
 		recordEnd(s, endOf(100+n), []string{fmt.Sprint("other", n)}, now.Add(time.Minute))
+		news := s.News(now.Add(2 * time.Minute))
+		is.True(len(news) <= 1) // nothing of the others, which nothing speaks against
 		now = now.Add(20 * time.Minute)
 	}
-	is.True(!admits(s, "rare", now.Add(-19*time.Minute)))
-	is.Equal(len(s.News(now.Add(-time.Minute))), 1) // the requests lost to one end are not told for an hour
+	is.True(len(ends) <= 6) // three after the third within six hours
 }
 
 // TestSoundPollIsNotHeldBack guards against refusing a request that is sound and so often
--- a/internal/core/upstream/suspects.go
+++ b/internal/core/upstream/suspects.go
@@ -83,8 +83,8 @@
 	trialSpread    = 20 * time.Second
 	strongEvidence = 3
 	// minForgetTime is the shortest time after its last end for which a part is known.
-	// A part that is not held back is forgotten after clearedTime, or after singleEndTime if
-	// another end may still be enough to hold it back.
+	// A part that is not held back is forgotten after clearedTime. A whole request, which may
+	// come rarely, is known for maxHold or more, or for singleEndTime if it is not held back yet.
 	minForgetTime = 10 * time.Minute
 	clearedTime   = 30 * time.Second
 	singleEndTime = time.Hour
@@ -240,22 +240,30 @@
 // forget removes the parts that were not implicated for long, and the one implicated first
 // if there are too many.
 func (s *Suspects) forget(now time.Time) {
-	maps.DeleteFunc(s.parts, func(_ string, p *suspect) bool {
-		age := now.Sub(p.lastEnd().At)
-		if evidence := s.evidence(p); evidence > 0 {
-			return age > max(2*holdTime(evidence), minForgetTime)
-		}
-		if _, whole := s.subject.(WholeRequests); whole && p.lastEnd().At.After(p.provenAt) {
-			return age > singleEndTime
-		}
-		return age > clearedTime
-	})
+	maps.DeleteFunc(s.parts, func(_ string, p *suspect) bool { return now.Sub(p.lastEnd().At) > s.forgetTime(p) })
 	if len(s.parts) >= maxSuspects {
 		ids := s.sorted()
 		delete(s.parts, ids[len(ids)-1])
 	}
 }
 
+// forgetTime returns the time after its last end for which a part is known.
+func (s *Suspects) forgetTime(p *suspect) time.Duration {
+	evidence := s.evidence(p)
+	if _, whole := s.subject.(WholeRequests); whole {
+		switch {
+		case evidence > 0:
+			return max(2*holdTime(evidence), maxHold)
+		case p.lastEnd().At.After(p.provenAt):
+			return singleEndTime
+		}
+	}
+	if evidence > 0 {
+		return max(2*holdTime(evidence), minForgetTime)
+	}
+	return clearedTime
+}
+
 // sorted returns the IDs of all parts, those with the most evidence and the latest end
 // first.
 func (s *Suspects) sorted() []string {
