Changes of a map are refused where they do not lead to the sender's map

Cause, found by reading: a leader sends a map as changes of the slots of the map in use. A new leader knows that map from the ranks' reports, which leave out empty slots, so its slots may differ from those of the ranks that have staged the map. These applied the changes to other slots than the leader meant, and a rank whose agent had restarted got the whole map.

The changes now come with a digest of the map that they lead to. A rank that gets another one says that it does not know the base, and is sent the whole map.

TestChangesOfTheSameMapInOtherSlotsAreNotApplied found another content before, within the first histories that it drew.

--- a/internal/wire/orders/maps.go
+++ b/internal/wire/orders/maps.go
@@ -1,8 +1,10 @@
 package orders
 
 import (
+	"encoding/binary"
 	"encoding/json"
 	"errors"
+	"hash/fnv"
 
 	"bramleydeal/internal/core/group"
 	"bramleydeal/internal/wire/peer"
@@ -27,7 +29,7 @@
 			out.Layers = append(out.Layers, set)
 		}
 	} else {
-		out.Base, out.Changes = base.Version, layerChanges(*base, m)
+		out.Base, out.Changes, out.Digest = base.Version, layerChanges(*base, m), digest(m)
 	}
 	content, err := proto.Marshal(out)
 	if err != nil {
@@ -36,6 +38,20 @@
 	return content, nil
 }
 
+// digest returns a hash of the slots of a map, which is not 0.
+func digest(m group.Map) uint64 {
+	h := fnv.New64a()
+	var slot [8]byte
+	for _, layer := range m.Layers {
+		for _, e := range layer {
+			binary.BigEndian.PutUint64(slot[:], uint64(e+1))
+			// Writes to a hash never fail.
+			_, _ = h.Write(slot[:])
+		}
+	}
+	return max(h.Sum64(), 1)
+}
+
 // layerChanges returns the slots of m that differ from base.
 func layerChanges(base, m group.Map) []*peer.LayerChange {
 	var out []*peer.LayerChange
@@ -56,7 +72,9 @@
 }
 
 // DecodeMap returns the map of a version from its content. known returns the maps that a
-// content may build on; the error wraps ErrUnknownBase if it does not know the base.
+// content may build on; the error wraps ErrUnknownBase if it does not know the base, or has
+// another map of that version: a sender that has read a map from the ranks does not know its
+// slots.
 func DecodeMap(version uint64, content []byte, known func(version uint64) (group.Map, bool)) (group.Map, error) {
 	if len(content) > 0 && content[0] == '{' {
 		// An agent of an earlier version, which leads the group, sends JSON.
@@ -78,7 +96,13 @@
 			return group.Map{}, oops.Code("invalid-order").Wrapf(ErrUnknownBase, "map %d", p.Base)
 		}
 		m.Layers = base.Clone().Layers
-		return m, applyChanges(m, p.Changes)
+		if err := applyChanges(m, p.Changes); err != nil {
+			return m, err
+		}
+		if p.Digest != 0 && p.Digest != digest(m) {
+			return m, oops.Code("invalid-order").Wrapf(ErrUnknownBase, "map %d has other slots here", p.Base)
+		}
+		return m, nil
 	}
 	for l, set := range p.Layers {
 		if len(set.Experts) != m.Ranks*m.Slots {
--- a/internal/wire/orders/maps_test.go
+++ b/internal/wire/orders/maps_test.go
@@ -34,6 +34,37 @@
 	})
 }
 
+// TestChangesOfTheSameMapInOtherSlotsAreNotApplied guards against ranks with different maps of one
+// version: a new leader knows the map in use from the ranks' reports, which leave out empty slots,
+// and the ranks that have staged it know its slots. Those apply the leader's changes to other slots
+// than it meant, while ranks that have restarted get the whole map (MAP, seed 237078516672 of
+// tainted-amid-restarts).
+func TestChangesOfTheSameMapInOtherSlotsAreNotApplied(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		is := is.New(t)
+		shape := group.Shape{Ranks: rapid.IntRange(1, 4).Draw(t, "ranks"), Slots: rapid.IntRange(1, 4).Draw(t, "slots"), Layers: 2}
+		staged := drawMap(t, 7, shape.Ranks, shape.Slots, shape.Layers)
+		byRank := make([][][]int, shape.Ranks)
+		for r := range byRank {
+			for _, layer := range staged.ByLayerAndRank() {
+				byRank[r] = append(byRank[r], layer[r])
+			}
+		}
+		reported := group.MapFromRanks(7, byRank, shape)
+		next := reported.Clone()
+		next.Version = 8
+		next.Layers[0][rapid.IntRange(0, shape.Ranks*shape.Slots-1).Draw(t, "slot")] = 301
+		content, err := EncodeMap(next, &reported)
+		is.NoErr(err)
+		got, err := DecodeMap(8, content, func(uint64) (group.Map, bool) { return staged, true })
+		if errors.Is(err, ErrUnknownBase) {
+			return // the leader sends the whole map
+		}
+		is.NoErr(err)
+		is.Equal(got.ByLayerAndRank(), next.ByLayerAndRank())
+	})
+}
+
 func TestChangeOfFewSlotsIsShort(t *testing.T) {
 	is := is.New(t)
 	s := group.Shape{Ranks: 96, Experts: 192, Layers: 16, Slots: 3}
