--- a/internal/core/upstream/requests_test.go
+++ b/internal/core/upstream/requests_test.go
@@ -59,6 +59,7 @@
 		recordEnd(s, endOf(100+n), []string{fmt.Sprint("other", n)}, now.Add(time.Minute))
 		news := s.News(now.Add(2 * time.Minute))
 		is.True(len(news) <= 1) // nothing of the others, which nothing speaks against
+		s.News(now.Add(19 * time.Minute))
 		now = now.Add(20 * time.Minute)
 	}
 	is.True(len(ends) <= 6) // three after the third within six hours
