A remote agent does not take an old report for a lost promise, and releases no promised hold

After a cut the leader controlled the engines of two agents itself. Both promised to hold step 147, and it armed the other ranks. The report that it read next from those engines was some hundred milliseconds old and had no hold: it took that for an intervention, started a new incarnation without the promise, and released its own hold 340 ms later as one that belonged to no change.

The cause is two assumptions: that a report shows the orders that the engine has accepted, which holds on the engine's own host only, and that a hold which the state does not explain is left over.

A report that disagrees with the state within a second of the last order of an agent on another host, or that is of an earlier epoch, is now an error, and the order is tried again. Only a hold whose order got no reply is released by inference: no leader counts on it.

The simulated engines give their remote agents reports of 150 ms before, and cuts come and go.

--- a/internal/agent/direct/roster.go
+++ b/internal/agent/direct/roster.go
@@ -32,6 +32,9 @@
 	// Only the leader needs the addresses of the ranks, and an engine that joins
 	// another group receives an order from that group's leader.
 	rosterFollowerInterval = time.Minute
+	// remoteReportLag bounds the age of the reports of an engine on another host, which are
+	// some hundred milliseconds old.
+	remoteReportLag = time.Second
 	// rosterRefreshDelay is the minimum time between reads when a refresh is
 	// requested, for example because a rank is unreachable.
 	rosterRefreshDelay = time.Second
@@ -176,7 +179,7 @@
 	if c == nil || c.rank != name {
 		c = &remoteAgent{rank: name, address: netip.AddrPortFrom(engine.Addr(), r.agentPort), pool: r.pool, log: r.log, onUnreachable: r.requestRefresh}
 		if r.fencing {
-			c.fallback = rank.New(r, rank.NewOrderAdapter(r.engineAt(engine), r.log.WithValues("for-rank", name)), r.log)
+			c.fallback = rank.New(r, rank.NewOrderAdapter(r.engineAt(engine), r.log.WithValues("for-rank", name), rank.WithReportLag(remoteReportLag, time.Now)), r.log)
 		}
 		if r.remoteAgents == nil {
 			r.remoteAgents = map[netip.AddrPort]*remoteAgent{}
--- a/internal/agent/rank/orders.go
+++ b/internal/agent/rank/orders.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"slices"
 	"strconv"
@@ -88,22 +89,43 @@
 	lastCounts []uint32
 	// staged are the maps that were staged last, at most maxStagedMaps.
 	staged []group.Map
-	// ordered are the steps of the last maxOrderedHolds holds that this adapter has ordered in
-	// this epoch. They may be carried out late.
-	ordered []uint64
+	// unanswered are the steps of the last maxUnansweredHolds holds that this adapter has
+	// ordered in this epoch without a reply. They may be carried out late.
+	unanswered []uint64
+	// reportLag is the age that a report may have. orderedAt is when the engine was last sent
+	// an order in this epoch.
+	reportLag time.Duration
+	now       func() time.Time
+	orderedAt time.Time
 }
 
-// maxOrderedHolds is far above the number of holds that are ordered in the seconds after which
+// maxUnansweredHolds is far above the number of holds that are ordered in the seconds after which
 // an engine has carried out an order or never will.
-const maxOrderedHolds = 256
+const maxUnansweredHolds = 256
+
+// errOldReport means that a report does not show the orders that the engine has accepted.
+var errOldReport = errors.New("the engine's report is older than the last order")
 
 // maxStagedMaps is the number of maps that an adapter keeps. A leader's next map builds on
 // the one in use, after which only a few can have been staged and dropped.
 const maxStagedMaps = 4
 
+// AdapterOption configures an order adapter.
+type AdapterOption func(*orderAdapter)
+
+// WithReportLag tells that the engine's reports may be as old as d by the time that now returns,
+// which must not go back. The default is that they are of the moment.
+func WithReportLag(d time.Duration, now func() time.Time) AdapterOption {
+	return func(e *orderAdapter) { e.reportLag, e.now = d, now }
+}
+
 // NewOrderAdapter returns an Engine that controls o by single orders.
-func NewOrderAdapter(o OrderEngine, log logr.Logger) Engine {
-	return &orderAdapter{engine: o, log: log}
+func NewOrderAdapter(o OrderEngine, log logr.Logger, options ...AdapterOption) Engine {
+	e := &orderAdapter{engine: o, log: log, now: time.Now}
+	for _, option := range options {
+		option(e)
+	}
+	return e
 }
 
 // Intervals and timeouts of staging a map.
@@ -142,22 +164,27 @@
 }
 
 // report reads the engine's report. When the report does not agree with the state, it
-// starts a new incarnation from the report. It also releases a hold of its own that belongs
-// to no change any more. The caller holds e.mu.
+// starts a new incarnation from the report, unless it may be older than the state. It also
+// releases a hold whose order had no reply and belongs to no change any more. The caller holds
+// e.mu.
 func (e *orderAdapter) report(ctx context.Context) (Report, error) {
 	r, err := e.engine.Report(ctx)
 	if err != nil {
 		return r, err
 	}
+	if e.state != nil && e.mayBeOld(r) {
+		return r, oops.Code("engine").Wrap(errOldReport)
+	}
 	if e.state == nil || r.Epoch != e.epoch || e.contradictedBy(r) {
 		e.startIncarnation(r)
 	}
 	switch {
 	case r.Hold == 0 || r.Hold == e.state.HoldStep:
-	case !slices.Contains(e.ordered, r.Hold):
+	case !slices.Contains(e.unanswered, r.Hold):
 		// Another agent controls the rank and has a change under way, or did before it
-		// stopped. Releasing its hold would let this rank alone begin the step. A leader
-		// finds the hold in the new incarnation and ends it.
+		// stopped, or a leader counts on this adapter's own promise. Releasing the hold would
+		// let this rank alone begin the step. A leader finds it in the new incarnation and
+		// ends it.
 		e.startIncarnation(r)
 	default:
 		// The hold was carried out after its order had been given up. If another agent
@@ -171,6 +198,16 @@
 	return r, nil
 }
 
+// mayBeOld reports whether a report may be older than the last order: it is of an earlier
+// epoch, or it disagrees with the state and that order is not long ago.
+func (e *orderAdapter) mayBeOld(r Report) bool {
+	if r.Epoch != e.epoch {
+		return r.Epoch < e.epoch
+	}
+	disagrees := e.contradictedBy(r) || r.Hold != 0 && r.Hold != e.state.HoldStep
+	return disagrees && !e.orderedAt.IsZero() && e.now().Sub(e.orderedAt) <= e.reportLag
+}
+
 // contradictedBy reports whether this agent's orders cannot have led to the report:
 // another agent controls the rank, or an order without a reply was carried out.
 func (e *orderAdapter) contradictedBy(r Report) bool {
@@ -201,7 +238,7 @@
 		s.Grants = append(s.Grants, group.Grant{FromStep: r.ArmedStep, MapVersion: r.Armed})
 	}
 	if r.Epoch != e.epoch {
-		e.ordered = nil
+		e.unanswered, e.orderedAt = nil, time.Time{}
 	}
 	e.log.Info("rank incarnation started from the engine's report", "incarnation", s.Incarnation, "epoch", r.Epoch, "map", r.Map, "armed", r.Armed, "hold", r.Hold)
 	e.state, e.epoch, e.heldExperts = s, r.Epoch, nil
@@ -241,14 +278,14 @@
 		if requiredMap != r.Prepared && requiredMap != r.Map {
 			return false, nil
 		}
-		e.ordered = append(e.ordered, next.HoldStep)
-		e.ordered = e.ordered[max(len(e.ordered)-maxOrderedHolds, 0):]
-		return e.engine.Hold(ctx, fence, next.HoldStep)
+		return e.hold(ctx, fence, next.HoldStep)
 	}
 	last := next.Grants[len(next.Grants)-1]
 	previous := e.state.Grants[len(e.state.Grants)-1]
 	if last != previous && last.MapVersion != previous.MapVersion && !(r.Armed == last.MapVersion && r.ArmedStep == last.FromStep) {
-		if ok, err := e.engine.Arm(ctx, fence, last.MapVersion, last.FromStep); !ok || err != nil {
+		ok, err := e.engine.Arm(ctx, fence, last.MapVersion, last.FromStep)
+		e.recordOrder()
+		if !ok || err != nil {
 			return ok, err
 		}
 		e.log.Info("map armed", "map", last.MapVersion, "from-step", last.FromStep, "next", r.NextStep, "epoch", r.Epoch)
@@ -258,11 +295,27 @@
 		granted := *e.state
 		granted.Grants = next.Grants
 		e.state = &granted
+		defer e.recordOrder()
 		return e.engine.Release(ctx, fence, granted.HoldStep)
 	}
 	return true, nil
 }
 
+// hold orders a hold. The order is remembered as unanswered if it gets no reply.
+func (e *orderAdapter) hold(ctx context.Context, f Fence, step uint64) (bool, error) {
+	defer e.recordOrder()
+	ok, err := e.engine.Hold(ctx, f, step)
+	e.unanswered = slices.DeleteFunc(e.unanswered, func(s uint64) bool { return s == step })
+	if err != nil {
+		e.unanswered = append(e.unanswered, step)
+		e.unanswered = e.unanswered[max(len(e.unanswered)-maxUnansweredHolds, 0):]
+	}
+	return ok, err
+}
+
+// recordOrder records that the engine was sent an order that changes what it reports.
+func (e *orderAdapter) recordOrder() { e.orderedAt = e.now() }
+
 // Stage implements Engine. It returns when all experts of the map have been fetched.
 func (e *orderAdapter) Stage(ctx context.Context, version uint64, content []byte) error {
 	m, err := orders.DecodeMap(version, content, e.stagedMap)
--- a/internal/agent/rank/orders_test.go
+++ b/internal/agent/rank/orders_test.go
@@ -223,7 +223,7 @@
 	w := &simulation{t: t, now: time.Unix(1000, 0), engines: newEngineGroup(t, simulatedRanks)}
 	for i := range simulatedRanks {
 		w.agents = append(w.agents, w.newAgent(i))
-		w.fallbacks = append(w.fallbacks, w.newAgent(i))
+		w.fallbacks = append(w.fallbacks, w.newFallback(i))
 	}
 	w.startLeader()
 	return w
@@ -233,6 +233,50 @@
 	return New(namedGroup{strconv.Itoa(i), simulatedRanks}, NewOrderAdapter(&engineProxy{w.engines, i}, logr.Discard()), logr.Discard())
 }
 
+// newFallback returns an agent that reaches the engine of a rank from another instance, where
+// reports come late.
+func (w *simulation) newFallback(i int) *Rank {
+	return New(namedGroup{strconv.Itoa(i), simulatedRanks}, NewOrderAdapter(&laggingProxy{engineProxy: engineProxy{w.engines, i}, simulation: w}, logr.Discard(),
+		WithReportLag(simulatedLag, func() time.Time { return w.now })), logr.Discard())
+}
+
+// simulatedLag is the age of the reports of a laggingProxy.
+const simulatedLag = 150 * time.Millisecond
+
+// laggingProxy is an engineProxy whose reports are as old as simulatedLag.
+type laggingProxy struct {
+	engineProxy
+	simulation *simulation
+	reports    []datedReport
+}
+
+type datedReport struct {
+	at     time.Time
+	report Report
+}
+
+// record records the report of now.
+func (p *laggingProxy) record() {
+	// The simulated engine never fails.
+	r, _ := p.current().Report(context.Background())
+	p.reports = append(p.reports, datedReport{p.simulation.now, r})
+}
+
+func (p *laggingProxy) Report(context.Context) (Report, error) {
+	p.record()
+	for len(p.reports) > 1 && !p.reports[1].at.After(p.simulation.now.Add(-simulatedLag)) {
+		p.reports = p.reports[1:]
+	}
+	return p.reports[0].report, nil
+}
+
+// recordReports records the reports that the fallbacks get later.
+func (w *simulation) recordReports() {
+	for _, f := range w.fallbacks {
+		f.engine.(*orderAdapter).engine.(*laggingProxy).record()
+	}
+}
+
 // engineProxy forwards to the current engine of a rank, which is replaced when the
 // group re-forms.
 type engineProxy struct {
@@ -316,6 +360,7 @@
 
 // randomEvent performs one event that rapid draws.
 func (w *simulation) randomEvent() {
+	w.recordReports()
 	latest := len(w.leaders) - 1
 	switch kind := rapid.IntRange(0, 19).Draw(w.t, "event"); {
 	case kind < 4:
@@ -438,11 +483,14 @@
 		w.startLeader()
 		latest := len(w.leaders) - 1
 		for range 300 {
+			w.recordReports()
 			switch kind := rapid.IntRange(0, 9).Draw(t, "event"); {
 			case kind < 4 && len(w.inFlight) > 0:
 				w.deliverOrder(rapid.IntRange(0, len(w.inFlight)-1).Draw(t, "in flight"), false)
 			case kind < 7 && len(w.replies) > 0:
 				w.deliverReply(rapid.IntRange(0, len(w.replies)-1).Draw(t, "reply"))
+			case kind == 7 && rapid.IntRange(0, 3).Draw(t, "cut begins or ends") == 0:
+				w.cutOff[cut] = !w.cutOff[cut]
 			case kind == 7:
 				w.read(cut)
 			case kind == 8:
