Types for evacuations, cold upstreams, regions and admission

Signatures that the following parts share, decoded but not used yet: regions of routes and accounts, cold time and rate of a service, the store's kind of evacuations, settings for their bounds, and what a pool and a view hold of them.

--- a/internal/core/upstream/pool.go
+++ b/internal/core/upstream/pool.go
@@ -81,6 +81,22 @@
 	// Entries are the processes that share the limits that upstreams name, this one
 	// included.
 	Entries []fleet.Instance
+	// Regions maps failure domains to their regions.
+	Regions map[fleet.FailureDomain]fleet.Region
+	// Evacuated holds the failure domains whose upstreams get no requests.
+	Evacuated map[fleet.FailureDomain]bool
+	// Cold limits the requests to upstreams that have started lately.
+	Cold ColdConfig
+}
+
+// ColdConfig limits the requests to cold upstreams. The zero value does not limit them.
+type ColdConfig struct {
+	// Time is the time for which an upstream is cold after its start.
+	Time time.Duration
+	// Rate is the number of requests per second that a cold upstream takes from all
+	// entries together. Factor and Slack bound the requests that it may get in any second:
+	// Factor times Rate, plus Slack.
+	Rate, Factor, Slack float64
 }
 
 // Parameters of the choice among directly reached upstreams.
@@ -156,6 +172,9 @@
 	// FailedGroups names the groups at which the request failed before. They are
 	// used only if no other upstream is available.
 	FailedGroups []string
+	// Regions holds sets of regions. The upstream must be in a region of each set; an empty
+	// set allows all regions.
+	Regions [][]fleet.Region
 }
 
 // Choose returns the upstream for a request and counts the request as outstanding
--- a/internal/process/config/config.go
+++ b/internal/process/config/config.go
@@ -92,8 +92,31 @@
 	RetryWindow Duration `json:"retry-window"`
 	// Fencing is set if the engines refuse orders with an outdated fencing token.
 	Fencing bool `json:"fencing"`
+	// Regions maps the deployment's failure domains to their regions.
+	Regions map[fleet.FailureDomain]fleet.Region `json:"regions"`
+	// EvacuationTime is the time after which the upstreams of a failure domain that an
+	// operator has evacuated must get no requests, 0 if the operators evacuate none.
+	EvacuationTime Duration `json:"evacuation-time"`
+	// ColdFactor and ColdSlack limit the requests that a cold upstream may get in a second
+	// from all entries together: ColdFactor times the rate of its service, plus ColdSlack.
+	ColdFactor float64 `json:"cold-factor"`
+	ColdSlack  float64 `json:"cold-slack"`
+	// Admission selects which requests an entry admits while the upstreams are overloaded.
+	Admission AdmissionMode `json:"admission"`
 }
 
+// AdmissionMode selects how an entry decides which requests it admits.
+type AdmissionMode string
+
+// The admission modes.
+const (
+	// AdmitAll sends each request to an upstream while one can take it. It is the default.
+	AdmitAll AdmissionMode = ""
+	// AdmitInTime holds back requests that would make streams miss the targets of their
+	// routes, the least urgent ones first.
+	AdmitInTime AdmissionMode = "in-time"
+)
+
 // Duration is a duration in the format of time.ParseDuration, such as "1500ms".
 type Duration time.Duration
 
@@ -179,6 +202,12 @@
 		return oops.Code("invalid-settings").Errorf("direct: drain-time, grace and retry-window: give times above 0, such as \"2s\"")
 	case d.RetryRatio < 0 || d.RetrySlack < 0:
 		return oops.Code("invalid-settings").Errorf("direct: retry-ratio and retry-slack: give numbers of 0 or more")
+	case d.EvacuationTime < 0:
+		return oops.Code("invalid-settings").Errorf("direct: evacuation-time: give a time above 0, such as \"5s\", or leave it out")
+	case d.ColdFactor < 0 || d.ColdSlack < 0:
+		return oops.Code("invalid-settings").Errorf("direct: cold-factor and cold-slack: give numbers of 0 or more")
+	case d.Admission != AdmitAll && d.Admission != AdmitInTime:
+		return oops.Code("invalid-settings").Errorf("direct: admission: write \"in-time\", or leave it out")
 	}
 	return nil
 }
--- a/internal/process/directory/directory.go
+++ b/internal/process/directory/directory.go
@@ -35,6 +35,9 @@
 	Upstreams Kind = "upstreams"
 	// Instances has an object for each entry, which the entry itself creates.
 	Instances Kind = "instances"
+	// Evacuations has an object for each failure domain whose upstreams the operator wants
+	// to get no requests. It is followed only with the option WithEvacuations.
+	Evacuations Kind = "evacuations"
 	// IdentityKeys has one object with the key under which all entries identify requests. It
 	// is not replicated: an entry reads it as it starts.
 	IdentityKeys Kind = "identity-keys"
--- a/internal/world/fleet/fleet.go
+++ b/internal/world/fleet/fleet.go
@@ -12,6 +12,9 @@
 // FailureDomain is the name of a set of instances that are likely to fail together.
 type FailureDomain string
 
+// Region is the name of a set of failure domains, such as those of one country.
+type Region string
+
 // Role is the kind of process that an instance runs.
 type Role string
 
--- a/internal/world/service/configuration.go
+++ b/internal/world/service/configuration.go
@@ -3,7 +3,11 @@
 // themselves. It makes no decisions and does not depend on a storage format.
 package service
 
-import "time"
+import (
+	"time"
+
+	"bramleydeal/internal/world/fleet"
+)
 
 // Kind says whether a route's requests may run more than once.
 type Kind int
@@ -65,6 +69,9 @@
 	Public bool
 	// Resumable means that a stream may be continued at another upstream.
 	Resumable bool
+	// Regions are the regions whose upstreams may serve the route's requests. Empty means
+	// all.
+	Regions []fleet.Region
 }
 
 // Repeatable reports whether a request that may have run can be sent again.
@@ -88,6 +95,11 @@
 	// MaxConnections limits the connections from all entries together to one upstream,
 	// 0 for no limit.
 	MaxConnections int
+	// ColdTime is the time for which an upstream that has just started is cold, 0 if
+	// upstreams of the service never are. ColdRate is the number of requests per second
+	// that a cold upstream takes from all entries together.
+	ColdTime time.Duration
+	ColdRate float64
 	// Engine describes the inference engines of the service. It is nil for a service
 	// without any.
 	Engine *Engine
@@ -145,6 +157,9 @@
 	Keys []string
 	// Priority overrides the route's priority if it is not nil.
 	Priority *int
+	// Regions are the regions whose upstreams may serve the account's requests, beside
+	// those of the route. Empty means all.
+	Regions []fleet.Region
 }
 
 // Limits limits the size and duration of requests. A value of 0 or less stands for the
--- a/internal/world/service/upstream.go
+++ b/internal/world/service/upstream.go
@@ -22,7 +22,8 @@
 	// Lapsed means that the upstream is missing from the list of upstreams, so that it
 	// may have stopped.
 	Lapsed bool
-	// ColdFor is how long the upstream remains slow after its start.
+	// ColdFor is how long the upstream remained cold when it wrote its registration, 0 if
+	// it was not cold.
 	ColdFor time.Duration
 	// Membership is nil for an upstream that belongs to no group.
 	Membership *Membership
--- a/internal/world/service/view.go
+++ b/internal/world/service/view.go
@@ -3,6 +3,8 @@
 import (
 	"net"
 	"strings"
+
+	"bramleydeal/internal/world/fleet"
 )
 
 // View is an immutable view of the configuration and the upstreams, with indexes. A
@@ -14,6 +16,8 @@
 	Upstreams map[string]Upstream
 	// UpstreamsKnown tells whether the upstreams have been listed at least once.
 	UpstreamsKnown bool
+	// Evacuated holds the failure domains whose upstreams must get no requests.
+	Evacuated map[fleet.FailureDomain]bool
 
 	routesByHost  map[string][]*Route
 	accountsByKey map[string]*Account
@@ -46,6 +50,14 @@
 	return &next
 }
 
+// WithEvacuated returns a view with the same configuration and upstreams and other evacuated
+// failure domains.
+func (v *View) WithEvacuated(domains map[fleet.FailureDomain]bool) *View {
+	next := *v
+	next.Evacuated = domains
+	return &next
+}
+
 // Route returns the route with the longest matching prefix for a host and path, and
 // false if there is none. The host may include a port, which is ignored, and is compared
 // without regard to case.
