Evacuated failure domains get no requests

No code read the operators' evacuations: requests went on to a failure domain that was to be emptied until its upstreams left by themselves. Entries now follow the kind as they follow the configuration, by watches, by peers and by lists in turn, and a pool chooses no upstream of an evacuated domain for any request. One that a store's older copy lacks stays in force for the evacuation time.

A pool counts the upstreams of evacuated domains no longer as a reserve when it decides how many others it may eject. The setting evacuation-time turns all of it on.

--- a/internal/core/upstream/outcome.go
+++ b/internal/core/upstream/outcome.go
@@ -140,11 +140,14 @@
 	}
 }
 
-// allHealth returns the health of all upstreams.
+// allHealth returns the health of the upstreams that share the load: those of evacuated
+// failure domains get none.
 func (p *Pool) allHealth() []*health {
 	all := make([]*health, 0, len(p.members))
 	for _, m := range p.members {
-		all = append(all, &m.health)
+		if !p.evacuated(m) {
+			all = append(all, &m.health)
+		}
 	}
 	return all
 }
--- a/internal/core/upstream/pool.go
+++ b/internal/core/upstream/pool.go
@@ -246,7 +246,7 @@
 // eligibility returns the eligibility of m for a request at now.
 func (p *Pool) eligibility(m *member, q PoolQuery, now time.Time) eligibility {
 	switch {
-	case m.leaving() || slices.Contains(q.Exclude, m.ID):
+	case m.leaving() || p.evacuated(m) || slices.Contains(q.Exclude, m.ID):
 		return ineligible
 	case p.config.MaxOutstanding > 0 && m.outstanding >= p.config.MaxOutstanding:
 		return ineligible
@@ -316,6 +316,7 @@
 	Group            string              `json:"group,omitempty"`
 	Outstanding      int                 `json:"outstanding"`
 	Leaving          bool                `json:"leaving"`
+	Evacuated        bool                `json:"evacuated"`
 	Ejected          bool                `json:"ejected"`
 	ErrorRate        float64             `json:"error-rate"`
 	AverageLatencyMS float64             `json:"typical-milliseconds"`
@@ -335,7 +336,7 @@
 	for _, m := range p.members {
 		s := MemberState{
 			ID: m.ID, Address: m.Address.String(), Domain: m.FailureDomain, Outstanding: m.outstanding, Leaving: m.leaving(),
-			Ejected: m.health.ejected(now), ErrorRate: m.errorRate, AverageLatencyMS: float64(m.health.averageLatency) / float64(time.Millisecond),
+			Evacuated: p.evacuated(m), Ejected: m.health.ejected(now), ErrorRate: m.errorRate, AverageLatencyMS: float64(m.health.averageLatency) / float64(time.Millisecond),
 		}
 		if m.Membership != nil {
 			s.Group = m.Membership.Group
--- a/internal/entry/direct/entry.go
+++ b/internal/entry/direct/entry.go
@@ -119,7 +119,7 @@
 	}, e.metricSet, logger.Component("pools"))
 	e.directory = directory.New(c.Name, d.Store, d.Decoder, e.pool,
 		core.PresenceConfig{RemovalGrace: time.Duration(removalGraceShare * float64(drainTime)), RecoveryGrace: recoveryGrace},
-		directory.WithSeedPeers(otherPeers(c)), directory.WithNews(e.pools), directory.WithLog(logger.Component("directory")))
+		append(evacuationOptions(c.Direct), directory.WithSeedPeers(otherPeers(c)), directory.WithNews(e.pools), directory.WithLog(logger.Component("directory")))...)
 	e.handler = client.New(client.Config{
 		View: e.directory.View, AwaitConfirmation: e.directory.AwaitConfirmation, Pools: e.pools, HeaderCodec: d.HeaderCodec, Log: logger.Component("client"), CountSuppressed: logger.CountSuppressed, Metrics: e.metricSet,
 	})
@@ -144,7 +144,7 @@
 		return 0
 	})
 	gauge("bramleydeal_configuration_version", func() float64 { return float64(e.directory.State().ConfigurationVersion) })
-	for _, k := range []directory.Kind{directory.Configuration, directory.Upstreams, directory.Instances} {
+	for _, k := range e.directory.Kinds() {
 		gauge(fmt.Sprintf(`bramleydeal_store_answered_ago_seconds{kind=%q}`, k), func() float64 {
 			return e.directory.State().Kinds[string(k)].AnsweredAgo.Seconds()
 		})
@@ -164,6 +164,7 @@
 		}
 		return float64(n)
 	})
+	gauge("bramleydeal_domains_evacuated", func() float64 { return float64(len(e.directory.State().Evacuated)) })
 	gauge("bramleydeal_upstreams_limited", func() float64 {
 		n := 0
 		for _, members := range e.pools.State(time.Now()) {
@@ -199,6 +200,14 @@
 	return float64(n)
 }
 
+// evacuationOptions makes the directory follow evacuations if the deployment has any.
+func evacuationOptions(d *config.Direct) []directory.Option {
+	if d.EvacuationTime <= 0 {
+		return nil
+	}
+	return []directory.Option{directory.WithEvacuations(time.Duration(d.EvacuationTime))}
+}
+
 func retryQuotaConfig(d *config.Direct) core.RetryQuotaConfig {
 	return core.RetryQuotaConfig{
 		Ratio: d.RetryRatio, Slack: d.RetrySlack, Window: time.Duration(d.RetryWindow),
--- a/internal/entry/upstream/pools.go
+++ b/internal/entry/upstream/pools.go
@@ -83,7 +83,7 @@
 	if len(entries) == 0 {
 		p.config.Quota.Processes = defaultEntryCount
 	}
-	p.config.Pool.Entries = entries
+	p.config.Pool.Entries, p.config.Pool.Evacuated = entries, v.Evacuated
 	p.series.prune(v.Upstreams)
 	for name := range members {
 		p.forService(name)
--- a/internal/process/directory/directory.go
+++ b/internal/process/directory/directory.go
@@ -125,6 +125,10 @@
 	news          News
 	announcements chan int
 
+	// kinds are the kinds that are followed, requestKinds those of them that are needed to
+	// handle requests.
+	kinds, requestKinds []Kind
+
 	view       atomic.Pointer[service.View]
 	suspension *suspension
 	// logClockError limits the log to the first error of reading the clock.
@@ -137,6 +141,10 @@
 	// the list but may be used until their grace period ends.
 	presence  *upstream.Presence
 	instances map[string]fleet.Instance
+	// evacuations is nil if the kind is not followed. evacuationTimer publishes the evacuated
+	// failure domains again when one ends by itself.
+	evacuations     *upstream.Evacuations
+	evacuationTimer *time.Timer
 	// expiryTimer publishes the usable upstreams again when the next grace period ends.
 	expiryTimer *time.Timer
 	subscribers []func(*service.View, map[string]fleet.Instance)
@@ -198,7 +206,7 @@
 // New returns the directory of the instance self. It is empty until Run is called.
 func New(self string, s Store, decoder Decoder, pool *dial.Pool, config upstream.PresenceConfig, options ...Option) *Directory {
 	d := &Directory{
-		self: self, store: s, decoder: decoder, pool: pool, log: logr.Discard(),
+		self: self, store: s, decoder: decoder, pool: pool, log: logr.Discard(), kinds: kinds, requestKinds: requestKinds,
 		replicas:    map[Kind]*store.Replica{},
 		presence:    upstream.NewPresence(config),
 		instances:   map[string]fleet.Instance{},
@@ -207,23 +215,24 @@
 		// One that waits covers those that come meanwhile.
 		announcements: make(chan int, 1),
 	}
-	for _, k := range kinds {
-		d.replicas[k] = store.NewReplica()
-	}
 	for _, o := range options {
 		o(d)
 	}
+	for _, k := range d.kinds {
+		d.replicas[k] = store.NewReplica()
+	}
 	if d.suspension == nil {
 		d.suspension = newSuspension(clock.SuspendedTime)
 	}
+	d.suspension.kinds = d.requestKinds
 	d.view.Store(service.NewView(nil, nil, false))
 	return d
 }
 
-// kinds are all kinds of a directory.
+// kinds are the kinds that every directory follows.
 var kinds = []Kind{Configuration, Upstreams, Instances}
 
-// requestKinds are the kinds that are needed to handle requests.
+// requestKinds are those of kinds that are needed to handle requests.
 var requestKinds = []Kind{Configuration, Upstreams}
 
 // Subscribe calls f with the current state, and again at each change, one call at a
@@ -239,7 +248,10 @@
 // Run keeps the directory up to date until ctx ends.
 func (d *Directory) Run(ctx context.Context) {
 	var tasks sync.WaitGroup
-	for _, k := range kinds {
+	if d.evacuations != nil {
+		d.suspension.expect(Evacuations, time.Now())
+	}
+	for _, k := range d.kinds {
 		tasks.Go(func() {
 			task.Run(ctx, d.log, "follow-"+string(k), func(ctx context.Context) { d.followStore(ctx, k) })
 		})
@@ -260,10 +272,13 @@
 	if result := d.replicas[k].Apply(u); result != store.Applied {
 		return false
 	}
-	if changes := d.replicas[k].Since(before); before > 0 && len(changes.Objects) == 0 {
+	era := store.EraOf(u.Revision)
+	newEra := before > 0 && era > store.EraOf(before)
+	// The list of evacuations may have become empty by the change of the era.
+	if changes := d.replicas[k].Since(before); before > 0 && len(changes.Objects) == 0 && (!newEra || k != Evacuations) {
 		return false
 	}
-	if era := store.EraOf(u.Revision); before > 0 && era > store.EraOf(before) {
+	if newEra {
 		d.log.Info("the store came back from an older copy", "kind", k, "era", era, "revision", store.RevisionOf(u.Revision),
 			"former-revision", store.RevisionOf(before), "source", source)
 		d.markRecovered(k)
@@ -276,6 +291,8 @@
 		d.updateUpstreams(source)
 	case Instances:
 		d.updateInstances()
+	case Evacuations:
+		d.updateEvacuations(source)
 	}
 	return true
 }
@@ -302,7 +319,7 @@
 		if view.Configuration != nil && next.Version <= view.Configuration.Version {
 			continue
 		}
-		view = service.NewView(next, view.Upstreams, view.UpstreamsKnown)
+		view = service.NewView(next, view.Upstreams, view.UpstreamsKnown).WithEvacuated(view.Evacuated)
 		d.log.Info("configuration in force", "version", next.Version, "revision", store.RevisionOf(o.Version), "source", source,
 			"routes", len(next.Routes), "accounts", len(next.Accounts))
 	}
--- a/internal/process/directory/follow.go
+++ b/internal/process/directory/follow.go
@@ -34,7 +34,9 @@
 			pause, relist = minRetryPause, suspensions != d.suspension.suspensions()
 			d.recordSuccess(k)
 			changed := d.apply(k, u, "store")
-			d.suspension.confirm(k, suspensions)
+			if u.Revision > 0 {
+				d.suspension.confirm(k, suspensions)
+			}
 			if changed && d.watchesDirectly() {
 				d.notifyCachedWatchers(ctx, k)
 			}
@@ -70,7 +72,7 @@
 }
 
 // pauseAfter returns the pause after a change of a kind. series is true if the
-// change was made during the pause before.
+// change was made during the pause before. Evacuations have the pauses of upstreams.
 func pauseAfter(k Kind, series bool) time.Duration {
 	switch {
 	case k == Configuration:
--- a/internal/process/directory/peers.go
+++ b/internal/process/directory/peers.go
@@ -67,7 +67,7 @@
 
 // followPeers compares with peers until ctx ends: with peersPerPoll of them, at each
 // peerPollInterval, for the kinds that kindsToCompare returns, and if there are none,
-// with one of them at each peerCompareInterval for requestKinds. At each
+// with one of them at each peerCompareInterval for d.requestKinds. At each
 // peerPollInterval it also checks for a suspension and updates the watch mode.
 func (d *Directory) followPeers(ctx context.Context) {
 	ticker := time.NewTicker(peerPollInterval)
@@ -84,7 +84,7 @@
 		direct = d.updateWatchMode(direct)
 		toCompare, count := d.kindsToCompare(), peersPerPoll
 		if len(toCompare) == 0 && time.Since(lastCompare) >= peerCompareInterval {
-			toCompare, count = requestKinds, 1
+			toCompare, count = d.requestKinds, 1
 			lastCompare = time.Now()
 		}
 		if len(toCompare) == 0 {
@@ -104,7 +104,7 @@
 	direct := d.watchesDirectly()
 	if direct && !wasDirect {
 		d.log.Info("watching the store directly instead of its cache")
-		for _, k := range kinds {
+		for _, k := range d.kinds {
 			d.endWatch(k)
 		}
 	}
@@ -117,7 +117,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	var out []Kind
-	for _, k := range kinds {
+	for _, k := range d.kinds {
 		if d.health[k].failing || d.suspension.isUnconfirmed(k) {
 			out = append(out, k)
 		}
@@ -165,7 +165,7 @@
 // returns those that changed after the peer's revision. If the kind is unknown or
 // unconfirmed, the reply has revision 0.
 func (d *Directory) Compare(_ context.Context, request *peer.CompareRequest) (*peer.CompareReply, error) {
-	if k := Kind(request.Kind); len(request.Objects) > 0 && slices.Contains(kinds, k) {
+	if k := Kind(request.Kind); len(request.Objects) > 0 && slices.Contains(d.kinds, k) {
 		d.applyFromPeer(k, peer.UpdateFromProto(request.From, request.Revision, request.Objects), request.Instance)
 	}
 	d.recordNews(request.News, request.PromptNews, request.Instance)
--- a/internal/process/directory/state.go
+++ b/internal/process/directory/state.go
@@ -1,9 +1,12 @@
 package directory
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"bramleydeal/internal/core/store"
+	"bramleydeal/internal/world/fleet"
 )
 
 // State is the directory's debug state.
@@ -11,7 +14,9 @@
 	ConfigurationVersion uint64               `json:"configuration-version"`
 	Kinds                map[string]KindState `json:"kinds"`
 	Instances            int                  `json:"instances"`
-	Stats                Stats                `json:"stats"`
+	// Evacuated are the evacuated failure domains, sorted.
+	Evacuated []fleet.FailureDomain `json:"evacuated,omitempty"`
+	Stats     Stats                 `json:"stats"`
 }
 
 // KindState is the state of one kind.
@@ -33,8 +38,9 @@
 	out := State{
 		ConfigurationVersion: configurationVersion(d.view.Load()),
 		Kinds:                map[string]KindState{}, Instances: len(d.instances), Stats: d.stats,
+		Evacuated: slices.Sorted(maps.Keys(d.view.Load().Evacuated)),
 	}
-	for _, k := range kinds {
+	for _, k := range d.kinds {
 		version := d.replicas[k].Revision()
 		s := KindState{Era: store.EraOf(version), Revision: store.RevisionOf(version), StoreFailing: d.health[k].failing}
 		if at := d.health[k].respondedAt; !at.IsZero() {
--- a/internal/process/directory/suspension.go
+++ b/internal/process/directory/suspension.go
@@ -34,6 +34,8 @@
 	// readSuspendedTime returns the total time for which the host was suspended,
 	// plus a constant.
 	readSuspendedTime func() (time.Duration, error)
+	// kinds are those that are unconfirmed after a suspension.
+	kinds []Kind
 
 	mu sync.Mutex
 	// suspendedTime is the highest value of readSuspendedTime so far.
@@ -86,12 +88,22 @@
 	if len(s.unconfirmed) == 0 {
 		s.confirmed = make(chan struct{})
 	}
-	for _, k := range requestKinds {
+	for _, k := range s.kinds {
 		s.unconfirmed[k] = true
 	}
 	return suspendedFor, err
 }
 
+// expect makes a kind that was never listed count as unconfirmed from now on.
+func (s *suspension) expect(k Kind, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.unconfirmed) == 0 {
+		s.confirmed = make(chan struct{})
+	}
+	s.unconfirmed[k], s.detectedAt = true, now
+}
+
 // suspensions returns the number of suspensions so far. Read it before a call whose
 // reply is passed to confirm.
 func (s *suspension) suspensions() uint64 {
@@ -151,7 +163,7 @@
 	if d.news != nil {
 		d.news.Suspended(suspendedFor)
 	}
-	for _, k := range kinds {
+	for _, k := range d.kinds {
 		d.endWatch(k)
 	}
 }
