Operators see and request evacuations

status -prepared lists the evacuated failure domains and marks entries that do not know of one as behind. In deployments with a settings tree, evacuate DOMAIN and restore DOMAIN set evacuated on the failure domain, which entries treat as leaving for all its agents.

--- a/internal/entry/agent/balancer.go
+++ b/internal/entry/agent/balancer.go
@@ -98,7 +98,7 @@
 	sets := map[string]setConfig{}
 	for _, s := range b.scopes(settings) {
 		members := settings.Upstreams(s)
-		sets[setName(s)] = setConfig{members: b.members(members), config: candidateSetConfig(settings, s)}
+		sets[setName(s)] = setConfig{members: b.members(settings.Tree, members), config: candidateSetConfig(settings, s)}
 		for _, i := range instance.Subset(members, b.self, b.domain, tree.Get(settings.Tree, s, reference.AgentsHeard)) {
 			wanted[i.Name] = i
 		}
@@ -135,10 +135,12 @@
 	return "group/" + s.Group
 }
 
-func (b *Balancer) members(instances []fleet.Instance) []core.ConfiguredUpstream {
+// members returns the upstreams of a set. Those of evacuated failure domains get no new
+// requests, like those that leave.
+func (b *Balancer) members(t *tree.Tree, instances []fleet.Instance) []core.ConfiguredUpstream {
 	out := make([]core.ConfiguredUpstream, 0, len(instances))
 	for _, i := range instances {
-		m := core.ConfiguredUpstream{Name: i.Name, Leaving: i.Leaving}
+		m := core.ConfiguredUpstream{Name: i.Name, Leaving: i.Leaving || tree.Get(t, tree.Scope{FailureDomain: string(i.FailureDomain)}, reference.Evacuated)}
 		if i.FailureDomain != b.domain {
 			m.Distance = remoteLatency
 		}
--- a/internal/operator/command/command.go
+++ b/internal/operator/command/command.go
@@ -186,7 +186,7 @@
 	for _, c := range logCommands() {
 		commander.Register(c, "operators")
 	}
-	for _, c := range fleetCommands() {
+	for _, c := range append(fleetCommands(), evacuationCommands()...) {
 		commander.Register(c, "operators")
 	}
 }
--- a/internal/operator/command/fleet.go
+++ b/internal/operator/command/fleet.go
@@ -68,6 +68,8 @@
 	NotReady      bool                `json:"unready"`
 	Busy          int64               `json:"busy"`
 	Waiting       int64               `json:"waiting"`
+	// Evacuated are the failure domains to which the instance sends no requests.
+	Evacuated []fleet.FailureDomain `json:"evacuated,omitempty"`
 }
 
 // groupStatus describes a group in the output of the command status, as its leader
@@ -156,7 +158,8 @@
 	InFlight  int64 `json:"in-flight"`
 	Ready     *bool `json:"ready"`
 	Directory struct {
-		ConfigurationVersion uint64 `json:"configuration-version"`
+		ConfigurationVersion uint64                `json:"configuration-version"`
+		Evacuated            []fleet.FailureDomain `json:"evacuated"`
 	} `json:"directory"`
 	Caller struct {
 		InFlight int64 `json:"in-flight"`
@@ -190,6 +193,7 @@
 	row.Reachable, row.Revision = true, max(s.Revision, s.Directory.ConfigurationVersion)
 	row.Leaving = row.Leaving || s.Caller.Draining || s.Gateway.Leaving
 	row.NotReady = s.Ready != nil && !*s.Ready
+	row.Evacuated = s.Directory.Evacuated
 	row.Busy, row.Waiting = s.Caller.InFlight+s.Gateway.Running+s.InFlight, s.Gateway.Waiting
 	var groups []groupStatus
 	for _, d := range s.LeaderTasks {
--- a/internal/operator/command/prepared.go
+++ b/internal/operator/command/prepared.go
@@ -4,12 +4,14 @@
 	"context"
 	"fmt"
 	"io"
+	"maps"
 	"net/netip"
 	"slices"
 	"strings"
 	"text/tabwriter"
 
 	"bramleydeal/internal/operator/directory"
+	"bramleydeal/internal/world/fleet"
 	"bramleydeal/internal/world/service"
 	"bramleydeal/platform"
 	"github.com/samber/oops"
@@ -95,14 +97,17 @@
 
 // preparedStatusReport is the output of the command status on a prepared platform.
 type preparedStatusReport struct {
-	ConfigurationVersion uint64            `json:"configuration-version"`
-	Instances            []instanceStatus  `json:"instances"`
-	Services             []serviceStatus   `json:"services"`
-	Unreadable           map[string]string `json:"unreadable"`
+	ConfigurationVersion uint64           `json:"configuration-version"`
+	Instances            []instanceStatus `json:"instances"`
+	Services             []serviceStatus  `json:"services"`
+	// Evacuated are the failure domains that the store lists as evacuated, sorted.
+	Evacuated  []fleet.FailureDomain `json:"evacuated,omitempty"`
+	Unreadable map[string]string     `json:"unreadable"`
 }
 
 // preparedStatus prints the status of a prepared platform's deployment. An instance
-// is behind if its configuration version is below that of the store.
+// is behind if its configuration version is below that of the store, or if it does not
+// know that a failure domain is evacuated.
 func preparedStatus(ctx context.Context, c *commonOptions, _ []string) error {
 	d, err := c.deployment(ctx)
 	if err != nil {
@@ -111,10 +116,13 @@
 	r := preparedStatusReport{
 		ConfigurationVersion: d.View.Configuration.Version,
 		Services:             countUpstreams(d.View.Upstreams), Unreadable: d.Unreadable,
+		Evacuated: slices.Sorted(maps.Keys(d.View.Evacuated)),
 	}
 	r.Instances, _ = queryInstances(ctx, d.Instances)
 	for i := range r.Instances {
-		r.Instances[i].Behind = r.Instances[i].Reachable && r.Instances[i].Revision < r.ConfigurationVersion
+		n := &r.Instances[i]
+		unknown := func(e fleet.FailureDomain) bool { return !slices.Contains(n.Evacuated, e) }
+		n.Behind = n.Reachable && (n.Revision < r.ConfigurationVersion || slices.ContainsFunc(r.Evacuated, unknown))
 	}
 	return c.print(r, func(w io.Writer) { printPreparedStatus(w, r) })
 }
@@ -157,6 +165,12 @@
 	for _, s := range r.Services {
 		fmt.Fprintf(t, "%s\t%s\t%d\t%d\t%d\t%d\n", s.Service, s.FailureDomain, s.Upstreams, s.Leaving, s.Broken, s.Slots)
 	}
+	if len(r.Evacuated) > 0 {
+		fmt.Fprintln(t, "\nEVACUATED FAILURE DOMAIN")
+	}
+	for _, domain := range r.Evacuated {
+		fmt.Fprintln(t, domain)
+	}
 	if len(r.Unreadable) > 0 {
 		fmt.Fprintln(t, "\nUNREADABLE OBJECT\tREASON")
 	}
--- a/internal/operator/directory/deployment.go
+++ b/internal/operator/directory/deployment.go
@@ -1,5 +1,5 @@
 // Package directory reads a deployment on a prepared platform for operators: the
-// configuration, the upstreams and the instances that the store lists. It writes
+// configuration, the upstreams, the instances and the evacuations that the store lists. It writes
 // nothing, because the platform's own operators maintain the configuration.
 package directory
 
@@ -37,7 +37,8 @@
 	d := &Deployment{Unreadable: map[string]string{}}
 	var configuration *service.Configuration
 	upstreams := map[string]service.Upstream{}
-	for _, k := range []directory.Kind{directory.Configuration, directory.Upstreams, directory.Instances} {
+	evacuated := map[fleet.FailureDomain]bool{}
+	for _, k := range []directory.Kind{directory.Configuration, directory.Upstreams, directory.Instances, directory.Evacuations} {
 		u, err := s.List(ctx, k)
 		if err != nil {
 			return nil, oops.Wrapf(err, "list the store's %s", k)
@@ -57,6 +58,8 @@
 				if instance, err = fleet.ParseInstance(o.Value); err == nil {
 					d.Instances = append(d.Instances, instance)
 				}
+			case directory.Evacuations:
+				evacuated[fleet.FailureDomain(o.Name)] = true
 			}
 			if err != nil {
 				d.Unreadable[string(k)+"/"+o.Name] = err.Error()
@@ -66,7 +69,7 @@
 	if configuration == nil {
 		return nil, oops.Code(CodeNotFound).Errorf("the store has no configuration that can be decoded: %v", d.Unreadable)
 	}
-	d.View = service.NewView(configuration, upstreams, true)
+	d.View = service.NewView(configuration, upstreams, true).WithEvacuated(evacuated)
 	return d, nil
 }
 
--- a/internal/settings/reference/declarations.go
+++ b/internal/settings/reference/declarations.go
@@ -13,6 +13,7 @@
 var (
 	allLevels     = LevelKinds
 	processLevels = []LevelKind{Fleet, FailureDomain}
+	domainOnly    = []LevelKind{FailureDomain}
 	targetLevels  = []LevelKind{Fleet, FailureDomain, Service, Group}
 	targetOnly    = []LevelKind{Service, Group}
 	groupLevels   = []LevelKind{Fleet, FailureDomain, Group}
@@ -68,8 +69,13 @@
 		"How long an entry tries to reach the owner of a session or stream before it answers owner-unreachable.")
 )
 
+// EvacuatedName is the name of the setting Evacuated.
+const EvacuatedName = "evacuated"
+
 // Settings of upstreams.
 var (
+	Evacuated = declare(EvacuatedName, false, domainOnly, nil,
+		"Whether the upstreams of the failure domain get no new requests.")
 	Upstreams = declare("upstreams", []string{}, targetOnly, nil,
 		"Instances whose upstreams serve this service or model group; for a model group in the order of the ranks.")
 	Model = declare("model", "", groupOnly, nil,
