--- a/internal/process/directory/evacuations_test.go
+++ b/internal/process/directory/evacuations_test.go
@@ -94,7 +94,7 @@
 		is.Equal(evacuated(d), []string{"z1"})
 		time.Sleep(evacuationHold - 1)
 		is.Equal(evacuated(d), []string{"z1"})
-		time.Sleep(2)
+		time.Sleep(2 * time.Nanosecond)
 		synctest.Wait()
 		is.Equal(evacuated(d), []string{})
 	})
