Soak: failure domains are evacuated

The soak empties one of its two failure domains at a time, from a schedule of its own, so that kept seeds play as before, and checks that no request arrives there later than the operators' bound.

--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -32,6 +32,7 @@
 	only               string
 	extended           bool
 	prompts, requests  bool
+	evacuations        bool
 }
 
 func main() {
@@ -48,6 +49,7 @@
 	flag.BoolVar(&f.extended, "extended", true, "inject the extended faults too; false repeats a seed from before there were any")
 	flag.BoolVar(&f.prompts, "prompts", true, "have upstreams end on a part of prompts; false repeats a seed from before they did")
 	flag.BoolVar(&f.requests, "requests", true, "have upstreams end on requests that are sent again and again; false repeats a seed from before they did")
+	flag.BoolVar(&f.evacuations, "evacuations", true, "evacuate failure domains too; false repeats a seed from before any were")
 	flag.Parse()
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	// After the first signal, restore the default, so that a second one terminates
@@ -131,6 +133,9 @@
 	if f.requests {
 		options = append(options, run.WithDeadlyRequests())
 	}
+	if f.evacuations {
+		options = append(options, run.WithEvacuations())
+	}
 	report, err := run.New(seed, f.program, folder, options...).Run(ctx)
 	if err != nil {
 		return nil, oops.Wrapf(err, "seed %d", seed)
--- a/internal/soak/history/check.go
+++ b/internal/soak/history/check.go
@@ -60,6 +60,7 @@
 	c.checkReverts()
 	c.checkDraining()
 	c.checkAdvice()
+	c.checkEvacuations()
 	c.checkDeadly()
 	c.checkRetries(slack)
 	return c.violations
--- a/internal/soak/history/history.go
+++ b/internal/soak/history/history.go
@@ -73,7 +73,9 @@
 // Arrival is the receipt of a request by an upstream.
 type Arrival struct {
 	Upstream string
-	At       time.Time
+	// FailureDomain is that of the upstream.
+	FailureDomain string
+	At            time.Time
 	// Executed reports whether the upstream executed the request.
 	Executed bool
 	// Misdirected reports whether the request named another upstream, which had the
@@ -110,6 +112,7 @@
 	// draining, by upstream.
 	drainingSince map[string]time.Time
 	advice        []*Advice
+	evacuations   []*Evacuation
 	// deadlyEnds are the times at which upstreams ended on requests, by cause.
 	deadlyEnds map[DeadlyCause][]time.Time
 	// recoveredAt is the time at which the recovery time after the last fault was over,
--- a/internal/soak/program/program.go
+++ b/internal/soak/program/program.go
@@ -27,6 +27,8 @@
 	// PeerSeeds are peer addresses of entries through which the entry finds its peers.
 	PeerSeeds  []netip.AddrPort
 	RetrySlack float64
+	// Evacuations is set if the entry follows evacuations.
+	Evacuations bool
 }
 
 // Limits that are set for all entries of a run and that the checks apply.
@@ -40,17 +42,24 @@
 	// send within RetryWindow.
 	RetryRatio  = 0.2
 	RetryWindow = 10 * time.Second
+	// EvacuationTime is the time within which an evacuated failure domain must stop
+	// receiving requests.
+	EvacuationTime = 5 * time.Second
 )
 
 // marshal returns the content of the settings file.
 func (s Settings) marshal() ([]byte, error) {
+	direct := map[string]any{
+		"drain-time": DrainTime.String(), "grace": GracePeriod.String(), "retry-ratio": RetryRatio,
+		"retry-slack": s.RetrySlack, "retry-window": RetryWindow.String(), "fencing": true,
+	}
+	if s.Evacuations {
+		direct["evacuation-time"] = EvacuationTime.String()
+	}
 	return json.MarshalIndent(map[string]any{
 		"name": s.Name, "failure-domain": s.FailureDomain, "listen": s.ListenAddress, "ready-listen": s.ReadyAddress,
 		"peer-listen": s.PeerAddress, "platform": s.StoreAddress, "peers": s.PeerSeeds, "log-format": "json",
-		"direct": map[string]any{
-			"drain-time": DrainTime.String(), "grace": GracePeriod.String(), "retry-ratio": RetryRatio,
-			"retry-slack": s.RetrySlack, "retry-window": RetryWindow.String(), "fencing": true,
-		},
+		"direct": direct,
 	}, "", "  ")
 }
 
--- a/internal/soak/run/run.go
+++ b/internal/soak/run/run.go
@@ -80,6 +80,8 @@
 	deadlyActive               atomic.Bool
 	// extendedFaults is true if the faults of schedule.GenerateExtended are injected too.
 	extendedFaults bool
+	// evacuations is true if failure domains are evacuated too.
+	evacuations bool
 
 	history *history.History
 	proxies *proxy.Proxies
@@ -210,6 +212,10 @@
 		steps = append(steps, schedule.GenerateDeadlyPart(s.seed, s.faultDuration))
 		slices.SortStableFunc(steps, func(a, b schedule.Step) int { return int(a.At - b.At) })
 	}
+	if s.evacuations {
+		steps = append(steps, schedule.GenerateEvacuations(s.seed, s.faultDuration)...)
+		slices.SortStableFunc(steps, func(a, b schedule.Step) int { return int(a.At - b.At) })
+	}
 	s.runSchedule(ctx, steps)
 	report := &Report{Seed: s.seed, Steps: steps, Counts: s.history.Counts(), Violations: s.history.Check(retrySlack)}
 	for _, err := range s.runErrors {
@@ -268,7 +274,7 @@
 		}
 		s.storeLinks = append(s.storeLinks, link)
 		e := program.New(s.program, s.folder, program.Settings{
-			Name: fmt.Sprintf("entry-%d", n), FailureDomain: failureDomain(n), PeerSeeds: seeds, RetrySlack: retrySlack,
+			Name: fmt.Sprintf("entry-%d", n), FailureDomain: failureDomain(n), PeerSeeds: seeds, RetrySlack: retrySlack, Evacuations: s.evacuations,
 			ListenAddress: netip.AddrPortFrom(at, callerPort), ReadyAddress: netip.AddrPortFrom(at, readyPort),
 			PeerAddress: netip.AddrPortFrom(at, peerPort), StoreAddress: netip.AddrPortFrom(at, linkPort),
 		})
@@ -302,7 +308,7 @@
 	id := fmt.Sprintf("w-%d", s.startedUpstreams)
 	s.mu.Unlock()
 	w := standin.NewWorker(id, standin.WithProcessingTime(processingTime), standin.WithObserver(func(a standin.Arrival) {
-		s.history.AddArrival(a.ID, history.Arrival{Upstream: a.Worker, At: a.At, Executed: a.Executed, Misdirected: a.Misdirected})
+		s.history.AddArrival(a.ID, history.Arrival{Upstream: a.Worker, FailureDomain: slot.failureDomain, At: a.At, Executed: a.Executed, Misdirected: a.Misdirected})
 	}), standin.WithDeadlyRequests(deadlyCause, func(why string) { s.endUpstream(slot, id, why) }))
 	link, err := s.proxies.NewLink(id, slot.address, w.Address())
 	for end := time.Now().Add(addressTimeout); errors.Is(err, syscall.EADDRINUSE) && time.Now().Before(end); {
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -29,8 +29,10 @@
 	// Prompts is true if upstreams end on a part of prompts too.
 	Prompts bool `json:"prompts"`
 	// Requests adds the requests that are sent again and again and end upstreams.
-	Requests bool   `json:"requests"`
-	Cause    string `json:"cause"`
+	Requests bool `json:"requests"`
+	// Evacuations is true if failure domains are evacuated too.
+	Evacuations bool   `json:"evacuations"`
+	Cause       string `json:"cause"`
 }
 
 // readSeeds returns the runs in seeds.jsonc.
@@ -69,6 +71,9 @@
 			if s.Requests {
 				options = append(options, run.WithDeadlyRequests())
 			}
+			if s.Evacuations {
+				options = append(options, run.WithEvacuations())
+			}
 			report, err := run.New(s.Seed, program, t.TempDir(), options...).Run(t.Context())
 			is.NoErr(err)
 			for _, v := range report.Violations {
