Cold upstreams: the requests of all processes together stay within the bound

Now a process decides from its list and from its own attempts when an upstream counts as cold, and a few processes share the requests that it takes, as they share a limit that an upstream names.

--- a/internal/core/upstream/advice.go
+++ b/internal/core/upstream/advice.go
@@ -21,6 +21,8 @@
 	// RetryAfter is the time for which the upstream wants no request of this process, 0
 	// if it said nothing of it.
 	RetryAfter time.Duration
+	// ColdFor is how much longer the upstream is cold, 0 if it did not say that it is.
+	ColdFor time.Duration
 }
 
 // AdviceChange says how a response changed what is known of an upstream.
@@ -100,6 +102,7 @@
 	if m == nil {
 		return nil
 	}
+	p.setCold(m, next.ColdFor, ColdAnswered, now)
 	changes := m.advice.record(next, sent, now)
 	if len(changes) > 0 {
 		p.updateShare(m)
@@ -111,8 +114,10 @@
 // of what it said, zero or a past time if it may get one.
 func (m *member) heldUntil() time.Time {
 	until := m.limitedUntil()
-	if m.advice.suspendedUntil.After(until) {
-		return m.advice.suspendedUntil
+	for _, other := range []time.Time{m.advice.suspendedUntil, m.cold.heldUntil(m.sentAt)} {
+		if other.After(until) {
+			until = other
+		}
 	}
 	return until
 }
@@ -130,6 +135,7 @@
 		if m.advice.limited && !m.share.sender {
 			until = now.Add(limitInterval(1, m.advice.limit))
 		}
+		until = m.cold.nextShare(until, now)
 		if first.IsZero() || until.Before(first) {
 			first = until
 		}
--- a/internal/core/upstream/limit.go
+++ b/internal/core/upstream/limit.go
@@ -53,11 +53,16 @@
 // requests per second, of an upstream in a failure domain. phase, in [0, 1), differs
 // between processes.
 func newLimitShare(limit float64, upstream string, domain fleet.FailureDomain, self string, processes []fleet.Instance, phase float64) limitShare {
+	count := min(len(processes), minSenders+int(sendersPerLimit*min(limit, float64(len(processes)))))
+	return newShare(limit, count, upstream, domain, self, processes, phase)
+}
+
+// newShare is like newLimitShare for a limit that at most count processes share.
+func newShare(limit float64, count int, upstream string, domain fleet.FailureDomain, self string, processes []fleet.Instance, phase float64) limitShare {
 	isSelf := func(i fleet.Instance) bool { return i.Name == self }
 	if !slices.ContainsFunc(processes, isSelf) {
 		return limitShare{sender: true, interval: limitInterval(max(len(processes)+1, unlistedProcesses), limit)}
 	}
-	count := min(len(processes), minSenders+int(sendersPerLimit*min(limit, float64(len(processes)))))
 	interval := limitInterval(count, limit)
 	if slices.ContainsFunc(instance.Senders(processes, upstream, domain, count), isSelf) {
 		return limitShare{sender: true, interval: interval}
--- a/internal/core/upstream/outcome.go
+++ b/internal/core/upstream/outcome.go
@@ -45,7 +45,9 @@
 	if m.group != nil && o != GroupStalled {
 		m.group.health.probing = false
 	}
-	p.reachabilityOf(m).recordOutcome(o, now)
+	domain := p.reachabilityOf(m)
+	domainBack := domain.connectTimeouts >= maxConnectTimeouts && o == Answered
+	domain.recordOutcome(o, now)
 	if o != Answered && o != CallerLeft && o != Rejected {
 		if p.consecutiveFailures++; p.firstFailureAt.IsZero() {
 			p.firstFailureAt = now
@@ -53,12 +55,14 @@
 	}
 	switch o {
 	case Answered:
+		p.recordReached(m, domainBack, now)
 		p.recordSuccess(m, took, now)
 	case UpstreamError:
 		p.recordFailure(m, now)
 	case Unreachable, ConnectTimeout:
 		// The upstream cannot be reached at its address, so it is ejected even if
 		// that leaves less than half of the pool.
+		p.recordAway(m, now)
 		m.health.eject(p.config.EjectionTime, now)
 	case GroupStalled:
 		m.health.probing = false
--- a/internal/core/upstream/pool.go
+++ b/internal/core/upstream/pool.go
@@ -31,6 +31,7 @@
 	lastSuccessAt, firstFailureAt time.Time
 	consecutiveFailures           int
 	reachability                  map[fleet.FailureDomain]*reachability
+	cold                          coldLog
 }
 
 // member is one upstream of a pool.
@@ -58,6 +59,7 @@
 	group *poolGroup
 	// endedAt is when the upstream ended without notice, zero if it is not known to have.
 	endedAt time.Time
+	cold    coldState
 }
 
 // PoolConfig holds the settings of a Pool.
@@ -132,7 +134,9 @@
 // Configure replaces the upstreams and the settings. The state of an upstream is kept
 // if it has the same ID and incarnation as before.
 func (p *Pool) Configure(upstreams []service.Upstream, config PoolConfig, now time.Time) {
+	previous := p.config
 	p.config = config
+	p.identifySharers()
 	if p.firstConfiguredAt.IsZero() && len(upstreams) > 0 {
 		p.firstConfiguredAt = now
 	}
@@ -141,10 +145,16 @@
 	p.members = p.members[:0]
 	for _, u := range upstreams {
 		m := p.byID[u.ID]
-		if m == nil || m.Incarnation() != u.Incarnation() {
+		isNew := m == nil || m.Incarnation() != u.Incarnation()
+		if isNew {
 			m = p.newMember(u.Incarnation())
 		}
+		wasCold := m.cold.reported
+		p.updateCold(m, u, isNew, previous, now)
 		m.Upstream = u
+		if wasCold {
+			p.updateColdShare(m)
+		}
 		m.group = p.groupFor(groups, u.Membership)
 		kept[u.ID] = m
 		p.members = append(p.members, m)
@@ -186,6 +196,7 @@
 // equally loaded ones.
 func (p *Pool) Choose(q PoolQuery, now time.Time) (service.Upstream, bool) {
 	best := p.best(q, now)
+	p.countPassed(best)
 	if best == nil {
 		return service.Upstream{}, false
 	}
@@ -222,7 +233,7 @@
 	draws, drawn := 0, 0
 	for _, m := range p.members {
 		e := p.eligibility(m, q, now)
-		if e == ineligible || e > bestEligibility || m.heldUntil().After(now) {
+		if e == ineligible || e > bestEligibility || p.passOver(m, now) {
 			continue
 		}
 		if best == nil || e < bestEligibility {
@@ -288,6 +299,9 @@
 	if age := now.Sub(m.reportedAt); age < loadReportTTL && m.group == nil {
 		load += m.otherLoad * float64(loadReportTTL-age) / float64(loadReportTTL)
 	}
+	if m.cold.end().After(now) {
+		load += coldLoad
+	}
 	return load / float64(max(m.Slots, 1))
 }
 
@@ -327,6 +341,8 @@
 	// HeldForMS is the time in milliseconds for which this process sends no request
 	// because of the limit or because the upstream said when to come back.
 	HeldForMS int64 `json:"held-for-milliseconds,omitempty"`
+	// Cold is nil for a warm upstream.
+	Cold *ColdState `json:"cold,omitempty"`
 }
 
 // State returns the debug state of all upstreams at now, sorted by ID.
@@ -340,7 +356,7 @@
 		if m.Membership != nil {
 			s.Group = m.Membership.Group
 		}
-		s.HeldForMS = max(m.heldUntil().Sub(now), 0).Milliseconds()
+		s.HeldForMS, s.Cold = max(m.heldUntil().Sub(now), 0).Milliseconds(), m.cold.state(now)
 		if m.advice.limited {
 			limit := m.advice.limit
 			s.Limit, s.LimitAgeMS = &limit, now.Sub(m.advice.limitAt).Milliseconds()
--- a/internal/core/upstream/pool_group.go
+++ b/internal/core/upstream/pool_group.go
@@ -115,6 +115,7 @@
 		return false
 	}
 	m.endedAt = at
+	p.recordAway(m, now)
 	if now.Sub(at) < maxEndAge {
 		m.health.eject(p.config.EjectionTime, now)
 		if m.group != nil && !m.leaving() {
