Cold upstreams: settings, header, metrics and log of entries

It logs which upstreams become cold and warm and why, shows them in the dump, and counts the requests that they had no room for.

--- a/internal/core/upstream/cold.go
+++ b/internal/core/upstream/cold.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"time"
 
 	"bramleydeal/internal/world/service"
@@ -58,7 +59,7 @@
 // requests, which is the bound divided by separateHalves if the bound leaves room for that.
 func (c ColdConfig) senders(processes int) (count int, rate float64) {
 	part := c.bound() / separateHalves
-	count = max(1, min(processes, max(minSenders, int(part/burstDivisor)), int(part)))
+	count = max(1, min(processes, max(minSenders, int(part/burstDivisor)), int(math.Ceil(part))-1))
 	rate = part - float64(count)
 	if rate <= 0 {
 		rate = max(c.bound()-float64(count), 0) / separateHalves
@@ -173,6 +174,16 @@
 	}
 }
 
+// ColdUpstreams returns the number of upstreams that are cold at now.
+func (p *Pool) ColdUpstreams(now time.Time) (count uint64) {
+	for _, m := range p.members {
+		if m.cold.end().After(now) {
+			count++
+		}
+	}
+	return count
+}
+
 // ColdRequests returns how many requests a cold upstream had no room for: those that were sent
 // elsewhere and those for which there was no other upstream.
 func (p *Pool) ColdRequests() (elsewhere, refused uint64) { return p.cold.elsewhere, p.cold.refused }
@@ -237,9 +248,10 @@
 
 // becomeCold reports that m is cold now, and sets this process's share in it.
 func (p *Pool) becomeCold(m *member, reason ColdReason, now time.Time) {
+	m.cold.reason = reason
 	if !m.cold.reported {
 		p.updateColdShare(m)
-		m.cold.reported, m.cold.reason = true, reason
+		m.cold.reported = true
 		p.cold.changes = append(p.cold.changes, ColdChange{m.ID, true, reason, m.cold.end().Sub(now)})
 	}
 	p.cold.expectWarm(m.cold.end())
--- a/internal/core/upstream/pool.go
+++ b/internal/core/upstream/pool.go
@@ -148,6 +148,7 @@
 		isNew := m == nil || m.Incarnation() != u.Incarnation()
 		if isNew {
 			m = p.newMember(u.Incarnation())
+			m.Upstream = u
 		}
 		wasCold := m.cold.reported
 		p.updateCold(m, u, isNew, previous, now)
--- a/internal/entry/direct/entry.go
+++ b/internal/entry/direct/entry.go
@@ -114,6 +114,7 @@
 	e.pools = upstream.NewPools(seed, c.Name, c.FailureDomain, upstream.Config{
 		Pool: core.PoolConfig{
 			EjectionTime: ejectionTime, EjectionFailures: ejectionFailures, EjectionErrorRate: ejectionErrorRate, SlowFactor: slowFactor,
+			Cold: core.ColdConfig{Factor: c.Direct.ColdFactor, Slack: c.Direct.ColdSlack},
 		},
 		Quota: retryQuotaConfig(c.Direct),
 	}, e.metricSet, logger.Component("pools"))
--- a/internal/entry/upstream/advice.go
+++ b/internal/entry/upstream/advice.go
@@ -98,6 +98,7 @@
 	defer p.mu.Unlock()
 	for _, s := range p.services {
 		s.pool.AgeAdvice(d)
+		s.pool.RecordSuspension(time.Now())
 		s.suspects.Age(d)
 	}
 }
--- a/internal/entry/upstream/pools.go
+++ b/internal/entry/upstream/pools.go
@@ -77,6 +77,12 @@
 	for _, u := range v.Upstreams {
 		members[u.Service] = append(members[u.Service], u)
 	}
+	changes := map[string][]core.ColdChange{}
+	defer func() {
+		for name, c := range changes {
+			p.logColdChanges(name, c)
+		}
+	}()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.config.Quota.Processes = len(entries)
@@ -93,7 +99,12 @@
 		if v.Configuration != nil && v.Configuration.Services[name].MaxConnections > 0 {
 			config.MaxOutstanding = max(v.Configuration.Services[name].MaxConnections/p.config.Quota.Processes, 1)
 		}
+		if v.Configuration != nil {
+			config = withColdConfig(config, v.Configuration.Services[name])
+			p.registerColdMetrics(name, v.Configuration.Services[name])
+		}
 		s.pool.Configure(members[name], config, now)
+		changes[name] = s.pool.TakeColdChanges(now)
 		s.quota.Configure(p.config.Quota)
 		s.suspects.Configure(entries)
 	}
@@ -138,8 +149,12 @@
 // request as started there. It reports false if no upstream can be used.
 func (p *Pools) Choose(name string, q core.PoolQuery, now time.Time) (service.Upstream, bool) {
 	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.forService(name).pool.Choose(q, now)
+	pool := p.forService(name).pool
+	u, ok := pool.Choose(q, now)
+	changes := pool.TakeColdChanges(now)
+	p.mu.Unlock()
+	p.logColdChanges(name, changes)
+	return u, ok
 }
 
 // RecordOutcome records the outcome of an attempt at an upstream. took is the
