--- a/internal/operator/directory/deployment.go
+++ b/internal/operator/directory/deployment.go
@@ -204,6 +204,10 @@
 func (b *settingsBuilder) addService(s service.Service) {
 	b.addCount("connections-per-upstream", int64(s.MaxConnections))
 	b.add("health-path", s.HealthPath, s.HealthPath != "")
+	if s.ColdTime > 0 && s.ColdRate > 0 {
+		b.addDuration("cold-time", s.ColdTime)
+		b.add("cold-rate", fmt.Sprintf("%g requests/s", s.ColdRate), true)
+	}
 	e := s.Engine
 	if e == nil {
 		return
