Cold upstreams: one that is out of reach is no reason to come back at a next share

An upstream that no process reaches has no next share: callers got 0.1 s instead of the time that the outage has lasted. A failure domain counts as reached again by any response, not only by a success.

--- a/internal/core/upstream/advice.go
+++ b/internal/core/upstream/advice.go
@@ -129,7 +129,7 @@
 	var first time.Time
 	for _, m := range p.members {
 		until := m.heldUntil()
-		if !until.After(now) || p.eligibility(m, q, now) > lapsed {
+		if !until.After(now) || p.eligibility(m, q, now) > lapsed || m.cold.away.After(now) {
 			continue
 		}
 		if m.advice.limited && !m.share.sender {
--- a/internal/core/upstream/cold.go
+++ b/internal/core/upstream/cold.go
@@ -5,6 +5,7 @@
 	"math"
 	"time"
 
+	"bramleydeal/internal/world/fleet"
 	"bramleydeal/internal/world/service"
 	"github.com/cespare/xxhash/v2"
 )
@@ -284,17 +285,20 @@
 	p.becomeCold(m, ColdUnreached, now)
 }
 
-// recordReached records that m answered. domainBack is set if its failure domain could not be
-// reached before.
-func (p *Pool) recordReached(m *member, domainBack bool, now time.Time) {
+// recordReached records that m has responded.
+func (p *Pool) recordReached(m *member, now time.Time) {
 	if !m.cold.away.IsZero() {
 		m.cold.away = time.Time{}
 		p.setCold(m, p.config.Cold.Time, ColdUnreached, now)
 		p.cold.expectWarm(m.cold.end())
 	}
-	for _, o := range p.members {
-		if domainBack && o.FailureDomain == m.FailureDomain {
-			p.setCold(o, p.config.Cold.Time, ColdUnreached, now)
+}
+
+// recordDomainReached records that a failure domain which was out of reach no longer is.
+func (p *Pool) recordDomainReached(domain fleet.FailureDomain, now time.Time) {
+	for _, m := range p.members {
+		if m.FailureDomain == domain {
+			p.setCold(m, p.config.Cold.Time, ColdUnreached, now)
 		}
 	}
 }
--- a/internal/core/upstream/cold_test.go
+++ b/internal/core/upstream/cold_test.go
@@ -105,6 +105,9 @@
 		now := testNow.Add(time.Minute)
 		is.Equal(chooseID(p, PoolQuery{}, now), "u0")
 		p.RecordOutcome("u0", Unreachable, 0, now)
+		_, held := p.HeldUntil(PoolQuery{}, now.Add(2*time.Second))
+		is.True(!held) // nobody knows when it is back
+		is.True(p.Outage(now.Add(2*time.Second)) > 0)
 		tried := now.Add(2 * time.Second)
 		for ; chooseID(p, PoolQuery{}, tried) == ""; tried = tried.Add(100 * time.Millisecond) {
 			is.True(tried.Sub(now) < time.Minute)
--- a/internal/core/upstream/outcome.go
+++ b/internal/core/upstream/outcome.go
@@ -46,8 +46,14 @@
 		m.group.health.probing = false
 	}
 	domain := p.reachabilityOf(m)
-	domainBack := domain.connectTimeouts >= maxConnectTimeouts && o == Answered
+	wasOutOfReach := domain.connectTimeouts >= maxConnectTimeouts
 	domain.recordOutcome(o, now)
+	if wasOutOfReach && domain.connectTimeouts == 0 {
+		p.recordDomainReached(m.FailureDomain, now)
+	}
+	if o == Answered || o == Rejected || o == GroupStalled {
+		p.recordReached(m, now)
+	}
 	if o != Answered && o != CallerLeft && o != Rejected {
 		if p.consecutiveFailures++; p.firstFailureAt.IsZero() {
 			p.firstFailureAt = now
@@ -55,7 +61,6 @@
 	}
 	switch o {
 	case Answered:
-		p.recordReached(m, domainBack, now)
 		p.recordSuccess(m, took, now)
 	case UpstreamError:
 		p.recordFailure(m, now)
@@ -95,9 +100,11 @@
 }
 
 // anyHealthy reports whether any upstream is healthy, or lapsed but not ejected. Upstreams
-// that have MaxOutstanding requests do not count.
+// that have MaxOutstanding requests, or are taken for out of reach, do not count.
 func (p *Pool) anyHealthy(now time.Time) bool {
-	return slices.ContainsFunc(p.members, func(m *member) bool { return p.eligibility(m, PoolQuery{}, now) <= lapsed })
+	return slices.ContainsFunc(p.members, func(m *member) bool {
+		return p.eligibility(m, PoolQuery{}, now) <= lapsed && !m.cold.away.After(now)
+	})
 }
 
 // recordSuccess records a complete response from m with the given latency, and ejects m
