--- a/internal/core/upstream/outcome.go
+++ b/internal/core/upstream/outcome.go
@@ -45,7 +45,15 @@
 	if m.group != nil && o != GroupStalled {
 		m.group.health.probing = false
 	}
-	p.reachabilityOf(m).recordOutcome(o, now)
+	domain := p.reachabilityOf(m)
+	wasOutOfReach := domain.connectTimeouts >= maxConnectTimeouts
+	domain.recordOutcome(o, now)
+	if wasOutOfReach && domain.connectTimeouts == 0 {
+		p.recordDomainReached(m.FailureDomain, now)
+	}
+	if o == Answered || o == Rejected || o == GroupStalled {
+		p.recordReached(m, now)
+	}
 	if o != Answered && o != CallerLeft && o != Rejected {
 		if p.consecutiveFailures++; p.firstFailureAt.IsZero() {
 			p.firstFailureAt = now
@@ -59,6 +67,7 @@
 	case Unreachable, ConnectTimeout:
 		// The upstream cannot be reached at its address, so it is ejected even if
 		// that leaves less than half of the pool.
+		p.recordAway(m, now)
 		m.health.eject(p.config.EjectionTime, now)
 	case GroupStalled:
 		m.health.probing = false
@@ -91,9 +100,11 @@
 }
 
 // anyHealthy reports whether any upstream is healthy, or lapsed but not ejected. Upstreams
-// that have MaxOutstanding requests do not count.
+// that have MaxOutstanding requests, or are taken for out of reach, do not count.
 func (p *Pool) anyHealthy(now time.Time) bool {
-	return slices.ContainsFunc(p.members, func(m *member) bool { return p.eligibility(m, PoolQuery{}, now) <= lapsed })
+	return slices.ContainsFunc(p.members, func(m *member) bool {
+		return p.eligibility(m, PoolQuery{}, now) <= lapsed && !m.cold.away.After(now)
+	})
 }
 
 // recordSuccess records a complete response from m with the given latency, and ejects m
