Show operators the regions of routes and client accounts

settings explain lists them as regions; all is the default. The golden files show a route and an account that name some, and a route without.

--- a/internal/operator/directory/deployment.go
+++ b/internal/operator/directory/deployment.go
@@ -197,6 +197,20 @@
 	b.add("attempts", strconv.Itoa(r.Attempts), true)
 	b.add("priority", strconv.Itoa(r.Priority), true)
 	b.add("public", strconv.FormatBool(r.Public), true)
+	b.addRegions(r.Regions)
+}
+
+// addRegions adds the regions that a route or account allows.
+func (b *settingsBuilder) addRegions(regions []fleet.Region) {
+	if len(regions) == 0 {
+		b.add("regions", "all", false)
+		return
+	}
+	names := make([]string, len(regions))
+	for i, r := range regions {
+		names[i] = string(r)
+	}
+	b.add("regions", strings.Join(names, ", "), true)
 }
 
 // addService adds the settings of a service and, for a model service, those of its
@@ -224,6 +238,7 @@
 // that of the route.
 func (b *settingsBuilder) addAccount(a *service.Account) {
 	b.add("keys", strconv.Itoa(len(a.Keys)), true)
+	b.addRegions(a.Regions)
 	if a.Priority == nil {
 		b.add("priority", "the route's", false)
 		return
