Keep requests in the regions of their route and client account

The configuration may name regions for routes and accounts; nothing read them. An upstream outside of a required region is ineligible now, one whose region is unknown too. Regions are those of the newest configuration at each attempt, so that a retry or a resumed stream follows a change. A stream leaves a stopped group only for an upstream in its regions. Without upstreams there, a request is refused as no-upstream-in-region.

--- a/internal/core/client/retry.go
+++ b/internal/core/client/retry.go
@@ -28,6 +28,7 @@
 // The reasons for which a request is not retried.
 const (
 	NoUpstreamLeft   StopReason = "no upstream left"
+	NoneInRegion     StopReason = "no upstream in the regions of the route and the client account"
 	UpstreamsHeld    StopReason = "the upstreams left asked for fewer requests"
 	NoTimeLeft       StopReason = "no time left"
 	NoAttemptsLeft   StopReason = "no tries left"
@@ -141,6 +142,16 @@
 	return RefuseWith{answer.NoUpstream}
 }
 
+// NoUpstreamInRegion returns the refusal for a request whose service has upstreams, but none in
+// the regions that may handle the request.
+func (s *RetryState) NoUpstreamInRegion(now time.Time) RefuseWith {
+	s.stopReason = NoneInRegion
+	if s.mayHaveRun {
+		return s.refusal(now)
+	}
+	return RefuseWith{answer.NoUpstreamInRegion}
+}
+
 // Held returns the refusal for a request that no upstream can take now because of the
 // limits that they have named, or of the times for which they want no requests.
 func (s *RetryState) Held(now time.Time) RefuseWith {
--- a/internal/core/upstream/pool.go
+++ b/internal/core/upstream/pool.go
@@ -36,6 +36,8 @@
 // member is one upstream of a pool.
 type member struct {
 	service.Upstream
+	// region is that of the failure domain, empty if it is not known.
+	region fleet.Region
 	health health
 	// advice is what the upstream said of the requests that it takes, share this
 	// process's share in its limit, and sentAt the time of the last request to it.
@@ -144,7 +146,7 @@
 		if m == nil || m.Incarnation() != u.Incarnation() {
 			m = p.newMember(u.Incarnation())
 		}
-		m.Upstream = u
+		m.Upstream, m.region = u, config.Regions[u.FailureDomain]
 		m.group = p.groupFor(groups, u.Membership)
 		kept[u.ID] = m
 		p.members = append(p.members, m)
@@ -246,7 +248,7 @@
 // eligibility returns the eligibility of m for a request at now.
 func (p *Pool) eligibility(m *member, q PoolQuery, now time.Time) eligibility {
 	switch {
-	case m.leaving() || slices.Contains(q.Exclude, m.ID):
+	case m.leaving() || slices.Contains(q.Exclude, m.ID) || !inRegions(m.region, q.Regions):
 		return ineligible
 	case p.config.MaxOutstanding > 0 && m.outstanding >= p.config.MaxOutstanding:
 		return ineligible
@@ -313,6 +315,7 @@
 	ID               string              `json:"id"`
 	Address          string              `json:"address"`
 	Domain           fleet.FailureDomain `json:"failure-domain"`
+	Region           fleet.Region        `json:"region,omitempty"`
 	Group            string              `json:"group,omitempty"`
 	Outstanding      int                 `json:"outstanding"`
 	Leaving          bool                `json:"leaving"`
@@ -334,7 +337,7 @@
 	out := make([]MemberState, 0, len(p.members))
 	for _, m := range p.members {
 		s := MemberState{
-			ID: m.ID, Address: m.Address.String(), Domain: m.FailureDomain, Outstanding: m.outstanding, Leaving: m.leaving(),
+			ID: m.ID, Address: m.Address.String(), Domain: m.FailureDomain, Region: m.region, Outstanding: m.outstanding, Leaving: m.leaving(),
 			Ejected: m.health.ejected(now), ErrorRate: m.errorRate, AverageLatencyMS: float64(m.health.averageLatency) / float64(time.Millisecond),
 		}
 		if m.Membership != nil {
--- a/internal/core/upstream/pool_group.go
+++ b/internal/core/upstream/pool_group.go
@@ -136,8 +136,8 @@
 
 // Alternative reports whether a request at an upstream of a group may be sent to a healthy
 // upstream outside it.
-func (p *Pool) Alternative(group string, now time.Time) bool {
+func (p *Pool) Alternative(group string, q PoolQuery, now time.Time) bool {
 	return slices.ContainsFunc(p.members, func(m *member) bool {
-		return (m.Membership == nil || m.Membership.Group != group) && p.eligibility(m, PoolQuery{}, now) <= lapsed
+		return (m.Membership == nil || m.Membership.Group != group) && p.eligibility(m, q, now) <= lapsed
 	})
 }
--- a/internal/entry/client/forward.go
+++ b/internal/entry/client/forward.go
@@ -86,6 +86,7 @@
 			f.fail(f.contentHeld(why, time.Now()))
 			return
 		}
+		f.query.Regions = f.regions()
 		u, ok := h.pools.Choose(c.service, f.query, time.Now())
 		if !ok {
 			f.returnRetry()
@@ -115,6 +116,9 @@
 
 // noUpstream returns the refusal for a request that no upstream may be sent at now.
 func (f *forwarding) noUpstream(now time.Time) core.RefuseWith {
+	if !f.handler.pools.ServesRegions(f.service, f.query.Regions) {
+		return f.retryState.NoUpstreamInRegion(now)
+	}
 	until, held := f.handler.pools.HeldUntil(f.service, f.query, now)
 	if !held {
 		return f.retryState.NoUpstream(now)
@@ -179,6 +183,9 @@
 	if outage := f.handler.pools.Outage(f.service, now); outage > 0 {
 		return min(max(outage, minOutageRetryAfter), max(f.deadline.Sub(now)/3, overloadRetryAfter))
 	}
+	if k == answer.NoUpstreamInRegion {
+		return min(answer.Lookup(k).RetryAfter, max(f.deadline.Sub(now)/3, overloadRetryAfter))
+	}
 	if k == answer.Overloaded {
 		return overloadRetryAfter
 	}
@@ -195,7 +202,7 @@
 	defer cancel()
 	f.progressed = false
 	f.interruption.Store(int32(upstream.Uninterrupted))
-	f.watch = f.handler.pools.Watch(u, f.content(), f.route.Repeatable(), func(why upstream.Interruption) {
+	f.watch = f.handler.pools.Watch(u, f.content(), f.route.Repeatable(), f.query.Regions, func(why upstream.Interruption) {
 		f.interruption.Store(int32(why))
 		cancel()
 	}, began)
--- a/internal/entry/upstream/pools.go
+++ b/internal/entry/upstream/pools.go
@@ -36,6 +36,8 @@
 	series   series
 	// announce makes the peers get the news at once.
 	announce func()
+	// withoutRegion holds the failure domains that were logged because their region is not known.
+	withoutRegion map[fleet.FailureDomain]bool
 }
 
 // servicePool is the pool, the retry quota and the suspects of one service.
@@ -58,7 +60,7 @@
 func NewPools(seed uint64, self string, domain fleet.FailureDomain, config Config, metricSet *metrics.Set, log logr.Logger) *Pools {
 	return &Pools{
 		self: self, domain: domain, seed: seed, log: log, started: time.Now(), config: config, services: map[string]*servicePool{},
-		series: series{set: metricSet, byUpstream: map[string]*upstreamSeries{}}, announce: func() {},
+		series: series{set: metricSet, byUpstream: map[string]*upstreamSeries{}}, announce: func() {}, withoutRegion: map[fleet.FailureDomain]bool{},
 	}
 }
 
@@ -85,6 +87,7 @@
 	}
 	p.config.Pool.Entries = entries
 	p.series.prune(v.Upstreams)
+	p.logUnknownRegions(v)
 	for name := range members {
 		p.forService(name)
 	}
--- a/internal/entry/upstream/watch.go
+++ b/internal/entry/upstream/watch.go
@@ -6,6 +6,7 @@
 	"time"
 
 	core "bramleydeal/internal/core/upstream"
+	"bramleydeal/internal/world/fleet"
 	"bramleydeal/internal/world/service"
 )
 
@@ -32,16 +33,18 @@
 	// sound, empty once the answer has begun.
 	content, suspected core.Content
 	resumable          bool
-	interrupt          func(Interruption)
+	// regions are the regions of the request, as in core.PoolQuery.
+	regions   [][]fleet.Region
+	interrupt func(Interruption)
 }
 
 // Watch starts to watch an attempt at an upstream of a request with content c. interrupt is
 // called at most once, until Stop is called, and must not block. An attempt that is not
-// resumable is only interrupted before it has begun.
-func (p *Pools) Watch(u service.Upstream, c core.Content, resumable bool, interrupt func(Interruption), now time.Time) *Watch {
+// resumable is only interrupted before it has begun. regions are those of the request.
+func (p *Pools) Watch(u service.Upstream, c core.Content, resumable bool, regions [][]fleet.Region, interrupt func(Interruption), now time.Time) *Watch {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	w := &Watch{pools: p, service: p.forService(u.Service), upstream: u, content: c, suspected: c, resumable: resumable, interrupt: interrupt}
+	w := &Watch{pools: p, service: p.forService(u.Service), upstream: u, content: c, suspected: c, resumable: resumable, regions: regions, interrupt: interrupt}
 	if w.service.suspects.Parts.Proven(c.Parts, now) {
 		w.suspected.Parts = nil
 	}
@@ -153,16 +156,17 @@
 }
 
 // interruptGroup interrupts the attempts that can be resumed at the other ranks of the group
-// of an upstream that has ended, if there is another upstream for them. Pools.mu must be
-// held.
+// of an upstream that has ended, if there is another upstream for them in their regions.
+// Pools.mu must be held.
 func (s *servicePool) interruptGroup(ended service.Incarnation, now time.Time) {
 	m := s.pool.Membership(ended)
-	if m == nil || !s.pool.Alternative(m.Group, now) {
+	if m == nil {
 		return
 	}
 	s.interruptAll(GroupStopped, func(w *Watch) bool {
 		o := w.upstream.Membership
-		return w.resumable && o != nil && o.Group == m.Group && o.Epoch == m.Epoch && w.upstream.ID != ended.ID
+		return w.resumable && o != nil && o.Group == m.Group && o.Epoch == m.Epoch && w.upstream.ID != ended.ID &&
+			s.pool.Alternative(m.Group, core.PoolQuery{Regions: w.regions}, now)
 	})
 }
 
--- a/internal/entry/upstream/watch_test.go
+++ b/internal/entry/upstream/watch_test.go
@@ -20,7 +20,7 @@
 	u := service.Upstream{ID: "u1", Service: "stock"}
 	interrupted := map[string]bool{}
 	watch := func(name string) *Watch {
-		return p.Watch(u, core.Content{Parts: []string{"a"}}, true, func(Interruption) { interrupted[name] = true }, now)
+		return p.Watch(u, core.Content{Parts: []string{"a"}}, true, nil, func(Interruption) { interrupted[name] = true }, now)
 	}
 	begun, waiting := watch("begun"), watch("waiting")
 	begun.RecordBegin()
--- a/internal/world/answer/kind.go
+++ b/internal/world/answer/kind.go
@@ -25,29 +25,30 @@
 
 // The error kinds. The Meaning of a row explains each.
 const (
-	InvalidRequest   Kind = "invalid-request"
-	Unauthorized     Kind = "unauthorized"
-	Forbidden        Kind = "forbidden"
-	NotFound         Kind = "not-found"
-	TooLarge         Kind = "too-large"
-	Overloaded       Kind = "overloaded"
-	QueueTimeout     Kind = "queue-timeout"
-	NoUpstream       Kind = "no-upstream"
-	PromptHeld       Kind = "prompt-held"
-	RequestHeld      Kind = "request-held"
-	Leaving          Kind = "leaving"
-	Sealed           Kind = "sealed"
-	Undecided        Kind = "undecided"
-	ClaimUnavailable Kind = "claim-unavailable"
-	OwnerUnreachable Kind = "owner-unreachable"
-	OutcomeUnknown   Kind = "outcome-unknown"
-	TermMoved        Kind = "term-moved"
-	KeyReused        Kind = "key-reused"
-	AnswerGone       Kind = "answer-gone"
-	StreamLost       Kind = "stream-lost"
-	UpstreamFailed   Kind = "upstream-failed"
-	DeadlineExceeded Kind = "deadline-exceeded"
-	Internal         Kind = "internal"
+	InvalidRequest     Kind = "invalid-request"
+	Unauthorized       Kind = "unauthorized"
+	Forbidden          Kind = "forbidden"
+	NotFound           Kind = "not-found"
+	TooLarge           Kind = "too-large"
+	Overloaded         Kind = "overloaded"
+	QueueTimeout       Kind = "queue-timeout"
+	NoUpstream         Kind = "no-upstream"
+	NoUpstreamInRegion Kind = "no-upstream-in-region"
+	PromptHeld         Kind = "prompt-held"
+	RequestHeld        Kind = "request-held"
+	Leaving            Kind = "leaving"
+	Sealed             Kind = "sealed"
+	Undecided          Kind = "undecided"
+	ClaimUnavailable   Kind = "claim-unavailable"
+	OwnerUnreachable   Kind = "owner-unreachable"
+	OutcomeUnknown     Kind = "outcome-unknown"
+	TermMoved          Kind = "term-moved"
+	KeyReused          Kind = "key-reused"
+	AnswerGone         Kind = "answer-gone"
+	StreamLost         Kind = "stream-lost"
+	UpstreamFailed     Kind = "upstream-failed"
+	DeadlineExceeded   Kind = "deadline-exceeded"
+	Internal           Kind = "internal"
 )
 
 // Row describes the response for a kind.
@@ -75,6 +76,7 @@
 	{Overloaded, http.StatusServiceUnavailable, NotRun, true, time.Second, "overloaded_error", "The upstreams' queues are full, or the request could not have been served in time."},
 	{QueueTimeout, http.StatusServiceUnavailable, NotRun, true, time.Second, "overloaded_error", "The request waited for queue-wait without being started."},
 	{NoUpstream, http.StatusServiceUnavailable, NotRun, true, 2 * time.Second, "overloaded_error", "No upstream of this service or model can be reached."},
+	{NoUpstreamInRegion, http.StatusServiceUnavailable, NotRun, true, 5 * time.Second, "overloaded_error", "The service has upstreams, but none in the regions that may handle the request."},
 	{PromptHeld, http.StatusServiceUnavailable, NotRun, true, 5 * time.Second, "overloaded_error", "Upstreams ended as they began to answer requests with a part of this prompt; such requests are held back for a time."},
 	{RequestHeld, http.StatusServiceUnavailable, NotRun, true, 5 * time.Second, "overloaded_error", "Upstreams ended as they ran requests equal to this one; such requests are held back for a time."},
 	{Leaving, http.StatusServiceUnavailable, NotRun, true, time.Second, "overloaded_error", "The upstream or the entry is leaving and takes no new work."},
