Close idle connections when none can be accepted, and be not ready

A server without file descriptors accepted nobody for as long as callers kept idle connections (two minutes), and its entry was ready all the while. It now closes the connections that have been idle longest after a failed accept, and the entry is not ready while accepting fails for half a second or more, or after its listener has failed for good. Both are logged once an outage.

Tests in a process with 64 descriptors: without the closing, TestReadyServerAcceptsConnections (idle connections beyond the limit) and TestServerWithoutDescriptorsIsNotReady fail; without the check of readiness, the latter does. Idle connections below the limit and callers that read nothing never kept a server from accepting.

--- a/internal/entry/client/handler.go
+++ b/internal/entry/client/handler.go
@@ -77,6 +77,9 @@
 	// identityKey is the key under which requests are identified.
 	identityKey atomic.Pointer[core.IdentityKey]
 
+	// accepting reports whether callers' connections are accepted.
+	accepting func() bool
+
 	draining atomic.Bool
 	inFlight atomic.Int64
 	// exitAt is when the process will exit, nil if it is not draining.
@@ -102,7 +105,7 @@
 // New returns a Handler and registers its metrics in c.Metrics.
 func New(c Config) *Handler {
 	h := &Handler{
-		view: c.View, awaitConfirmation: c.AwaitConfirmation, pools: c.Pools, headerCodec: c.HeaderCodec, log: c.Log, successLogRate: log.NewRateLimiter(successLogsPerSecond), countSuppressed: c.CountSuppressed, counters: counters{c.Metrics}, unread: map[string]bool{},
+		view: c.View, awaitConfirmation: c.AwaitConfirmation, pools: c.Pools, headerCodec: c.HeaderCodec, log: c.Log, successLogRate: log.NewRateLimiter(successLogsPerSecond), countSuppressed: c.CountSuppressed, counters: counters{c.Metrics}, unread: map[string]bool{}, accepting: func() bool { return true },
 	}
 	c.Metrics.NewGauge("bramleydeal_requests_in_flight", func() float64 { return float64(h.InFlight()) })
 	return h
@@ -112,6 +115,10 @@
 // called before the first request.
 func (h *Handler) SetIdentityKey(k core.IdentityKey) { h.identityKey.Store(&k) }
 
+// SetAccepting makes the handler ready only while f reports that callers' connections are accepted.
+// It must be called before the first request.
+func (h *Handler) SetAccepting(f func() bool) { h.accepting = f }
+
 // Drain makes the handler report that it is not ready and ask callers to close
 // their connections. exit is when the process will exit, even if requests are
 // still in progress.
@@ -138,10 +145,10 @@
 func (h *Handler) InFlight() int64 { return h.inFlight.Load() }
 
 // Ready reports whether the entry can serve requests: it has a configuration
-// and a list of upstreams, and is not draining.
+// and a list of upstreams, accepts connections and is not draining.
 func (h *Handler) Ready() bool {
 	v := h.view()
-	return !h.draining.Load() && v.Configuration != nil && v.UpstreamsKnown
+	return !h.draining.Load() && h.accepting() && v.Configuration != nil && v.UpstreamsKnown
 }
 
 // ServeReady serves the readiness check: 200 if the handler is ready, 503 if
--- a/internal/entry/client/server.go
+++ b/internal/entry/client/server.go
@@ -30,9 +30,10 @@
 	current  *generation
 	// previous are the generations with open connections under earlier limits.
 	previous []*generation
-	// idle holds the connections that wait for a request.
-	idle   map[net.Conn]bool
+	// idle holds the connections that wait for a request, and since when they do.
+	idle   map[net.Conn]time.Time
 	closed bool
+	outage acceptOutage
 
 	// closeAfterResponse is true once connections are closed after their next
 	// response.
@@ -55,7 +56,7 @@
 
 // NewServer returns a server that passes requests to h, with default limits.
 func NewServer(h http.Handler, l *log.Logger) *Server {
-	s := &Server{handler: h, log: l, idle: map[net.Conn]bool{}}
+	s := &Server{handler: h, log: l, idle: map[net.Conn]time.Time{}}
 	s.current = s.startGeneration(service.Limits{})
 	return s
 }
@@ -137,7 +138,7 @@
 	defer s.mu.Unlock()
 	switch state {
 	case http.StateIdle:
-		s.idle[c] = true
+		s.idle[c] = time.Now()
 	case http.StateActive:
 		delete(s.idle, c)
 		if s.closed {
@@ -164,23 +165,22 @@
 		c, err := l.Accept()
 		switch {
 		case err == nil:
+			s.accepted()
 			s.dispatch(c)
 		case s.isClosed():
 			return http.ErrServerClosed
 		case errors.Is(err, net.ErrClosed):
+			s.mu.Lock()
+			s.outage.final = true
+			s.mu.Unlock()
 			return oops.Code("listen").Wrapf(err, "accept callers' connections")
 		default:
-			// The error may be temporary, such as a lack of file descriptors.
-			s.log.Component("client").Error(err, "accepting a caller's connection failed; retrying")
+			s.acceptFailed(err)
 			time.Sleep(acceptRetryDelay)
 		}
 	}
 }
 
-// acceptRetryDelay is the delay after a failed accept. File descriptors are
-// freed as requests end.
-const acceptRetryDelay = 20 * time.Millisecond
-
 // dispatch passes a new connection to the current generation.
 func (s *Server) dispatch(c net.Conn) {
 	s.mu.Lock()
--- a/internal/entry/direct/entry.go
+++ b/internal/entry/direct/entry.go
@@ -127,6 +127,7 @@
 	e.handler.SetIdentityKey(e.identityKey)
 	e.pools.OnUrgentNews(e.directory.Announce)
 	e.callerServer = client.NewServer(e.handler, logger)
+	e.handler.SetAccepting(e.callerServer.Accepting)
 	e.registerMetrics()
 	e.expvars.Set("upstreams", expvar.Func(func() any { return e.pools.State(time.Now()) }))
 	e.expvars.Set("peers", expvar.Func(func() any { return e.traffic.State() }))
