Pass on no status that promises "not run" without the upstream's word

408, 429 and 503 of an upstream without the header that says so were passed on, and told callers that a request had not run which may have; they count as a lost answer now. A 421 without the header was passed on too, though no upstream that sends one runs the request; it is sent to another one. A 2xx is never taken for a refusal.

--- a/internal/core/client/retry_test.go
+++ b/internal/core/client/retry_test.go
@@ -1,6 +1,7 @@
 package client
 
 import (
+	"net/http"
 	"testing"
 	"time"
 
@@ -82,7 +83,10 @@
 				o, reached, ran = Failed{}, reached+1, ran+1
 			}
 			last = s.RecordOutcome(o, func() bool { return rapid.Bool().Draw(t, "budget") }, now)
-			_, retry = last.(Retry)
+			if _, retry = last.(Retry); retry && rapid.Bool().Draw(t, "no upstream for the retry") {
+				end := rapid.SampledFrom([]func(time.Time) RefuseWith{s.NoUpstream, s.NoUpstreamInRegion, s.Held, s.PromptHeld, s.RequestHeld, func(time.Time) RefuseWith { return s.TimedOut(false) }})
+				last, retry = end.Draw(t, "end")(now), false
+			}
 		}
 		if !repeatable && ran > 1 {
 			t.Fatalf("ran %d times", ran)
@@ -93,6 +97,9 @@
 		if refusal, ok := last.(RefuseWith); ok && answer.Lookup(refusal.Kind).Run == answer.NotRun && ran > 0 {
 			t.Fatalf("refused as %s, which promises that it did not run, but it ran", refusal.Kind)
 		}
+		if refusal, ok := last.(RefuseWith); ok && ran > 0 && answer.Lookup(refusal.Kind).Status == http.StatusServiceUnavailable {
+			t.Fatalf("refused as %s with the status of requests that did not run, but it ran", refusal.Kind)
+		}
 	})
 }
 
--- a/internal/entry/client/forward.go
+++ b/internal/entry/client/forward.go
@@ -225,8 +225,10 @@
 	switch {
 	case info.ID != "" && info.ID != f.info.ID:
 		return f.recordFailure(ctx, u, began, errors.New("the response belongs to another request"))
-	case info.NotRun && x.Response.StatusCode != http.StatusBadRequest:
+	case isDeclined(x.Response.StatusCode, info.NotRun):
 		return f.recordDeclined(u, began, x.Response.StatusCode, info)
+	case promisesNotRun(x.Response.StatusCode):
+		return f.recordFailure(ctx, u, began, errUnfoundedPromise)
 	case isSuccess(x.Response) && (!info.Signed || x.Response.Header.Get("Content-Encoding") != ""):
 		return f.recordFailure(ctx, u, began, errors.New("the response is unsigned or has a Content-Encoding, so it is not the upstream's own"))
 	case isSuccess(x.Response) && f.route.Kind == service.Stream:
@@ -258,11 +260,7 @@
 // isCallerError reports whether a status tells that the upstream has handled the request and
 // that the caller is at fault.
 func isCallerError(status int) bool {
-	switch status {
-	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests:
-		return false
-	}
-	return status/100 == 4
+	return status/100 == 4 && !promisesNotRun(status)
 }
 
 // attemptTimeout returns the longest time that an attempt starting now may
