The soak evacuates domains, brings upstreams back cold and overloads them

New faults, drawn by themselves so that kept seeds keep their schedules: evacuation, cold-return and overload, with upstreams that are cold after each start. New checks: an evacuated failure domain gets no requests later than 5 s after the store's acknowledgement, a cold upstream no more than its bound in any second, and urgent requests are not served less often than others under overload (by three standard errors). That a refused request has not run was checked before.

--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -30,7 +30,7 @@
 	length             time.Duration
 	program, logs      string
 	only               string
-	extended           bool
+	extended, load     bool
 	prompts, requests  bool
 }
 
@@ -46,6 +46,7 @@
 	flag.StringVar(&f.logs, "logs", "", "folder for settings and logs, a temporary one when not given")
 	flag.StringVar(&f.only, "only", "", "kinds of faults to keep, separated by commas; all when not given")
 	flag.BoolVar(&f.extended, "extended", true, "inject the extended faults too; false repeats a seed from before there were any")
+	flag.BoolVar(&f.load, "load", true, "inject evacuations, cold returns and overload too; false repeats a seed from before there were any")
 	flag.BoolVar(&f.prompts, "prompts", true, "have upstreams end on a part of prompts; false repeats a seed from before they did")
 	flag.BoolVar(&f.requests, "requests", true, "have upstreams end on requests that are sent again and again; false repeats a seed from before they did")
 	flag.Parse()
@@ -125,6 +126,9 @@
 	if f.extended {
 		options = append(options, run.WithExtendedFaults())
 	}
+	if f.load {
+		options = append(options, run.WithLoad())
+	}
 	if f.prompts {
 		options = append(options, run.WithDeadlyPart())
 	}
--- a/internal/soak/history/check.go
+++ b/internal/soak/history/check.go
@@ -61,6 +61,7 @@
 	c.checkDraining()
 	c.checkAdvice()
 	c.checkDeadly()
+	c.checkLoad()
 	c.checkRetries(slack)
 	return c.violations
 }
--- a/internal/soak/history/history.go
+++ b/internal/soak/history/history.go
@@ -73,7 +73,9 @@
 // Arrival is the receipt of a request by an upstream.
 type Arrival struct {
 	Upstream string
-	At       time.Time
+	// Domain is the upstream's failure domain.
+	Domain string
+	At     time.Time
 	// Executed reports whether the upstream executed the request.
 	Executed bool
 	// Misdirected reports whether the request named another upstream, which had the
@@ -112,6 +114,7 @@
 	advice        []*Advice
 	// deadlyEnds are the times at which upstreams ended on requests, by cause.
 	deadlyEnds map[DeadlyCause][]time.Time
+	loads
 	// recoveredAt is the time at which the recovery time after the last fault was over,
 	// zero until then.
 	recoveredAt time.Time
--- /dev/null
+++ b/internal/soak/history/load.go
@@ -0,0 +1,170 @@
+package history
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"bramleydeal/internal/soak/program"
+)
+
+// interval is a time in which something held. To is zero while it does.
+type interval struct{ From, To time.Time }
+
+// contains reports whether t is in the interval, of which the first part is left out.
+func (i *interval) contains(t time.Time, except time.Duration) bool {
+	return t.After(i.From.Add(except)) && (i.To.IsZero() || t.Before(i.To))
+}
+
+// evacuation is the time from the acknowledgement of the evacuation of a failure domain by the
+// store until it is taken back.
+type evacuation struct {
+	interval
+	domain string
+}
+
+// loads is the part of a History that says where requests may go, and how many.
+type loads struct {
+	evacuations []*evacuation
+	// coldUntil is the time until which an upstream is cold, by upstream.
+	coldUntil map[string]time.Time
+	overloads []*interval
+}
+
+// BeginEvacuation records that the store has now acknowledged the evacuation of a failure
+// domain. The function that it returns records that the evacuation is about to be taken back.
+func (h *History) BeginEvacuation(domain string) (end func()) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	e := &evacuation{interval{From: time.Now()}, domain}
+	h.evacuations = append(h.evacuations, e)
+	return h.ender(&e.interval)
+}
+
+// BeginOverload records that the upstreams are overloaded from now on. The function that it
+// returns records the end.
+func (h *History) BeginOverload() (end func()) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	i := &interval{From: time.Now()}
+	h.overloads = append(h.overloads, i)
+	return h.ender(i)
+}
+
+func (h *History) ender(i *interval) func() {
+	return func() {
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		i.To = time.Now()
+	}
+}
+
+// MarkCold records that an upstream is cold until a time.
+func (h *History) MarkCold(upstream string, until time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.coldUntil == nil {
+		h.coldUntil = map[string]time.Time{}
+	}
+	h.coldUntil[upstream] = until
+}
+
+// Bounds of a cold upstream, as the platform's operators state them.
+const (
+	// coldWindow is the time in which its requests are counted.
+	coldWindow = time.Second
+	// maxCold is the number of requests from all entries together that it may get then.
+	maxCold = program.ColdFactor*program.ColdRate + program.ColdSlack
+)
+
+// significance is the number of standard errors by which one kind of request must be served less
+// often than another to count as such: about one of a thousand comparisons of equal ones
+// exceeds it.
+const significance = 3
+
+// checkLoad checks that evacuated failure domains and cold upstreams are spared, and that
+// overload is not borne by urgent requests.
+func (c *checker) checkLoad() {
+	cold := map[string][]time.Time{}
+	for id, arrivals := range c.arrivals {
+		for _, a := range arrivals {
+			if a.Misdirected {
+				continue
+			}
+			if a.At.Before(c.coldUntil[a.Upstream]) {
+				cold[a.Upstream] = append(cold[a.Upstream], a.At)
+			}
+			if r := c.byID[id]; r != nil {
+				c.checkEvacuation(r, a)
+			}
+		}
+	}
+	for upstream, times := range cold {
+		c.checkCold(upstream, times)
+	}
+	c.checkPriorities()
+}
+
+// checkEvacuation checks that a request did not reach an evacuated failure domain, if its entry
+// and the store had no fault for the time in which an evacuation must take effect.
+func (c *checker) checkEvacuation(r *Request, a Arrival) {
+	from := a.At.Add(-program.EvacuationTime)
+	for _, e := range c.evacuations {
+		if e.domain == a.Domain && e.contains(a.At, program.EvacuationTime) && c.faultFree(r.Entry, from, a.At, true) && c.faultFree(Store, from, a.At, true) {
+			c.addViolation("an evacuated failure domain gets no requests", "%s since %s, arrival at %s of %s: %v",
+				e.domain, e.From.Format("15:04:05.000"), a.Upstream, a.At.Format("15:04:05.000"), r)
+		}
+	}
+}
+
+// checkCold checks that a cold upstream gets no more than maxCold requests in any second. Those
+// that a fault of its link may have held up count at no particular time.
+func (c *checker) checkCold(upstream string, times []time.Time) {
+	slices.SortFunc(times, time.Time.Compare)
+	for i, from := range times {
+		n := countBetween(times[i:], from, from.Add(coldWindow))
+		if float64(n) > maxCold && c.faultFree(upstream, from.Add(-SettleTime), from.Add(coldWindow), true) {
+			c.addViolation("a cold upstream gets few requests", "%s got %d in the second from %s, %.0f are allowed", upstream, n, from.Format("15:04:05.000"), maxCold)
+			return
+		}
+	}
+}
+
+// checkPriorities checks that requests of the urgent kind are not served less often during
+// overload than those of the other kind that takes as long. Only requests that were served or
+// refused count, and only if no upstream or entry with a fault had to do with them.
+func (c *checker) checkPriorities() {
+	var urgent, other served
+	for i := range c.requests {
+		r := &c.requests[i]
+		of := &other
+		switch {
+		case !slices.ContainsFunc(c.overloads, func(o *interval) bool { return o.contains(r.Sent, 0) && o.contains(r.Ended, 0) }):
+			continue
+		case r.Kind == Confirm:
+			of = &urgent
+		case r.Kind != Check:
+			continue
+		}
+		faulty := slices.ContainsFunc(c.arrivals[r.ID], func(a Arrival) bool { return !c.faultFree(a.Upstream, r.Sent.Add(-SettleTime), r.Ended, true) })
+		if faulty || r.Deadly != "" || !c.timeBoundsApply(r) || r.Outcome != Answered && r.Outcome != Refused {
+			continue
+		}
+		if of.all++; r.Outcome == Answered {
+			of.answered++
+		}
+	}
+	if urgent.all == 0 || other.all == 0 {
+		return
+	}
+	if urgent.share()+significance*standardError(urgent, other) < other.share() {
+		c.addViolation("overload is not borne by urgent requests", "%.2f of %d urgent ones served, %.2f of %d others", urgent.share(), urgent.all, other.share(), other.all)
+	}
+}
+
+// standardError returns the standard error of the difference between the shares of a and b if
+// both are served equally.
+func standardError(a, b served) float64 {
+	p := float64(a.answered+b.answered) / float64(a.all+b.all)
+	return math.Sqrt(p * (1 - p) * (1/float64(a.all) + 1/float64(b.all)))
+}
--- a/internal/soak/program/program.go
+++ b/internal/soak/program/program.go
@@ -13,6 +13,7 @@
 	"syscall"
 	"time"
 
+	"bramleydeal/internal/process/config"
 	"github.com/samber/oops"
 )
 
@@ -27,6 +28,9 @@
 	// PeerSeeds are peer addresses of entries through which the entry finds its peers.
 	PeerSeeds  []netip.AddrPort
 	RetrySlack float64
+	// Load is true for an entry that follows evacuations, limits the requests to cold
+	// upstreams and decides which requests it admits under overload.
+	Load bool
 }
 
 // Limits that are set for all entries of a run and that the checks apply.
@@ -40,17 +44,31 @@
 	// send within RetryWindow.
 	RetryRatio  = 0.2
 	RetryWindow = 10 * time.Second
+	// EvacuationTime is the time within which an evacuated failure domain must stop
+	// receiving requests.
+	EvacuationTime = 5 * time.Second
+	// ColdTime is the time for which upstreams are cold after their start, ColdRate the
+	// requests per second that they take then. ColdFactor times ColdRate plus ColdSlack
+	// may reach one in any second.
+	ColdTime              = 3 * time.Second
+	ColdRate              = 6.0
+	ColdFactor, ColdSlack = 1.5, 5.0
 )
 
 // marshal returns the content of the settings file.
 func (s Settings) marshal() ([]byte, error) {
+	direct := map[string]any{
+		"drain-time": DrainTime.String(), "grace": GracePeriod.String(), "retry-ratio": RetryRatio,
+		"retry-slack": s.RetrySlack, "retry-window": RetryWindow.String(), "fencing": true,
+	}
+	if s.Load {
+		direct["evacuation-time"], direct["admission"] = EvacuationTime.String(), config.AdmitInTime
+		direct["cold-factor"], direct["cold-slack"] = ColdFactor, ColdSlack
+	}
 	return json.MarshalIndent(map[string]any{
 		"name": s.Name, "failure-domain": s.FailureDomain, "listen": s.ListenAddress, "ready-listen": s.ReadyAddress,
 		"peer-listen": s.PeerAddress, "platform": s.StoreAddress, "peers": s.PeerSeeds, "log-format": "json",
-		"direct": map[string]any{
-			"drain-time": DrainTime.String(), "grace": GracePeriod.String(), "retry-ratio": RetryRatio,
-			"retry-slack": s.RetrySlack, "retry-window": RetryWindow.String(), "fencing": true,
-		},
+		"direct": direct,
 	}, "", "  ")
 }
 
--- a/internal/soak/run/extended.go
+++ b/internal/soak/run/extended.go
@@ -91,6 +91,7 @@
 	s.mu.Unlock()
 	time.Sleep(rewriteDelay)
 	s.store.RewriteConfiguration()
+	s.store.RewriteEvacuations()
 	for _, id := range s.store.RewriteWorkers() {
 		time.AfterFunc(removalDelay, func() { s.store.RemoveWorker(id) })
 	}
--- a/internal/soak/run/faults.go
+++ b/internal/soak/run/faults.go
@@ -81,6 +81,12 @@
 		s.adviseFromUpstream(slot, step)
 	case schedule.StoreRestore:
 		s.restoreStore(step)
+	case schedule.Evacuation:
+		s.evacuate(step)
+	case schedule.ColdReturn:
+		s.returnCold(step)
+	case schedule.Overload:
+		s.overload(step)
 	case schedule.DeadlyPart:
 		s.deadlyActive.Store(true)
 		time.Sleep(step.Duration)
--- a/internal/soak/run/run.go
+++ b/internal/soak/run/run.go
@@ -78,6 +78,10 @@
 	// they end on equal requests, deadlyActive while such requests are sent.
 	deadlyPart, deadlyRequests bool
 	deadlyActive               atomic.Bool
+	// load is true if the faults of schedule.GenerateLoad are injected too, callersRun once
+	// callers send requests.
+	load       bool
+	callersRun atomic.Bool
 	// extendedFaults is true if the faults of schedule.GenerateExtended are injected too.
 	extendedFaults bool
 
@@ -97,6 +101,8 @@
 	// activeStoreFaults counts the store faults in progress. The last one to end
 	// clears the fault of the store.
 	activeStoreFaults int
+	// places is the number of requests that an upstream takes at once, 0 for no limit.
+	places int
 	// copies are copies of the store's content, the latest last, one each copyInterval.
 	copies []standin.Copy
 	// restoreMu serializes the faults that bring the store back from a copy.
@@ -137,6 +143,9 @@
 // WithDeadlyRequests makes upstreams end on two requests that are sent again and again.
 func WithDeadlyRequests() Option { return func(s *Soak) { s.deadlyRequests = true } }
 
+// WithLoad injects the faults of schedule.GenerateLoad too.
+func WithLoad() Option { return func(s *Soak) { s.load = true } }
+
 // New returns a run whose faults the seed determines. program is the path of the
 // bramleydeal executable; the settings and logs of the entries are written to
 // folder.
@@ -206,6 +215,10 @@
 		slices.SortStableFunc(steps, func(a, b schedule.Step) int { return int(a.At - b.At) })
 		go s.keepCopies(ctx)
 	}
+	if s.load {
+		steps = append(steps, schedule.GenerateLoad(s.seed, s.faultDuration, s.faultKinds...)...)
+		slices.SortStableFunc(steps, func(a, b schedule.Step) int { return int(a.At - b.At) })
+	}
 	if s.deadlyPart || s.deadlyRequests {
 		steps = append(steps, schedule.GenerateDeadlyPart(s.seed, s.faultDuration))
 		slices.SortStableFunc(steps, func(a, b schedule.Step) int { return int(a.At - b.At) })
@@ -228,6 +241,7 @@
 	defer stop()
 	callers := &caller.Callers{History: s.history, Entries: s.entries, KeyVersions: s.keyVersions, StreamBody: s.upstreamSlots[0].upstream.StreamBody(), DeadlyPart: deadlyPartID, Deadly: s.sendsDeadly}
 	var running sync.WaitGroup
+	s.callersRun.Store(true)
 	running.Go(func() { callers.Run(calls, s.seed, callersPerEntry*len(s.entries)) })
 	start := time.Now()
 	var faults sync.WaitGroup
@@ -268,7 +282,7 @@
 		}
 		s.storeLinks = append(s.storeLinks, link)
 		e := program.New(s.program, s.folder, program.Settings{
-			Name: fmt.Sprintf("entry-%d", n), FailureDomain: failureDomain(n), PeerSeeds: seeds, RetrySlack: retrySlack,
+			Name: fmt.Sprintf("entry-%d", n), FailureDomain: failureDomain(n), PeerSeeds: seeds, RetrySlack: retrySlack, Load: s.load,
 			ListenAddress: netip.AddrPortFrom(at, callerPort), ReadyAddress: netip.AddrPortFrom(at, readyPort),
 			PeerAddress: netip.AddrPortFrom(at, peerPort), StoreAddress: netip.AddrPortFrom(at, linkPort),
 		})
@@ -301,8 +315,8 @@
 	s.startedUpstreams++
 	id := fmt.Sprintf("w-%d", s.startedUpstreams)
 	s.mu.Unlock()
-	w := standin.NewWorker(id, standin.WithProcessingTime(processingTime), standin.WithObserver(func(a standin.Arrival) {
-		s.history.AddArrival(a.ID, history.Arrival{Upstream: a.Worker, At: a.At, Executed: a.Executed, Misdirected: a.Misdirected})
+	w := standin.NewWorker(id, s.coldOption(id), standin.WithProcessingTime(processingTime), standin.WithObserver(func(a standin.Arrival) {
+		s.history.AddArrival(a.ID, history.Arrival{Upstream: a.Worker, Domain: slot.failureDomain, At: a.At, Executed: a.Executed, Misdirected: a.Misdirected})
 	}), standin.WithDeadlyRequests(deadlyCause, func(why string) { s.endUpstream(slot, id, why) }))
 	link, err := s.proxies.NewLink(id, slot.address, w.Address())
 	for end := time.Now().Add(addressTimeout); errors.Is(err, syscall.EADDRINUSE) && time.Now().Before(end); {
@@ -316,6 +330,7 @@
 	}
 	s.mu.Lock()
 	slot.upstream, slot.link = w, link
+	w.SetPlaces(s.places)
 	s.mu.Unlock()
 	s.store.RegisterWorker(w, standin.ServiceName, slot.failureDomain, slot.address)
 	return nil
@@ -332,7 +347,12 @@
 	if v > 1 {
 		keys = append(keys, caller.KeyName(v-1))
 	}
-	s.history.WriteConfiguration(v, func() { s.store.PutConfiguration(standin.Configuration(v, keys, standin.Routes(caller.Host))) })
+	routes := standin.Routes(caller.Host)
+	configuration := standin.Configuration(v, keys, routes)
+	if s.load {
+		configuration = withLoad(configuration, routes)
+	}
+	s.history.WriteConfiguration(v, func() { s.store.PutConfiguration(configuration) })
 }
 
 // keyVersions implements caller.Callers.KeyVersions. The key of the version before
--- a/internal/soak/schedule/schedule_test.go
+++ b/internal/soak/schedule/schedule_test.go
@@ -51,3 +51,19 @@
 	fmt.Println(Step{At: 1500 * time.Millisecond, Fault: EntryStop, Target: 2, Variant: 5, Duration: time.Second})
 	// Output:   1.50s entry-stop    target 2 variant 5 for 1s
 }
+
+// TestGenerateLoad guards against schedules that a seed does not reproduce, and against an
+// evacuation that ends before it must take effect.
+func TestGenerateLoad(t *testing.T) {
+	is := is.New(t)
+	is.Equal(GenerateLoad(7, 20*time.Second), GenerateLoad(7, 20*time.Second))
+	seen := map[Fault]bool{}
+	for seed := range uint64(20) {
+		for _, s := range GenerateLoad(seed, 20*time.Second) {
+			seen[s.Fault] = true
+			is.True(s.At < 20*time.Second && (s.Fault != Evacuation || s.Duration >= minEvacuation))
+		}
+	}
+	is.Equal(len(seen), 3)
+	is.Equal(len(GenerateLoad(7, 20*time.Second, Overload)), 1)
+}
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -26,6 +26,8 @@
 	Length    config.Duration `json:"length"`
 	// Extended is true if the extended faults are injected too.
 	Extended bool `json:"extended"`
+	// Load is true if evacuations, cold returns and overload are injected too.
+	Load bool `json:"load"`
 	// Prompts is true if upstreams end on a part of prompts too.
 	Prompts bool `json:"prompts"`
 	// Requests adds the requests that are sent again and again and end upstreams.
@@ -63,6 +65,9 @@
 			if s.Extended {
 				options = append(options, run.WithExtendedFaults())
 			}
+			if s.Load {
+				options = append(options, run.WithLoad())
+			}
 			if s.Prompts {
 				options = append(options, run.WithDeadlyPart())
 			}
