--- a/internal/core/upstream/pool.go
+++ b/internal/core/upstream/pool.go
@@ -146,10 +146,11 @@
 		if m == nil || m.Incarnation() != u.Incarnation() {
 			m = p.newMember(u.Incarnation())
 		}
-		m.Upstream, m.region = u, config.Regions[u.FailureDomain]
+		m.Upstream = u
 		m.group = p.groupFor(groups, u.Membership)
 		kept[u.ID] = m
 		p.members = append(p.members, m)
+		m.region = config.Regions[u.FailureDomain]
 	}
 	slices.SortFunc(p.members, func(a, b *member) int { return cmp.Compare(a.ID, b.ID) })
 	for _, m := range p.members {
@@ -248,10 +249,12 @@
 // eligibility returns the eligibility of m for a request at now.
 func (p *Pool) eligibility(m *member, q PoolQuery, now time.Time) eligibility {
 	switch {
-	case m.leaving() || slices.Contains(q.Exclude, m.ID) || !inRegions(m.region, q.Regions):
+	case m.leaving() || slices.Contains(q.Exclude, m.ID):
 		return ineligible
 	case p.config.MaxOutstanding > 0 && m.outstanding >= p.config.MaxOutstanding:
 		return ineligible
+	case !inRegions(m.region, q.Regions):
+		return ineligible
 	case p.reachabilityOf(m).blocked(now):
 		return ineligible
 	case m.group != nil && m.group.health.ejected(now):
@@ -337,7 +340,7 @@
 	out := make([]MemberState, 0, len(p.members))
 	for _, m := range p.members {
 		s := MemberState{
-			ID: m.ID, Address: m.Address.String(), Domain: m.FailureDomain, Region: m.region, Outstanding: m.outstanding, Leaving: m.leaving(),
+			ID: m.ID, Address: m.Address.String(), Domain: m.FailureDomain, Outstanding: m.outstanding, Leaving: m.leaving(),
 			Ejected: m.health.ejected(now), ErrorRate: m.errorRate, AverageLatencyMS: float64(m.health.averageLatency) / float64(time.Millisecond),
 		}
 		if m.Membership != nil {
@@ -348,6 +351,7 @@
 			limit := m.advice.limit
 			s.Limit, s.LimitAgeMS = &limit, now.Sub(m.advice.limitAt).Milliseconds()
 		}
+		s.Region = m.region
 		out = append(out, s)
 	}
 	return out
--- a/internal/entry/direct/entry.go
+++ b/internal/entry/direct/entry.go
@@ -113,7 +113,8 @@
 	drainTime := time.Duration(c.Direct.DrainTime)
 	e.pools = upstream.NewPools(seed, c.Name, c.FailureDomain, upstream.Config{
 		Pool: core.PoolConfig{
-			EjectionTime: ejectionTime, EjectionFailures: ejectionFailures, EjectionErrorRate: ejectionErrorRate, SlowFactor: slowFactor, Regions: c.Direct.Regions,
+			Regions:      c.Direct.Regions,
+			EjectionTime: ejectionTime, EjectionFailures: ejectionFailures, EjectionErrorRate: ejectionErrorRate, SlowFactor: slowFactor,
 		},
 		Quota: retryQuotaConfig(c.Direct),
 	}, e.metricSet, logger.Component("pools"))
