--- a/internal/core/upstream/pool_group.go
+++ b/internal/core/upstream/pool_group.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"bramleydeal/internal/world/fleet"
 	"bramleydeal/internal/world/service"
 )
 
@@ -135,9 +136,9 @@
 }
 
 // Alternative reports whether a request at an upstream of a group may be sent to a healthy
-// upstream outside it.
-func (p *Pool) Alternative(group string, q PoolQuery, now time.Time) bool {
+// upstream outside it, in a region of each of the sets.
+func (p *Pool) Alternative(group string, now time.Time, regions ...[]fleet.Region) bool {
 	return slices.ContainsFunc(p.members, func(m *member) bool {
-		return (m.Membership == nil || m.Membership.Group != group) && p.eligibility(m, q, now) <= lapsed
+		return (m.Membership == nil || m.Membership.Group != group) && p.eligibility(m, PoolQuery{Regions: regions}, now) <= lapsed
 	})
 }
--- a/internal/core/upstream/region_test.go
+++ b/internal/core/upstream/region_test.go
@@ -102,7 +102,7 @@
 	config.Regions = regionsOf
 	p.Configure(groupedUpstreams(2), config, testNow) // g0 in the north, g1 in the south
 	later := testNow.Add(time.Second)
-	is.True(p.Alternative("g0", PoolQuery{}, later))
-	is.True(!p.Alternative("g0", PoolQuery{Regions: [][]fleet.Region{{"north"}}}, later))
-	is.True(p.Alternative("g0", PoolQuery{Regions: [][]fleet.Region{{"south"}}}, later))
+	is.True(p.Alternative("g0", later))
+	is.True(!p.Alternative("g0", later, []fleet.Region{"north"}))
+	is.True(p.Alternative("g0", later, []fleet.Region{"south"}))
 }
--- a/internal/entry/upstream/watch.go
+++ b/internal/entry/upstream/watch.go
@@ -166,7 +166,7 @@
 	s.interruptAll(GroupStopped, func(w *Watch) bool {
 		o := w.upstream.Membership
 		return w.resumable && o != nil && o.Group == m.Group && o.Epoch == m.Epoch && w.upstream.ID != ended.ID &&
-			s.pool.Alternative(m.Group, core.PoolQuery{Regions: w.regions}, now)
+			s.pool.Alternative(m.Group, now, w.regions...)
 	})
 }
 
