A lack of descriptors or ports of the host blames no upstream

An attempt that failed for it was recorded as one at an unreachable upstream, which ejects the upstream.

--- a/internal/core/upstream/outcome.go
+++ b/internal/core/upstream/outcome.go
@@ -25,7 +25,8 @@
 	// GroupStalled means that the upstream did not run the request because its
 	// group is stalled.
 	GroupStalled
-	// CallerLeft means that the caller disconnected before the end of the response.
+	// CallerLeft means that the caller disconnected before the end of the response, or that the
+	// attempt ended early for another reason that says nothing of the upstream.
 	CallerLeft
 )
 
--- a/internal/entry/client/forward.go
+++ b/internal/entry/client/forward.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"net/textproto"
 	"strings"
@@ -336,11 +335,7 @@
 	case ctx.Err() == nil && upstream.Interruption(f.interruption.Load()) != upstream.Uninterrupted:
 		return f.recordInterruption(u, began, err)
 	case errors.Is(err, upstream.ErrUnsent) && ctx.Err() == nil:
-		outcome := coreupstream.Unreachable
-		if timeout := net.Error(nil); errors.As(err, &timeout) && timeout.Timeout() {
-			outcome = coreupstream.ConnectTimeout
-		}
-		f.handler.pools.RecordOutcome(u, outcome, 0, now)
+		f.handler.pools.RecordOutcome(u, unsentOutcome(err), 0, now)
 		f.logAttempt(u, began, "not reached", err)
 		return core.Unsent{}
 	case ctx.Err() != nil:
