--- a/internal/soak/history/deadlypart_test.go
+++ b/internal/soak/history/deadlypart_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"bramleydeal/internal/soak/program"
 	"github.com/matryer/is"
 )
 
@@ -54,6 +55,7 @@
 		"deadly requests go on":      {record(DeadlyPart, deadlyRequests+1, 1, nil), []string{"requests with a deadly part stop reaching upstreams"}},
 		"sound ones are refused":     {record(DeadlyPart, 0, 0.4, nil), []string{"sound requests beside a deadly part are served"}},
 		"while the store has faults": {record(DeadlyPart, 0, 0.4, &FaultInterval{Target: Store, From: at(17), To: at(40)}), nil},
+		"while upstreams are cold":   {withColdUpstreams(record(DeadlyPart, 0, 0.4, nil), at(17), at(40)), nil},
 		"equal requests kept":        {record(DeadlyConfirm, deadlyRequests, 0.6, nil), nil},
 		"equal requests go on":       {record(DeadlyCheck, deadlyRequests+1, 1, nil), []string{"requests with a deadly check stop reaching upstreams"}},
 		"sound confirms are refused": {record(DeadlyConfirm, 0, 0.4, nil), []string{"sound requests beside a deadly confirm are served"}},
@@ -70,3 +72,11 @@
 		})
 	}
 }
+
+// withColdUpstreams adds upstreams to a history of which one is cold at any time between two.
+func withColdUpstreams(h *History, from, to time.Time) *History {
+	for at := from; at.Before(to); at = at.Add(time.Second) {
+		h.MarkCold(at.String(), at.Add(program.ColdTime))
+	}
+	return h
+}
--- a/internal/soak/history/history.go
+++ b/internal/soak/history/history.go
@@ -73,9 +73,7 @@
 // Arrival is the receipt of a request by an upstream.
 type Arrival struct {
 	Upstream string
-	// Domain is the upstream's failure domain.
-	Domain string
-	At     time.Time
+	At       time.Time
 	// Executed reports whether the upstream executed the request.
 	Executed bool
 	// Misdirected reports whether the request named another upstream, which had the
--- a/internal/soak/program/program.go
+++ b/internal/soak/program/program.go
@@ -28,8 +28,8 @@
 	// PeerSeeds are peer addresses of entries through which the entry finds its peers.
 	PeerSeeds  []netip.AddrPort
 	RetrySlack float64
-	// Load is true for an entry that follows evacuations, limits the requests to cold
-	// upstreams and decides which requests it admits under overload.
+	// Load is true for an entry that limits the requests to cold upstreams and decides which
+	// requests it admits under overload.
 	Load bool
 }
 
@@ -44,9 +44,6 @@
 	// send within RetryWindow.
 	RetryRatio  = 0.2
 	RetryWindow = 10 * time.Second
-	// EvacuationTime is the time within which an evacuated failure domain must stop
-	// receiving requests.
-	EvacuationTime = 5 * time.Second
 	// ColdTime is the time for which upstreams are cold after their start, ColdRate the
 	// requests per second that they take then. ColdFactor times ColdRate plus ColdSlack
 	// may reach one in any second.
@@ -62,8 +59,7 @@
 		"retry-slack": s.RetrySlack, "retry-window": RetryWindow.String(), "fencing": true,
 	}
 	if s.Load {
-		direct["evacuation-time"], direct["admission"] = EvacuationTime.String(), config.AdmitInTime
-		direct["cold-factor"], direct["cold-slack"] = ColdFactor, ColdSlack
+		direct["cold-factor"], direct["cold-slack"], direct["admission"] = ColdFactor, ColdSlack, config.AdmitInTime
 	}
 	return json.MarshalIndent(map[string]any{
 		"name": s.Name, "failure-domain": s.FailureDomain, "listen": s.ListenAddress, "ready-listen": s.ReadyAddress,
--- a/internal/soak/run/extended.go
+++ b/internal/soak/run/extended.go
@@ -91,7 +91,6 @@
 	s.mu.Unlock()
 	time.Sleep(rewriteDelay)
 	s.store.RewriteConfiguration()
-	s.store.RewriteEvacuations()
 	for _, id := range s.store.RewriteWorkers() {
 		time.AfterFunc(removalDelay, func() { s.store.RemoveWorker(id) })
 	}
--- a/internal/soak/run/faults.go
+++ b/internal/soak/run/faults.go
@@ -81,8 +81,6 @@
 		s.adviseFromUpstream(slot, step)
 	case schedule.StoreRestore:
 		s.restoreStore(step)
-	case schedule.Evacuation:
-		s.evacuate(step)
 	case schedule.ColdReturn:
 		s.returnCold(step)
 	case schedule.Overload:
--- a/internal/soak/run/load.go
+++ b/internal/soak/run/load.go
@@ -32,16 +32,6 @@
 	return configuration
 }
 
-// evacuate evacuates a failure domain for the duration of the step.
-func (s *Soak) evacuate(step schedule.Step) {
-	domain := failureDomain(step.Target)
-	s.store.PutEvacuation(domain)
-	end := s.history.BeginEvacuation(domain)
-	time.Sleep(step.Duration)
-	end()
-	s.store.RemoveEvacuation(domain)
-}
-
 // returnCold ends upstreams of one failure domain at once. Cold ones take their places after
 // the duration of the step.
 func (s *Soak) returnCold(step schedule.Step) {
--- a/internal/soak/run/run.go
+++ b/internal/soak/run/run.go
@@ -316,7 +316,7 @@
 	id := fmt.Sprintf("w-%d", s.startedUpstreams)
 	s.mu.Unlock()
 	w := standin.NewWorker(id, s.coldOption(id), standin.WithProcessingTime(processingTime), standin.WithObserver(func(a standin.Arrival) {
-		s.history.AddArrival(a.ID, history.Arrival{Upstream: a.Worker, Domain: slot.failureDomain, At: a.At, Executed: a.Executed, Misdirected: a.Misdirected})
+		s.history.AddArrival(a.ID, history.Arrival{Upstream: a.Worker, At: a.At, Executed: a.Executed, Misdirected: a.Misdirected})
 	}), standin.WithDeadlyRequests(deadlyCause, func(why string) { s.endUpstream(slot, id, why) }))
 	link, err := s.proxies.NewLink(id, slot.address, w.Address())
 	for end := time.Now().Add(addressTimeout); errors.Is(err, syscall.EADDRINUSE) && time.Now().Before(end); {
