--- a/internal/soak/program/program.go
+++ b/internal/soak/program/program.go
@@ -31,6 +31,8 @@
 	// Load is true for an entry that limits the requests to cold upstreams and decides which
 	// requests it admits under overload.
 	Load bool
+	// Evacuations is set if the entry follows evacuations.
+	Evacuations bool
 }
 
 // Limits that are set for all entries of a run and that the checks apply.
@@ -50,6 +52,9 @@
 	ColdTime              = 3 * time.Second
 	ColdRate              = 6.0
 	ColdFactor, ColdSlack = 1.5, 5.0
+	// EvacuationTime is the time within which an evacuated failure domain must stop
+	// receiving requests.
+	EvacuationTime = 5 * time.Second
 )
 
 // marshal returns the content of the settings file.
@@ -61,6 +66,9 @@
 	if s.Load {
 		direct["cold-factor"], direct["cold-slack"], direct["admission"] = ColdFactor, ColdSlack, config.AdmitInTime
 	}
+	if s.Evacuations {
+		direct["evacuation-time"] = EvacuationTime.String()
+	}
 	return json.MarshalIndent(map[string]any{
 		"name": s.Name, "failure-domain": s.FailureDomain, "listen": s.ListenAddress, "ready-listen": s.ReadyAddress,
 		"peer-listen": s.PeerAddress, "platform": s.StoreAddress, "peers": s.PeerSeeds, "log-format": "json",
--- a/internal/soak/run/faults.go
+++ b/internal/soak/run/faults.go
@@ -85,6 +85,8 @@
 		s.returnCold(step)
 	case schedule.Overload:
 		s.overload(step)
+	case schedule.Evacuation:
+		s.evacuate(step)
 	case schedule.DeadlyPart:
 		s.deadlyActive.Store(true)
 		time.Sleep(step.Duration)
