--- a/internal/entry/direct/entry.go
+++ b/internal/entry/direct/entry.go
@@ -115,6 +115,7 @@
 		Pool: core.PoolConfig{
 			Regions:      c.Direct.Regions,
 			EjectionTime: ejectionTime, EjectionFailures: ejectionFailures, EjectionErrorRate: ejectionErrorRate, SlowFactor: slowFactor,
+			Cold: core.ColdConfig{Factor: c.Direct.ColdFactor, Slack: c.Direct.ColdSlack},
 		},
 		Quota: retryQuotaConfig(c.Direct),
 	}, e.metricSet, logger.Component("pools"))
