--- a/internal/core/upstream/pool.go
+++ b/internal/core/upstream/pool.go
@@ -37,6 +37,8 @@
 // member is one upstream of a pool.
 type member struct {
 	service.Upstream
+	// region is that of the failure domain, empty if it is not known.
+	region fleet.Region
 	health health
 	// advice is what the upstream said of the requests that it takes, share this
 	// process's share in its limit, and sentAt the time of the last request to it.
@@ -159,6 +161,7 @@
 		m.group = p.groupFor(groups, u.Membership)
 		kept[u.ID] = m
 		p.members = append(p.members, m)
+		m.region = config.Regions[u.FailureDomain]
 	}
 	slices.SortFunc(p.members, func(a, b *member) int { return cmp.Compare(a.ID, b.ID) })
 	for _, m := range p.members {
@@ -262,6 +265,8 @@
 		return ineligible
 	case p.config.MaxOutstanding > 0 && m.outstanding >= p.config.MaxOutstanding:
 		return ineligible
+	case !inRegions(m.region, q.Regions):
+		return ineligible
 	case p.reachabilityOf(m).blocked(now):
 		return ineligible
 	case m.group != nil && m.group.health.ejected(now):
@@ -328,6 +333,7 @@
 	ID               string              `json:"id"`
 	Address          string              `json:"address"`
 	Domain           fleet.FailureDomain `json:"failure-domain"`
+	Region           fleet.Region        `json:"region,omitempty"`
 	Group            string              `json:"group,omitempty"`
 	Outstanding      int                 `json:"outstanding"`
 	Leaving          bool                `json:"leaving"`
@@ -363,6 +369,7 @@
 			limit := m.advice.limit
 			s.Limit, s.LimitAgeMS = &limit, now.Sub(m.advice.limitAt).Milliseconds()
 		}
+		s.Region = m.region
 		out = append(out, s)
 	}
 	return out
--- a/internal/entry/client/forward.go
+++ b/internal/entry/client/forward.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"net/textproto"
 	"strings"
@@ -95,6 +94,7 @@
 			f.fail(f.contentHeld(why, time.Now()))
 			return
 		}
+		f.query.Regions = f.regions()
 		u, ok := h.pools.Choose(c.service, f.query, time.Now())
 		if !ok {
 			f.returnRetry()
@@ -124,6 +124,9 @@
 
 // noUpstream returns the refusal for a request that no upstream may be sent at now.
 func (f *forwarding) noUpstream(now time.Time) core.RefuseWith {
+	if !f.handler.pools.ServesRegions(f.service, f.query.Regions) {
+		return f.retryState.NoUpstreamInRegion(now)
+	}
 	until, held := f.handler.pools.HeldUntil(f.service, f.query, now)
 	if !held {
 		return f.retryState.NoUpstream(now)
@@ -191,6 +194,9 @@
 	if outage := f.handler.pools.Outage(f.service, now); outage > 0 {
 		return min(max(outage, minOutageRetryAfter), f.latestReturn(now))
 	}
+	if k == answer.NoUpstreamInRegion {
+		return min(answer.Lookup(k).RetryAfter, f.latestReturn(now))
+	}
 	if k == answer.Overloaded {
 		return overloadRetryAfter
 	}
@@ -207,7 +213,7 @@
 	defer cancel()
 	f.progressed = false
 	f.interruption.Store(int32(upstream.Uninterrupted))
-	f.watch = f.handler.pools.Watch(u, f.content(), f.route.Repeatable(), func(why upstream.Interruption) {
+	f.watch = f.handler.pools.Watch(u, f.content(), f.route.Repeatable(), f.query.Regions, func(why upstream.Interruption) {
 		f.interruption.Store(int32(why))
 		cancel()
 	}, began)
@@ -230,8 +236,10 @@
 	switch {
 	case info.ID != "" && info.ID != f.info.ID:
 		return f.recordFailure(ctx, u, began, errors.New("the response belongs to another request"))
-	case info.NotRun && x.Response.StatusCode != http.StatusBadRequest:
+	case isDeclined(x.Response.StatusCode, info.NotRun):
 		return f.recordDeclined(u, began, x.Response.StatusCode, info)
+	case promisesNotRun(x.Response.StatusCode):
+		return f.recordFailure(ctx, u, began, errUnfoundedPromise)
 	case isSuccess(x.Response) && (!info.Signed || x.Response.Header.Get("Content-Encoding") != ""):
 		return f.recordFailure(ctx, u, began, errors.New("the response is unsigned or has a Content-Encoding, so it is not the upstream's own"))
 	case isSuccess(x.Response) && f.route.Kind == service.Stream:
@@ -263,11 +271,7 @@
 // isCallerError reports whether a status tells that the upstream has handled the request and
 // that the caller is at fault.
 func isCallerError(status int) bool {
-	switch status {
-	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests:
-		return false
-	}
-	return status/100 == 4
+	return status/100 == 4 && !promisesNotRun(status)
 }
 
 // attemptTimeout returns the longest time that an attempt starting now may
@@ -344,11 +348,7 @@
 	case ctx.Err() == nil && upstream.Interruption(f.interruption.Load()) != upstream.Uninterrupted:
 		return f.recordInterruption(u, began, err)
 	case errors.Is(err, upstream.ErrUnsent) && ctx.Err() == nil:
-		outcome := coreupstream.Unreachable
-		if timeout := net.Error(nil); errors.As(err, &timeout) && timeout.Timeout() {
-			outcome = coreupstream.ConnectTimeout
-		}
-		f.handler.pools.RecordOutcome(u, outcome, 0, now)
+		f.handler.pools.RecordOutcome(u, unsentOutcome(err), 0, now)
 		f.logAttempt(u, began, "not reached", err)
 		return core.Unsent{}
 	case ctx.Err() != nil:
--- a/internal/entry/direct/entry.go
+++ b/internal/entry/direct/entry.go
@@ -114,6 +114,7 @@
 	drainTime := time.Duration(c.Direct.DrainTime)
 	e.pools = upstream.NewPools(seed, c.Name, c.FailureDomain, upstream.Config{
 		Pool: core.PoolConfig{
+			Regions:      c.Direct.Regions,
 			EjectionTime: ejectionTime, EjectionFailures: ejectionFailures, EjectionErrorRate: ejectionErrorRate, SlowFactor: slowFactor,
 			Cold: core.ColdConfig{Factor: c.Direct.ColdFactor, Slack: c.Direct.ColdSlack},
 		},
@@ -130,6 +131,7 @@
 	e.handler.SetIdentityKey(e.identityKey)
 	e.pools.OnUrgentNews(e.directory.Announce)
 	e.callerServer = client.NewServer(e.handler, logger)
+	e.handler.SetAccepting(e.callerServer.Accepting)
 	e.registerMetrics()
 	e.expvars.Set("upstreams", expvar.Func(func() any { return e.pools.State(time.Now()) }))
 	e.expvars.Set("peers", expvar.Func(func() any { return e.traffic.State() }))
--- a/internal/soak/history/check.go
+++ b/internal/soak/history/check.go
@@ -62,6 +62,7 @@
 	c.checkAdvice()
 	c.checkEvacuations()
 	c.checkDeadly()
+	c.checkLoad()
 	c.checkRetries(slack)
 	return c.violations
 }
--- a/internal/soak/history/history.go
+++ b/internal/soak/history/history.go
@@ -115,6 +115,7 @@
 	evacuations   []*Evacuation
 	// deadlyEnds are the times at which upstreams ended on requests, by cause.
 	deadlyEnds map[DeadlyCause][]time.Time
+	loads
 	// recoveredAt is the time at which the recovery time after the last fault was over,
 	// zero until then.
 	recoveredAt time.Time
--- a/internal/soak/program/program.go
+++ b/internal/soak/program/program.go
@@ -13,6 +13,7 @@
 	"syscall"
 	"time"
 
+	"bramleydeal/internal/process/config"
 	"github.com/samber/oops"
 )
 
@@ -27,6 +28,9 @@
 	// PeerSeeds are peer addresses of entries through which the entry finds its peers.
 	PeerSeeds  []netip.AddrPort
 	RetrySlack float64
+	// Load is true for an entry that limits the requests to cold upstreams and decides which
+	// requests it admits under overload.
+	Load bool
 	// Evacuations is set if the entry follows evacuations.
 	Evacuations bool
 }
@@ -42,6 +46,12 @@
 	// send within RetryWindow.
 	RetryRatio  = 0.2
 	RetryWindow = 10 * time.Second
+	// ColdTime is the time for which upstreams are cold after their start, ColdRate the
+	// requests per second that they take then. ColdFactor times ColdRate plus ColdSlack
+	// may reach one in any second.
+	ColdTime              = 3 * time.Second
+	ColdRate              = 6.0
+	ColdFactor, ColdSlack = 1.5, 5.0
 	// EvacuationTime is the time within which an evacuated failure domain must stop
 	// receiving requests.
 	EvacuationTime = 5 * time.Second
@@ -53,6 +63,9 @@
 		"drain-time": DrainTime.String(), "grace": GracePeriod.String(), "retry-ratio": RetryRatio,
 		"retry-slack": s.RetrySlack, "retry-window": RetryWindow.String(), "fencing": true,
 	}
+	if s.Load {
+		direct["cold-factor"], direct["cold-slack"], direct["admission"] = ColdFactor, ColdSlack, config.AdmitInTime
+	}
 	if s.Evacuations {
 		direct["evacuation-time"] = EvacuationTime.String()
 	}
