Gates fill engines up to nine tenths of their work

The engine's description says from which load on more requests hardly do more work, and that is the limit now. Least urgent requests are held back a little later.

--- a/internal/core/admission/gate.go
+++ b/internal/core/admission/gate.go
@@ -27,6 +27,9 @@
 	// average. Requests spread unevenly: with more, too many of them find all slots of
 	// their upstream taken.
 	slotShare = 0.85
+	// workShare is the fraction of the work that engines do with all slots taken up to which
+	// they are filled. More requests would be slower and hardly do more.
+	workShare = 0.9
 	// minSlotShare is the fraction of the slots below which admission does not go.
 	// Engines are inefficient at less.
 	minSlotShare = 0.5
@@ -38,6 +41,9 @@
 	// urgencySpread is the difference between the limits for the most and the least
 	// urgent requests, as a fraction of the limit.
 	urgencySpread = 0.35
+	// leastUrgent is the position among all requests, from the most urgent on, at which the
+	// limit holds as it is.
+	leastUrgent = 0.65
 	// returnBonus raises the limit for requests that return after a refusal, while they are
 	// at most maxReturnShare of the admitted ones. Beyond that, returnMalus lowers it: in a
 	// long overload all answers would be late if those that wait longest always went first.
@@ -136,7 +142,7 @@
 	if limit <= 0 || !g.reported.fresh(now) || g.load(0, now) < openShare*limit {
 		return true
 	}
-	factor := 1 + urgencySpread*(0.5-g.levels.position(r.Urgency))
+	factor := 1 + urgencySpread*(leastUrgent-g.levels.position(r.Urgency))
 	switch {
 	case r.Returning && g.returns.value < maxReturnShare:
 		factor += returnBonus
@@ -185,6 +191,7 @@
 		// Fewer requests would not bring those that remain in time.
 		return limit
 	}
+	limit = min(limit, g.config.Model.Efficient(g.config.Slots, workShare, g.skew.value))
 	gap := time.Duration(gapShare * float64(g.config.MaxGap))
 	return max(min(limit, g.config.Model.Running(gap, g.skew.value)), minSlotShare*slots)
 }
--- a/internal/core/admission/gate_test.go
+++ b/internal/core/admission/gate_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -175,8 +176,10 @@
 	f.running[r] = left
 }
 
-// admitWaiting moves waiting requests to the free slots of a rank.
+// admitWaiting moves waiting requests to the free slots of a rank, the most urgent first, as
+// upstreams do that are told the urgency.
 func (f *fleet) admitWaiting(r int) {
+	slices.SortStableFunc(f.waiting[r], func(a, b *stream) int { return a.urgency.Compare(b.urgency) })
 	n := min(slots-len(f.running[r]), len(f.waiting[r]))
 	f.running[r] = append(f.running[r], f.waiting[r][:n]...)
 	f.waiting[r] = f.waiting[r][n:]
--- a/internal/core/capacity/capacity.go
+++ b/internal/core/capacity/capacity.go
@@ -65,3 +65,12 @@
 	}
 	return max((limit.Seconds()-m.fixed)/(m.own+m.shared*max(skew, 1)), 0)
 }
+
+// Efficient returns the number of requests that each engine has to run to do a share of the
+// work, in tokens per second, that it does with all its slots taken. More requests hardly do
+// more work, but each of them is slower.
+func (m Model) Efficient(slots int, share, skew float64) float64 {
+	each := m.own + m.shared*max(skew, 1)
+	all := float64(slots)
+	return share * all * m.fixed / (m.fixed + all*each*(1-share))
+}
--- a/internal/core/capacity/capacity_test.go
+++ b/internal/core/capacity/capacity_test.go
@@ -42,6 +42,19 @@
 	is.Equal(m.Running(20*time.Millisecond, 1), 0.0) // less than the fixed part of a pass
 }
 
+// TestEfficientLoadDoesItsShare checks that engines do the given share of their work with the
+// load that is called efficient, and that this is less the more a request costs.
+func TestEfficientLoadDoesItsShare(t *testing.T) {
+	is := is.New(t)
+	m := capacity.NewModel(engine)
+	work := func(running, skew float64) float64 { return running / m.PassTime(running, skew).Seconds() }
+	for _, skew := range []float64{1, 2, 4} {
+		running := m.Efficient(engine.Slots, 0.9, skew)
+		is.True(abs(work(running, skew)/work(float64(engine.Slots), skew)-0.9) < 0.001)
+		is.True(running < m.Efficient(engine.Slots, 0.9, skew-0.5) || skew == 1)
+	}
+}
+
 // TestPromptsCountForThePass checks that the reading of prompts is part of a pass.
 func TestPromptsCountForThePass(t *testing.T) {
 	is := is.New(t)
