Place requests by the load expected at each upstream

Each of many entries sees a few of the requests that a rank runs, and balanced only those: the sum over the entries was close to a random placement. Reported loads of a group's ranks were not counted, and all upstreams of the own domain came first among those with equally many own requests, however busy they were.

An entry now prefers a few upstreams of its domain, a window on a ring that all entries of the domain share evenly, counts what an upstream last reported and lets that tend to the mean of its domain within the time that a request stays. An upstream that declines a request counts as full for as long. No message is added.

TestManySmallEntriesLeaveNoRankBusyBesideFreeOnes, TestDomainWithMoreDemandThanSlotsSpills and TestFullUpstreamIsAvoidedAfterRejection fail on the old code. The metrics' test lists the new series and is as strict as before.

--- a/internal/core/upstream/limit.go
+++ b/internal/core/upstream/limit.go
@@ -133,7 +133,7 @@
 // newMember returns the member for an upstream that was not in the pool before, with the
 // advice that the same incarnation gave when it was.
 func (p *Pool) newMember(of service.Incarnation) *member {
-	m := &member{phase: p.random.Float64()}
+	m := &member{phase: p.random.Float64(), ringHash: ringHash(of.ID)}
 	if f, ok := p.former[of.ID]; ok && f.member.Incarnation().Equal(of) {
 		m.advice, m.sentAt = f.member.advice, f.member.sentAt
 		delete(p.former, of.ID)
--- a/internal/core/upstream/outcome.go
+++ b/internal/core/upstream/outcome.go
@@ -39,6 +39,7 @@
 		return
 	}
 	m.outstanding = max(m.outstanding-1, 0)
+	p.placement.stay.end(o == Rejected, now)
 	if m.group != nil {
 		m.group.outstanding = max(m.group.outstanding-1, 0)
 	}
@@ -63,7 +64,10 @@
 	case GroupStalled:
 		m.health.probing = false
 		m.group.recordStall(now)
-	case Rejected, CallerLeft:
+	case Rejected:
+		m.health.probing = false
+		p.recordFull(m, now)
+	case CallerLeft:
 		m.health.probing = false
 	}
 }
--- a/internal/core/upstream/pool.go
+++ b/internal/core/upstream/pool.go
@@ -31,6 +31,7 @@
 	lastSuccessAt, firstFailureAt time.Time
 	consecutiveFailures           int
 	reachability                  map[fleet.FailureDomain]*reachability
+	placement                     placement
 }
 
 // member is one upstream of a pool.
@@ -50,6 +51,14 @@
 	// reported it at reportedAt.
 	otherLoad  float64
 	reportedAt time.Time
+	// ringHash is the position of the upstream among those that the processes share out.
+	ringHash uint64
+	// preferred is set if this process prefers the upstream, domainLoad is the load of its
+	// domain, margin the number of requests that count in addition because others are to be
+	// preferred, and predicted the load that a request was last expected to meet there.
+	preferred         bool
+	domainLoad        *domainLoad
+	margin, predicted float64
 	// errorRate is a moving average over samples outcomes, where a failure counts
 	// as 1 and a success as 0.
 	errorRate float64
@@ -114,9 +123,6 @@
 	// list marks as broken. It is longer than groupProbeInterval because the list
 	// shows when the group has re-formed, and each failed probe costs a retry.
 	brokenGroupProbeInterval = time.Second
-	// loadReportTTL is the time over which the weight of a reported load falls to
-	// zero. It is about the duration of a request.
-	loadReportTTL = time.Second
 )
 
 // NewPool returns an empty pool for the process with the given name in the given failure
@@ -163,6 +169,7 @@
 	}
 	p.keepFormer(kept, now)
 	p.byID, p.groups = kept, groups
+	p.configurePlacement(now)
 }
 
 // PoolQuery describes a request for which a Pool chooses an upstream.
@@ -182,8 +189,8 @@
 //
 // Only the upstreams of the best eligibility are considered. Groups are compared by
 // their load first, since the ranks of a group compute each step together; then
-// upstreams by theirs. Upstreams in the pool's own failure domain are preferred among
-// equally loaded ones.
+// upstreams by the load that the request is expected to meet. Among about equally loaded ones,
+// those that this process prefers and those in its own failure domain come first.
 func (p *Pool) Choose(q PoolQuery, now time.Time) (service.Upstream, bool) {
 	best := p.best(q, now)
 	if best == nil {
@@ -191,6 +198,7 @@
 	}
 	best.outstanding++
 	best.sentAt = now
+	p.recordPlacement(best, now)
 	best.health.recordStart(now)
 	p.reachabilityOf(best).recordStart(now)
 	if best.group != nil {
@@ -220,16 +228,19 @@
 	var best *member
 	bestEligibility := ineligible
 	draws, drawn := 0, 0
+	p.placement.expect(now)
+	stay := p.placement.stay.mean()
 	for _, m := range p.members {
 		e := p.eligibility(m, q, now)
 		if e == ineligible || e > bestEligibility || m.heldUntil().After(now) {
 			continue
 		}
+		m.predicted = p.placement.predict(m, stay, now)
 		if best == nil || e < bestEligibility {
 			best, bestEligibility, draws = m, e, 1
 			continue
 		}
-		switch c := p.compare(m, best, now); {
+		switch c := p.compare(m, best); {
 		case c < 0:
 			best, draws = m, 1
 		case c == 0:
@@ -269,28 +280,18 @@
 func (m *member) leaving() bool { return m.Leaving || m.advice.leaving }
 
 // compare orders two upstreams of the same eligibility, the better one first.
-func (p *Pool) compare(a, b *member, now time.Time) int {
+func (p *Pool) compare(a, b *member) int {
 	if a.group != b.group && a.group != nil && b.group != nil {
 		if c := cmp.Compare(a.group.load(), b.group.load()); c != 0 {
 			return c
 		}
 	}
 	return cmp.Or(
-		cmp.Compare(a.load(now), b.load(now)),
+		cmp.Compare(a.predicted, b.predicted),
 		cmp.Compare(p.domainDistance(a), p.domainDistance(b)),
 	)
 }
 
-// load returns the upstream's load as a fraction of its slots. The load from other
-// processes counts less the older its report is, and not at all for the rank of a group.
-func (m *member) load(now time.Time) float64 {
-	load := float64(m.outstanding)
-	if age := now.Sub(m.reportedAt); age < loadReportTTL && m.group == nil {
-		load += m.otherLoad * float64(loadReportTTL-age) / float64(loadReportTTL)
-	}
-	return load / float64(max(m.Slots, 1))
-}
-
 // domainDistance returns 0 for an upstream in the pool's own failure domain, else 1.
 func (p *Pool) domainDistance(m *member) int {
 	if m.FailureDomain == p.domain {
@@ -304,7 +305,7 @@
 // pool are ignored.
 func (p *Pool) RecordLoad(id string, running, waiting int, now time.Time) {
 	if m := p.byID[id]; m != nil {
-		m.otherLoad, m.reportedAt = float64(max(running+waiting-m.outstanding, 0)), now
+		p.recordReport(m, running, waiting, now)
 	}
 }
 
@@ -327,15 +328,18 @@
 	// HeldForMS is the time in milliseconds for which this process sends no request
 	// because of the limit or because the upstream said when to come back.
 	HeldForMS int64 `json:"held-for-milliseconds,omitempty"`
+	MemberPlacement
 }
 
 // State returns the debug state of all upstreams at now, sorted by ID.
 func (p *Pool) State(now time.Time) []MemberState {
 	out := make([]MemberState, 0, len(p.members))
+	p.placement.expect(now)
 	for _, m := range p.members {
 		s := MemberState{
 			ID: m.ID, Address: m.Address.String(), Domain: m.FailureDomain, Outstanding: m.outstanding, Leaving: m.leaving(),
 			Ejected: m.health.ejected(now), ErrorRate: m.errorRate, AverageLatencyMS: float64(m.health.averageLatency) / float64(time.Millisecond),
+			MemberPlacement: p.placement.memberPlacement(m, now),
 		}
 		if m.Membership != nil {
 			s.Group = m.Membership.Group
--- a/internal/entry/direct/entry.go
+++ b/internal/entry/direct/entry.go
@@ -129,6 +129,7 @@
 	e.callerServer = client.NewServer(e.handler, logger)
 	e.registerMetrics()
 	e.expvars.Set("upstreams", expvar.Func(func() any { return e.pools.State(time.Now()) }))
+	e.expvars.Set("placement", expvar.Func(func() any { return e.pools.Placements(time.Now()) }))
 	e.expvars.Set("peers", expvar.Func(func() any { return e.traffic.State() }))
 	e.expvars.Set("memstats", expvar.Get("memstats"))
 	return e, nil
--- a/internal/entry/upstream/pools.go
+++ b/internal/entry/upstream/pools.go
@@ -110,6 +110,7 @@
 		}
 		p.services[name] = s
 		p.series.set.GetOrCreateGauge(fmt.Sprintf(`bramleydeal_retry_quota_left{service=%q}`, name), func() float64 { return p.remainingRetries(name, time.Now()) })
+		p.registerPlacement(name)
 	}
 	return s
 }
