--- a/internal/core/upstream/placement_test.go
+++ b/internal/core/upstream/placement_test.go
@@ -9,8 +9,10 @@
 	"testing"
 	"time"
 
+	"bramleydeal/internal/core/instance"
 	"bramleydeal/internal/world/fleet"
 	"bramleydeal/internal/world/service"
+	"github.com/cespare/xxhash/v2"
 	"github.com/matryer/is"
 )
 
@@ -23,8 +25,9 @@
 	load float64
 	// shares are the domains' shares of the streams.
 	shares [3]float64
-	// silent is set if the ranks do not report their load.
-	silent bool
+	// silent is set if the ranks do not report their load, and split if each half of the entries
+	// lists only itself.
+	silent, split bool
 }
 
 // placementResult is what a pattern of load led to.
@@ -66,6 +69,9 @@
 	return last
 }
 
+// half returns the half of the entries that i belongs to.
+func half(i fleet.Instance) uint64 { return xxhash.Sum64String(i.Name) % 2 }
+
 // placementRank is a rank that runs streams in the order in which they arrived.
 type placementRank struct {
 	running int
@@ -97,6 +103,10 @@
 		config.Entries = append(config.Entries, fleet.Instance{Name: fmt.Sprint("e", i), Role: fleet.EntryRole, FailureDomain: fleet.FailureDomain(fmt.Sprint("d", i%3))})
 	}
 	for i, e := range config.Entries {
+		config := config
+		if l.split {
+			config.Entries = instance.Filter(config.Entries, func(o fleet.Instance) bool { return half(o) == half(e) })
+		}
 		p := NewPool(seed+uint64(i), e.Name, e.FailureDomain, config)
 		p.Configure(upstreams, config, testNow)
 		m.pools = append(m.pools, p)
@@ -273,6 +283,15 @@
 	is.True(r.queued <= fullAtRandom(0.7))
 }
 
+// TestPlacementByHalvesThatDoNotListEachOther plays entries that a partition keeps from hearing of
+// each other, while all of them reach the ranks.
+func TestPlacementByHalvesThatDoNotListEachOther(t *testing.T) {
+	is := is.New(t)
+	r := placementLoad{entries: 75, ranks: 72, load: 0.7, shares: unevenShares, split: true}.play(1)
+	t.Logf("%+v", r)
+	is.True(r.queued <= fullAtRandom(0.7)/2)
+}
+
 // TestPreferredUpstreamsAreDealtOutEvenly guards against upstreams that many entries prefer and
 // others that none does.
 func TestPreferredUpstreamsAreDealtOutEvenly(t *testing.T) {
