--- a/internal/entry/upstream/pools.go
+++ b/internal/entry/upstream/pools.go
@@ -133,6 +133,7 @@
 			p.gateGauges(name)
 		}
 		p.series.set.GetOrCreateGauge(fmt.Sprintf(`bramleydeal_retry_quota_left{service=%q}`, name), func() float64 { return p.remainingRetries(name, time.Now()) })
+		p.registerPlacement(name)
 	}
 	return s
 }
