Callers that came back wait for a stalled group; news of its re-opening

A group that lost a rank or a domain is down for seconds. Callers come back once, as told, a third of their time later, and were refused for good. After the heal an entry learnt of the open group from the list, or from the end of the whole stream of its probe.

Pool tracks outages of groups: their lengths by evidence, an estimate of the rest, and returns spread in the order of refusals. ReopeningQueue holds callers that came back, bounded in time and number; they leave most urgent first, spread over 800 ms. The first event of a stream ends a stall, here and at the peers.

--- a/internal/core/upstream/advice.go
+++ b/internal/core/upstream/advice.go
@@ -36,6 +36,8 @@
 	SuspensionNamed
 	// Ended means that the upstream has ended without notice.
 	Ended
+	// Reopened means that the upstream's group, which was stalled, runs requests again.
+	Reopened
 )
 
 // liftedNewsTime is the time for which peers are told that a limit was lifted.
@@ -184,6 +186,10 @@
 	if !n.EndedAt.IsZero() && p.recordEnd(m, n.EndedAt, now) {
 		changes = append(changes, Ended)
 	}
+	if !n.Limited && m.group.reopen(n.LimitAt) {
+		p.trackOutage(now)
+		changes = append(changes, Reopened)
+	}
 	return changes
 }
 
--- a/internal/core/upstream/outcome.go
+++ b/internal/core/upstream/outcome.go
@@ -46,6 +46,7 @@
 		m.group.health.probing = false
 	}
 	p.reachabilityOf(m).recordOutcome(o, now)
+	defer p.trackOutage(now)
 	if o != Answered && o != CallerLeft && o != Rejected {
 		if p.consecutiveFailures++; p.firstFailureAt.IsZero() {
 			p.firstFailureAt = now
@@ -100,6 +101,7 @@
 // if it is slow.
 func (p *Pool) recordSuccess(m *member, took time.Duration, now time.Time) {
 	p.lastSuccessAt, p.firstFailureAt, p.consecutiveFailures = now, time.Time{}, 0
+	p.outages.RecordAnswer(now)
 	if m.group != nil {
 		m.group.health, m.group.broken = health{}, false
 	}
--- a/internal/core/upstream/pool.go
+++ b/internal/core/upstream/pool.go
@@ -31,6 +31,7 @@
 	lastSuccessAt, firstFailureAt time.Time
 	consecutiveFailures           int
 	reachability                  map[fleet.FailureDomain]*reachability
+	outages                       Outages
 }
 
 // member is one upstream of a pool.
@@ -163,6 +164,7 @@
 	}
 	p.keepFormer(kept, now)
 	p.byID, p.groups = kept, groups
+	p.trackOutage(now)
 }
 
 // PoolQuery describes a request for which a Pool chooses an upstream.
--- a/internal/core/upstream/pool_group.go
+++ b/internal/core/upstream/pool_group.go
@@ -19,6 +19,8 @@
 	broken bool
 	// outstanding is the sum over the group's members.
 	outstanding int
+	// stalledAt is when the group was last found to be stalled.
+	stalledAt time.Time
 }
 
 // groupListing is the state of a group according to the list, in its newest epoch.
@@ -94,6 +96,7 @@
 	if g.broken {
 		interval = brokenGroupProbeInterval
 	}
+	g.stalledAt = now
 	g.health.ejections = 0 // keeps the interval from doubling with each failed probe
 	g.health.eject(interval, now)
 }
@@ -120,6 +123,7 @@
 		if m.group != nil && !m.leaving() {
 			m.group.broken = true
 			m.group.recordStall(now)
+			p.trackOutage(now)
 		}
 	}
 	return true
--- /dev/null
+++ b/internal/core/upstream/reopening.go
@@ -0,0 +1,170 @@
+package upstream
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// ReopeningQueue holds callers that wait for the groups of a service to run requests again.
+type ReopeningQueue struct {
+	waiting []*Waiter // most urgent first
+	// limit is the time until which any caller may wait, zero for none.
+	limit time.Time
+	// released is set once the waiting callers have their turns.
+	released bool
+	// phase, in [0, 1), spreads the first turns of several processes.
+	phase float64
+}
+
+// Limits of a ReopeningQueue.
+const (
+	// maxWaiting is the number of callers that may wait for one service.
+	maxWaiting = 128
+	// releaseTime is the time over which waiting callers are released, so that they do not
+	// fill the queues of the upstreams at once. One whose wait ends before its turn is
+	// released then.
+	releaseTime = 800 * time.Millisecond
+)
+
+// Wait describes a caller that would wait.
+type Wait struct {
+	// Priority is the priority of the request, RoutePriority that of its route; 0 is first.
+	Priority, RoutePriority int
+	// ArrivedAt is when the request arrived, Until the time until which it may wait.
+	ArrivedAt, Until time.Time
+	// MayProbe allows its use as a probe: it can be sent again if it is declined.
+	MayProbe bool
+}
+
+// Waiter is a caller that waits.
+type Waiter struct {
+	Wait
+	turnAt    time.Time
+	displaced bool
+}
+
+// Turn is what a waiting caller does next.
+type Turn int
+
+// The turns of a waiting caller.
+const (
+	// StillWaiting means that the caller waits on.
+	StillWaiting Turn = iota
+	// Released means that a group runs requests again and the caller's is sent.
+	Released
+	// Probing means that the request is sent as the probe of a group.
+	Probing
+	// Expired means that the caller has waited for as long as it may.
+	Expired
+	// Displaced means that more urgent callers took the places.
+	Displaced
+	// NotWaiting means that the caller was not taken into the queue.
+	NotWaiting
+)
+
+// NewReopeningQueue returns an empty queue. phase, in [0, 1), differs between processes.
+func NewReopeningQueue(phase float64) *ReopeningQueue { return &ReopeningQueue{phase: phase} }
+
+// Add adds a caller at now and returns it. It returns nil if the caller must not wait: there
+// is no outage, all places are taken by callers at least as urgent, or the outage is known
+// to last longer than the caller may wait.
+func (q *ReopeningQueue) Add(c Wait, a Availability, o *Outages, now time.Time) *Waiter {
+	until := q.until(c.Until)
+	if a == Available || !until.After(now) {
+		return nil
+	}
+	if least, _, known := o.Remaining(now); known && now.Add(least).After(until) {
+		return nil
+	}
+	w := &Waiter{Wait: c}
+	at, _ := slices.BinarySearchFunc(q.waiting, w, compareWaiters)
+	q.waiting = slices.Insert(q.waiting, at, w)
+	if len(q.waiting) > maxWaiting {
+		last := q.waiting[maxWaiting]
+		q.Remove(last)
+		if last == w {
+			return nil
+		}
+		last.displaced = true
+	}
+	return w
+}
+
+func compareWaiters(a, b *Waiter) int {
+	return cmp.Or(cmp.Compare(a.Priority, b.Priority), cmp.Compare(a.RoutePriority, b.RoutePriority), a.ArrivedAt.Compare(b.ArrivedAt))
+}
+
+// Remove removes a caller. It does nothing if it was removed before.
+func (q *ReopeningQueue) Remove(w *Waiter) {
+	q.waiting = slices.DeleteFunc(q.waiting, func(o *Waiter) bool { return o == w })
+}
+
+// Limit makes no caller wait longer than until at.
+func (q *ReopeningQueue) Limit(at time.Time) { q.limit = at }
+
+// Len returns the number of waiting callers.
+func (q *ReopeningQueue) Len() int { return len(q.waiting) }
+
+func (q *ReopeningQueue) until(t time.Time) time.Time {
+	if !q.limit.IsZero() && q.limit.Before(t) {
+		return q.limit
+	}
+	return t
+}
+
+// Poll returns the turn of a waiting caller at now, and removes the caller unless it waits on.
+func (q *ReopeningQueue) Poll(w *Waiter, a Availability, now time.Time) Turn {
+	t := q.turn(w, a, now)
+	if t != StillWaiting {
+		q.Remove(w)
+	}
+	return t
+}
+
+func (q *ReopeningQueue) turn(w *Waiter, a Availability, now time.Time) Turn {
+	if w.displaced {
+		return Displaced
+	}
+	expired := !now.Before(q.until(w.Until))
+	if a == Available {
+		q.release(now)
+		if expired || !now.Before(w.turnAt) {
+			return Released
+		}
+		return StillWaiting
+	}
+	q.released = false
+	switch {
+	case expired:
+		return Expired
+	case a == ProbeDue && q.prober() == w:
+		return Probing
+	}
+	return StillWaiting
+}
+
+// release gives each waiting caller its turn, unless that was done before.
+func (q *ReopeningQueue) release(now time.Time) {
+	if q.released {
+		return
+	}
+	q.released = true
+	gap := releaseTime / time.Duration(max(len(q.waiting), 1))
+	for n, w := range q.waiting {
+		w.turnAt = now.Add(time.Duration((float64(n) + q.phase) * float64(gap)))
+	}
+}
+
+// prober returns the caller whose request may be the next probe: of those that may, the one
+// that has longest to wait, since it can wait on if it is declined. It returns nil if there is
+// none.
+func (q *ReopeningQueue) prober() *Waiter {
+	var best *Waiter
+	for _, w := range q.waiting {
+		if w.MayProbe && (best == nil || w.Until.After(best.Until)) {
+			best = w
+		}
+	}
+	return best
+}
--- a/internal/entry/client/forward.go
+++ b/internal/entry/client/forward.go
@@ -59,6 +59,8 @@
 	// contentHold is the time after which a request like this one may be sent again if such
 	// requests are held back, otherwise zero.
 	contentHold time.Duration
+	// waited is set once the request has waited for its service's groups in vain.
+	waited bool
 	// lastFailure is the latest complete 5xx response of an upstream, nil if
 	// none.
 	lastFailure *upstreamFailure
@@ -86,7 +88,7 @@
 			f.fail(f.contentHeld(why, time.Now()))
 			return
 		}
-		u, ok := h.pools.Choose(c.service, f.query, time.Now())
+		u, ok := f.choose(ctx)
 		if !ok {
 			f.returnRetry()
 			f.fail(f.noUpstream(time.Now()))
@@ -162,8 +164,8 @@
 }
 
 // retryAfter returns the delay after which the caller is told to retry. The
-// remaining length of an outage is estimated as the time that it has lasted so
-// far. The delay is limited to a third of the caller's remaining time, but not
+// remaining length of an outage is estimated from earlier ones of the service's groups,
+// or else as the time that it has lasted so far. The delay is limited to a third of the caller's remaining time, but not
 // below overloadRetryAfter: a caller that retries with less than two thirds of
 // its time has too little left to be served.
 func (f *forwarding) retryAfter(k answer.Kind) time.Duration {
@@ -171,13 +173,17 @@
 	if f.contentHold > 0 {
 		return f.contentHold
 	}
+	atMost := max(f.deadline.Sub(now)/3, overloadRetryAfter)
 	if wait := f.heldUntil.Sub(now); wait > 0 {
 		// Callers that are refused in a row must not come back at once.
 		wait += rand.N(wait)
-		return min(wait, max(f.deadline.Sub(now)/3, overloadRetryAfter))
+		return min(wait, atMost)
+	}
+	if after := f.handler.pools.ReturnAfter(f.service, f.soonestReturn(now), atMost, now); after > 0 {
+		return after
 	}
 	if outage := f.handler.pools.Outage(f.service, now); outage > 0 {
-		return min(max(outage, minOutageRetryAfter), max(f.deadline.Sub(now)/3, overloadRetryAfter))
+		return min(max(outage, minOutageRetryAfter), atMost)
 	}
 	if k == answer.Overloaded {
 		return overloadRetryAfter
@@ -240,12 +246,6 @@
 	return timer
 }
 
-// stallTimeout returns how long the route's streams may have no event before their
-// upstream is considered lost.
-func (f *forwarding) stallTimeout() time.Duration {
-	return time.Duration(stallShare * float64(f.route.Patience()))
-}
-
 func isSuccess(r *http.Response) bool { return r.StatusCode/100 == 2 }
 
 // isCallerError reports whether a status tells that the upstream has handled the request and
--- a/internal/entry/client/handler.go
+++ b/internal/entry/client/handler.go
@@ -113,11 +113,12 @@
 func (h *Handler) SetIdentityKey(k core.IdentityKey) { h.identityKey.Store(&k) }
 
 // Drain makes the handler report that it is not ready and ask callers to close
-// their connections. exit is when the process will exit, even if requests are
+// their connections. Callers that wait for a service are answered in time. exit is when the process will exit, even if requests are
 // still in progress.
 func (h *Handler) Drain(exit time.Time) {
 	h.exitAt.Store(&exit)
 	h.draining.Store(true)
+	h.pools.LimitWaits(exit.Add(-drainStreamTime))
 }
 
 // canFinish reports whether a request of route r that starts now can be
--- /dev/null
+++ b/internal/entry/client/reopening.go
@@ -0,0 +1,84 @@
+package client
+
+import (
+	"context"
+	"time"
+
+	coreupstream "bramleydeal/internal/core/upstream"
+	"bramleydeal/internal/world/service"
+)
+
+const (
+	// returnedShare is the part of a route's timeout up to which a caller's remaining time
+	// tells that it was refused before, or is too short to come back once more.
+	returnedShare = 0.8
+	// reopeningShare is the part of the route's patience for which a caller may wait from its
+	// arrival on. The rest is left for its response to begin.
+	reopeningShare = 0.8
+	// minReopeningRest is the time before a caller's deadline at which its wait ends.
+	minReopeningRest = 300 * time.Millisecond
+)
+
+// returned reports whether the caller has come back after a refusal, as far as its remaining
+// time tells.
+func (c *callerRequest) returned() bool {
+	return c.info.TimeLeft > 0 && c.info.TimeLeft <= c.returnedTime()
+}
+
+// returnedTime is the remaining time up to which a caller counts as one that has come back.
+func (c *callerRequest) returnedTime() time.Duration {
+	return time.Duration(returnedShare * float64(c.route.EffectiveTimeout()))
+}
+
+// soonestReturn returns the delay after which the caller counts as one that has come back.
+func (c *callerRequest) soonestReturn(now time.Time) time.Duration {
+	return max(c.callerDeadline.Sub(now)-c.returnedTime(), 0)
+}
+
+// priority returns the priority of a request: its client account's, or its route's.
+func (c *callerRequest) priority() int {
+	if c.account != nil && c.account.Priority != nil {
+		return *c.account.Priority
+	}
+	return c.route.Priority
+}
+
+// choose returns the upstream for the next attempt, after a wait if the request may wait. It
+// returns false if there is none.
+func (f *forwarding) choose(ctx context.Context) (service.Upstream, bool) {
+	for {
+		turn := f.awaitReopening(ctx)
+		if turn == coreupstream.StillWaiting {
+			return service.Upstream{}, false // the caller has left
+		}
+		if f.retryState.Attempts() > 0 && !f.retryTaken && !f.takeRetry() {
+			return service.Upstream{}, false
+		}
+		u, ok := f.handler.pools.Choose(f.service, f.query, time.Now())
+		if ok || turn != coreupstream.Released && turn != coreupstream.Probing {
+			return u, ok
+		}
+		// Another request became the probe, or the group has stalled again.
+		f.returnRetry()
+	}
+}
+
+// awaitReopening makes a caller that has come back wait while the groups of its service are
+// stalled, and returns how that ended.
+func (f *forwarding) awaitReopening(ctx context.Context) coreupstream.Turn {
+	if f.headSent || f.waited || !f.returned() {
+		return coreupstream.NotWaiting
+	}
+	until := f.arrived.Add(time.Duration(reopeningShare * float64(f.route.Patience())))
+	if latest := f.deadline.Add(-minReopeningRest); latest.Before(until) {
+		until = latest
+	}
+	// A retry that follows a wait counts at the time at which it is made.
+	f.returnRetry()
+	turn := f.handler.pools.AwaitReopening(ctx, f.service, coreupstream.Wait{
+		Priority: f.priority(), RoutePriority: f.route.Priority, ArrivedAt: f.arrived, Until: until,
+		MayProbe: f.retryState.Attempts()+1 < f.route.Attempts,
+	})
+	f.waited = turn == coreupstream.Expired || turn == coreupstream.Displaced
+	return turn
+}
--- a/internal/entry/client/stream.go
+++ b/internal/entry/client/stream.go
@@ -43,6 +43,7 @@
 			if timeToFirst == 0 {
 				f.watch.RecordBegin()
 				timeToFirst = time.Since(began)
+				f.handler.pools.RecordFirstEvent(u, f.info.ID, began, time.Now())
 			}
 			if !f.headSent {
 				f.sendHead(x.Response)
@@ -70,6 +71,12 @@
 	}
 }
 
+// stallTimeout returns how long the route's streams may have no event before their
+// upstream is considered lost.
+func (f *forwarding) stallTimeout() time.Duration {
+	return time.Duration(stallShare * float64(f.route.Patience()))
+}
+
 // finishStream records that the caller received the complete stream.
 func (f *forwarding) finishStream(u service.Upstream, x *upstream.Exchange, timeToFirst time.Duration) core.Outcome {
 	f.recordProgress()
--- a/internal/entry/direct/entry.go
+++ b/internal/entry/direct/entry.go
@@ -386,6 +386,7 @@
 	InFlight      int64                         `json:"in-flight"`
 	Directory     directory.State               `json:"directory"`
 	Upstreams     map[string][]core.MemberState `json:"upstreams"`
+	Outages       map[string]core.OutageState   `json:"outages"`
 	// Suspects are the contents of requests on which upstreams may have ended, by service.
 	Suspects map[string]upstream.SuspectStates `json:"suspects"`
 	Peers    dial.TrafficState                 `json:"peers"`
@@ -395,6 +396,6 @@
 func (e *Entry) State() State {
 	return State{
 		Instance: e.config.Name, Role: fleet.EntryRole, FailureDomain: e.config.FailureDomain, Ready: e.handler.Ready(),
-		InFlight: e.handler.InFlight(), Directory: e.directory.State(), Upstreams: e.pools.State(time.Now()), Suspects: e.pools.Suspects(time.Now()), Peers: e.traffic.State(),
+		InFlight: e.handler.InFlight(), Directory: e.directory.State(), Upstreams: e.pools.State(time.Now()), Outages: e.pools.Outages(time.Now()), Suspects: e.pools.Suspects(time.Now()), Peers: e.traffic.State(),
 	}
 }
--- a/internal/entry/upstream/advice.go
+++ b/internal/entry/upstream/advice.go
@@ -34,6 +34,8 @@
 			p.log.Info("upstream says that it is leaving; it gets no new requests", values...)
 		case core.Ended:
 			p.log.Info("upstream has ended; its group is taken to have stopped", values...)
+		case core.Reopened:
+			p.log.Info("group runs requests again", values...)
 		case core.SuspensionNamed:
 			p.log.Info("upstream wants no requests for a time", append(values, "for-ms", a.RetryAfter.Milliseconds())...)
 		}
@@ -84,6 +86,7 @@
 			}
 		}
 		p.mu.Unlock()
+		urgent = urgent || slices.Contains(changes, core.Reopened)
 		p.logAdvice(changes, m.Upstream, m.Service, core.Advice{Limit: n.Limit}, "source", source)
 	}
 	if implicated {
--- a/internal/entry/upstream/pools.go
+++ b/internal/entry/upstream/pools.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -29,13 +30,17 @@
 
 	// mu guards the fields below. The decisions made under it take microseconds,
 	// so a mutex is cheaper than a goroutine that owns the state.
-	mu       sync.Mutex
-	started  time.Time
+	mu      sync.Mutex
+	started time.Time
+	// phase, in [0, 1), spreads what several processes do at the same moment.
+	phase    float64
 	config   Config
 	services map[string]*servicePool
 	series   series
 	// announce makes the peers get the news at once.
 	announce func()
+	// waitLimit is the time until which callers may wait, zero for none.
+	waitLimit time.Time
 }
 
 // servicePool is the pool, the retry quota and the suspects of one service.
@@ -51,13 +56,15 @@
 	// implicated holds the parts and requests that this entry itself has implicated and that
 	// are held back.
 	implicated map[string]bool
+	// reopening holds the callers that wait for the service's groups.
+	reopening *core.ReopeningQueue
 }
 
 // NewPools returns Pools without services for the entry named self in a failure
 // domain. seed determines the random choices. Metrics are registered in metricSet.
 func NewPools(seed uint64, self string, domain fleet.FailureDomain, config Config, metricSet *metrics.Set, log logr.Logger) *Pools {
 	return &Pools{
-		self: self, domain: domain, seed: seed, log: log, started: time.Now(), config: config, services: map[string]*servicePool{},
+		self: self, domain: domain, seed: seed, log: log, started: time.Now(), phase: rand.New(rand.NewPCG(seed, seed)).Float64(), config: config, services: map[string]*servicePool{},
 		series: series{set: metricSet, byUpstream: map[string]*upstreamSeries{}}, announce: func() {},
 	}
 }
@@ -94,6 +101,9 @@
 			config.MaxOutstanding = max(v.Configuration.Services[name].MaxConnections/p.config.Quota.Processes, 1)
 		}
 		s.pool.Configure(members[name], config, now)
+		if s.pool.Grouped() {
+			p.registerOutageMetrics(name)
+		}
 		s.quota.Configure(p.config.Quota)
 		s.suspects.Configure(entries)
 	}
@@ -106,8 +116,9 @@
 	if s == nil {
 		s = &servicePool{
 			core.NewPool(p.seed, p.self, p.domain, p.config.Pool), core.NewRetryQuota(p.config.Quota, p.started), core.NewContentSuspects(p.self),
-			map[*Watch]bool{}, nil, map[string]bool{},
+			map[*Watch]bool{}, nil, map[string]bool{}, core.NewReopeningQueue(p.phase),
 		}
+		s.reopening.Limit(p.waitLimit)
 		p.services[name] = s
 		p.series.set.GetOrCreateGauge(fmt.Sprintf(`bramleydeal_retry_quota_left{service=%q}`, name), func() float64 { return p.remainingRetries(name, time.Now()) })
 	}
