--- a/internal/core/upstream/reopening.go
+++ b/internal/core/upstream/reopening.go
@@ -138,7 +138,7 @@
 	switch {
 	case expired:
 		return Expired
-	case a == ProbeDue && q.prober() == w:
+	case a == ProbeDue && q.prober(now) == w:
 		return Probing
 	}
 	return StillWaiting
@@ -156,15 +156,14 @@
 	}
 }
 
-// prober returns the caller whose request may be the next probe: of those that may, the one
-// that has longest to wait, since it can wait on if it is declined. It returns nil if there is
-// none.
-func (q *ReopeningQueue) prober() *Waiter {
-	var best *Waiter
+// prober returns the caller whose request may be the next probe: the most urgent of those that
+// may and that have waited for half of their time. Requests that need not wait are probes too,
+// and a declined probe uses an attempt. It returns nil if there is none.
+func (q *ReopeningQueue) prober(now time.Time) *Waiter {
 	for _, w := range q.waiting {
-		if w.MayProbe && (best == nil || w.Until.After(best.Until)) {
-			best = w
+		if w.MayProbe && now.Sub(w.ArrivedAt) >= w.Until.Sub(w.ArrivedAt)/2 {
+			return w
 		}
 	}
-	return best
+	return nil
 }
