--- a/internal/core/upstream/reopening.go
+++ b/internal/core/upstream/reopening.go
@@ -61,8 +61,15 @@
 	Displaced
 	// NotWaiting means that the caller was not taken into the queue.
 	NotWaiting
+	turns
 )
 
+var turnNames = [turns]string{"caller-left", "released", "probed", "expired", "displaced", "not-waiting"}
+
+// String returns the name of the turn in logs and metrics. A wait that ends with StillWaiting
+// is one whose caller has left.
+func (t Turn) String() string { return turnNames[t] }
+
 // NewReopeningQueue returns an empty queue. phase, in [0, 1), differs between processes.
 func NewReopeningQueue(phase float64) *ReopeningQueue { return &ReopeningQueue{phase: phase} }
 
--- a/internal/entry/client/reopening.go
+++ b/internal/entry/client/reopening.go
@@ -75,10 +75,15 @@
 	}
 	// A retry that follows a wait counts at the time at which it is made.
 	f.returnRetry()
+	began := time.Now()
 	turn := f.handler.pools.AwaitReopening(ctx, f.service, coreupstream.Wait{
 		Priority: f.priority(), RoutePriority: f.route.Priority, ArrivedAt: f.arrived, Until: until,
 		MayProbe: f.retryState.Attempts()+1 < f.route.Attempts,
 	})
+	if turn != coreupstream.NotWaiting {
+		f.handler.log.Info("wait for a stalled group ended", "request", f.info.ID, "route", f.route.Name, "service", f.service,
+			"outcome", turn.String(), "waited-ms", time.Since(began).Milliseconds())
+	}
 	f.waited = turn == coreupstream.Expired || turn == coreupstream.Displaced
 	return turn
 }
--- a/internal/entry/upstream/reopening.go
+++ b/internal/entry/upstream/reopening.go
@@ -12,11 +12,6 @@
 // reopeningPollInterval is the time between two looks of a waiting caller at the groups.
 const reopeningPollInterval = 20 * time.Millisecond
 
-// turnNames are the values of the outcome label of bramleydeal_waits_total.
-var turnNames = map[core.Turn]string{
-	core.Released: "released", core.Probing: "probed", core.Expired: "expired", core.Displaced: "displaced", core.StillWaiting: "caller-left",
-}
-
 // AwaitReopening waits while the groups of the named service are stalled, for as long as c
 // allows and until ctx ends, and returns how the wait ended: StillWaiting if ctx ended first,
 // NotWaiting if the caller must not wait.
@@ -59,7 +54,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.forService(name).reopening.Remove(w)
-	p.series.set.GetOrCreateCounter(fmt.Sprintf(`bramleydeal_waits_total{service=%q,outcome=%q}`, name, turnNames[t])).Inc()
+	p.series.set.GetOrCreateCounter(fmt.Sprintf(`bramleydeal_waits_total{service=%q,outcome=%q}`, name, t)).Inc()
 }
 
 // LimitWaits makes no caller wait longer than until at.
