--- a/internal/entry/client/reopening.go
+++ b/internal/entry/client/reopening.go
@@ -12,9 +12,12 @@
 	// returnedShare is the part of a route's timeout up to which a caller's remaining time
 	// tells that it was refused before, or is too short to come back once more.
 	returnedShare = 0.8
-	// reopeningShare is the part of the route's patience for which a caller may wait from its
-	// arrival on. The rest is left for its response to begin.
-	reopeningShare = 0.8
+	// minBeginShare and maxBeginShare limit the part of the route's patience that a wait leaves
+	// for the response to begin.
+	minBeginShare, maxBeginShare = 0.2, 0.5
+	// beginTargets is the number of the route's latency targets that a wait leaves for the
+	// response to begin: upstreams have more requests than usual when a group runs again.
+	beginTargets = 2
 	// minReopeningRest is the time before a caller's deadline at which its wait ends.
 	minReopeningRest = 300 * time.Millisecond
 )
@@ -43,6 +46,14 @@
 	return c.route.Priority
 }
 
+// maxWait returns the longest time after its arrival for which a caller may wait before its
+// request is sent.
+func maxWait(r *service.Route) time.Duration {
+	patience := r.Patience()
+	least, most := time.Duration(minBeginShare*float64(patience)), time.Duration(maxBeginShare*float64(patience))
+	return patience - min(max(beginTargets*r.LatencyTarget, least), most)
+}
+
 // choose returns the upstream for the next attempt, after a wait if the request may wait. It
 // returns false if there is none.
 func (f *forwarding) choose(ctx context.Context) (service.Upstream, bool) {
@@ -69,7 +80,7 @@
 	if f.headSent || f.waited || !f.returned() {
 		return coreupstream.NotWaiting
 	}
-	until := f.arrived.Add(time.Duration(reopeningShare * float64(f.route.Patience())))
+	until := f.arrived.Add(maxWait(f.route))
 	if latest := f.deadline.Add(-minReopeningRest); latest.Before(until) {
 		until = latest
 	}
