--- a/internal/entry/client/reopening.go
+++ b/internal/entry/client/reopening.go
@@ -13,11 +13,8 @@
 	// tells that it was refused before, or is too short to come back once more.
 	returnedShare = 0.8
 	// minBeginShare and maxBeginShare limit the part of the route's patience that a wait leaves
-	// for the response to begin.
+	// for the response to begin. Between them it is the route's latency target.
 	minBeginShare, maxBeginShare = 0.2, 0.5
-	// beginTargets is the number of the route's latency targets that a wait leaves for the
-	// response to begin: upstreams have more requests than usual when a group runs again.
-	beginTargets = 2
 	// minReopeningRest is the time before a caller's deadline at which its wait ends.
 	minReopeningRest = 300 * time.Millisecond
 )
@@ -51,7 +48,7 @@
 func maxWait(r *service.Route) time.Duration {
 	patience := r.Patience()
 	least, most := time.Duration(minBeginShare*float64(patience)), time.Duration(maxBeginShare*float64(patience))
-	return patience - min(max(beginTargets*r.LatencyTarget, least), most)
+	return patience - min(max(r.LatencyTarget, least), most)
 }
 
 // choose returns the upstream for the next attempt, after a wait if the request may wait. It
