--- a/internal/core/upstream/outage_load_test.go
+++ b/internal/core/upstream/outage_load_test.go
@@ -54,7 +54,7 @@
 	cutQueue      = 20
 	cutBudget     = 8 * time.Second
 	cutPatience   = 2 * time.Second
-	cutWait       = cutPatience - 400*time.Millisecond
+	cutWait       = 2*cutBudget/3 - 4*time.Second
 	cutFirstEvent = 190 * time.Millisecond
 	cutStream     = time.Second
 	cutLasts      = 6600 * time.Millisecond
--- a/internal/entry/client/handler.go
+++ b/internal/entry/client/handler.go
@@ -128,11 +128,15 @@
 	if exit == nil {
 		return true
 	}
-	need := drainRequestTime
+	return exit.Sub(now) >= completionTime(r)
+}
+
+// completionTime returns the time that nearly all requests of a route complete in.
+func completionTime(r *service.Route) time.Duration {
 	if r.Kind == service.Stream {
-		need = drainStreamTime
+		return drainStreamTime
 	}
-	return exit.Sub(now) >= need
+	return drainRequestTime
 }
 
 // InFlight returns the number of requests in progress.
--- a/internal/entry/client/reopening.go
+++ b/internal/entry/client/reopening.go
@@ -15,8 +15,6 @@
 	// minBeginShare and maxBeginShare limit the part of the route's patience that a wait leaves
 	// for the response to begin. Between them it is the route's latency target.
 	minBeginShare, maxBeginShare = 0.2, 0.5
-	// minReopeningRest is the time before a caller's deadline at which its wait ends.
-	minReopeningRest = 300 * time.Millisecond
 )
 
 // returned reports whether the caller has come back after a refusal, as far as its remaining
@@ -78,7 +76,7 @@
 		return coreupstream.NotWaiting
 	}
 	until := f.arrived.Add(maxWait(f.route))
-	if latest := f.deadline.Add(-minReopeningRest); latest.Before(until) {
+	if latest := f.deadline.Add(-completionTime(f.route)); latest.Before(until) {
 		until = latest
 	}
 	// A retry that follows a wait counts at the time at which it is made.
