--- a/internal/core/upstream/pool.go
+++ b/internal/core/upstream/pool.go
@@ -33,6 +33,7 @@
 	reachability                  map[fleet.FailureDomain]*reachability
 	cold                          coldLog
 	placement                     placement
+	outages                       Outages
 }
 
 // member is one upstream of a pool.
@@ -184,6 +185,7 @@
 	p.keepFormer(kept, now)
 	p.byID, p.groups = kept, groups
 	p.configurePlacement(now)
+	p.trackOutage(now)
 }
 
 // PoolQuery describes a request for which a Pool chooses an upstream.
--- a/internal/entry/client/handler.go
+++ b/internal/entry/client/handler.go
@@ -120,11 +120,12 @@
 func (h *Handler) SetAccepting(f func() bool) { h.accepting = f }
 
 // Drain makes the handler report that it is not ready and ask callers to close
-// their connections. exit is when the process will exit, even if requests are
+// their connections. Callers that wait for a service are answered in time. exit is when the process will exit, even if requests are
 // still in progress.
 func (h *Handler) Drain(exit time.Time) {
 	h.exitAt.Store(&exit)
 	h.draining.Store(true)
+	h.pools.LimitWaits(exit.Add(-drainStreamTime))
 }
 
 // canFinish reports whether a request of route r that starts now can be
@@ -134,11 +135,15 @@
 	if exit == nil {
 		return true
 	}
-	need := drainRequestTime
+	return exit.Sub(now) >= completionTime(r)
+}
+
+// completionTime returns the time that nearly all requests of a route complete in.
+func completionTime(r *service.Route) time.Duration {
 	if r.Kind == service.Stream {
-		need = drainStreamTime
+		return drainStreamTime
 	}
-	return exit.Sub(now) >= need
+	return drainRequestTime
 }
 
 // InFlight returns the number of requests in progress.
--- a/internal/entry/direct/entry.go
+++ b/internal/entry/direct/entry.go
@@ -402,7 +402,8 @@
 	Directory     directory.State               `json:"directory"`
 	Upstreams     map[string][]core.MemberState `json:"upstreams"`
 	// Gates are the gates that have held back or admitted requests, by service.
-	Gates map[string]admission.State `json:"gates"`
+	Gates   map[string]admission.State  `json:"gates"`
+	Outages map[string]core.OutageState `json:"outages"`
 	// Suspects are the contents of requests on which upstreams may have ended, by service.
 	Suspects map[string]upstream.SuspectStates `json:"suspects"`
 	Peers    dial.TrafficState                 `json:"peers"`
@@ -412,6 +413,6 @@
 func (e *Entry) State() State {
 	return State{
 		Instance: e.config.Name, Role: fleet.EntryRole, FailureDomain: e.config.FailureDomain, Ready: e.handler.Ready(),
-		InFlight: e.handler.InFlight(), Directory: e.directory.State(), Upstreams: e.pools.State(time.Now()), Gates: e.pools.Gates(time.Now()), Suspects: e.pools.Suspects(time.Now()), Peers: e.traffic.State(),
+		InFlight: e.handler.InFlight(), Directory: e.directory.State(), Upstreams: e.pools.State(time.Now()), Gates: e.pools.Gates(time.Now()), Outages: e.pools.Outages(time.Now()), Suspects: e.pools.Suspects(time.Now()), Peers: e.traffic.State(),
 	}
 }
