--- a/internal/core/upstream/reopening.go
+++ b/internal/core/upstream/reopening.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"bramleydeal/internal/world/service"
 )
 
 // ReopeningQueue holds callers that wait for the groups of a service to run requests again.
@@ -29,8 +31,7 @@
 
 // Wait describes a caller that would wait.
 type Wait struct {
-	// Priority is the priority of the request, RoutePriority that of its route; 0 is first.
-	Priority, RoutePriority int
+	Urgency service.Urgency
 	// ArrivedAt is when the request arrived, Until the time until which it may wait.
 	ArrivedAt, Until time.Time
 	// MayProbe allows its use as a probe: it can be sent again if it is declined.
@@ -99,7 +100,7 @@
 }
 
 func compareWaiters(a, b *Waiter) int {
-	return cmp.Or(cmp.Compare(a.Priority, b.Priority), cmp.Compare(a.RoutePriority, b.RoutePriority), a.ArrivedAt.Compare(b.ArrivedAt))
+	return cmp.Or(a.Urgency.Compare(b.Urgency), a.ArrivedAt.Compare(b.ArrivedAt))
 }
 
 // Remove removes a caller. It does nothing if it was removed before.
--- a/internal/core/upstream/reopening_test.go
+++ b/internal/core/upstream/reopening_test.go
@@ -5,12 +5,13 @@
 	"testing"
 	"time"
 
+	"bramleydeal/internal/world/service"
 	"github.com/matryer/is"
 )
 
 // waitUntil returns a wait of a caller that arrives at testNow, for the given time.
 func waitUntil(d time.Duration, priority, routePriority int) Wait {
-	return Wait{Priority: priority, RoutePriority: routePriority, ArrivedAt: testNow, Until: testNow.Add(d)}
+	return Wait{Urgency: service.Urgency{Account: priority, Route: routePriority}, ArrivedAt: testNow, Until: testNow.Add(d)}
 }
 
 // TestWaitingCallersLeaveMostUrgentFirst guards against the release of all waiting callers at
--- a/internal/entry/client/reopening.go
+++ b/internal/entry/client/reopening.go
@@ -33,14 +33,6 @@
 	return max(c.callerDeadline.Sub(now)-c.returnedTime(), 0)
 }
 
-// priority returns the priority of a request: its client account's, or its route's.
-func (c *callerRequest) priority() int {
-	if c.account != nil && c.account.Priority != nil {
-		return *c.account.Priority
-	}
-	return c.route.Priority
-}
-
 // maxWait returns the longest time after its arrival for which a caller may wait before its
 // request is sent.
 func maxWait(r *service.Route) time.Duration {
@@ -83,7 +75,7 @@
 	f.returnRetry()
 	began := time.Now()
 	turn := f.handler.pools.AwaitReopening(ctx, f.service, coreupstream.Wait{
-		Priority: f.priority(), RoutePriority: f.route.Priority, ArrivedAt: f.arrived, Until: until,
+		Urgency: f.route.Urgency(f.account), ArrivedAt: f.arrived, Until: until,
 		MayProbe: f.retryState.Attempts()+1 < f.route.Attempts,
 	})
 	if turn != coreupstream.NotWaiting {
