A gate's averages count no time before the first sample

Averages are weighted means of what was seen now, over 8 s, and the least urgent requests are held back at the limit itself.

--- a/internal/core/admission/gate.go
+++ b/internal/core/admission/gate.go
@@ -43,7 +43,7 @@
 	urgencySpread = 0.35
 	// leastUrgent is the position among all requests, from the most urgent on, at which the
 	// limit holds as it is.
-	leastUrgent = 0.65
+	leastUrgent = 0.85
 	// returnBonus raises the limit for requests that return after a refusal, while they are
 	// at most maxReturnShare of the admitted ones. Beyond that, returnMalus lowers it: in a
 	// long overload all answers would be late if those that wait longest always went first.
@@ -61,7 +61,7 @@
 	// pass. Requests spread unevenly, so single reports say little.
 	loadWindow = 700 * time.Millisecond
 	// usualWindow is for the usual load, and the time of a pass that goes with it.
-	usualWindow = 12 * time.Second
+	usualWindow = 8 * time.Second
 	// skewWindow is for the skew of passes.
 	skewWindow = 1500 * time.Millisecond
 	// ownWindow is for the requests in flight of this entry.
@@ -269,22 +269,17 @@
 	return s
 }
 
-// average is a moving average of samples that arrive at irregular times.
+// average is a mean of samples in which the weight of a sample falls exponentially with its
+// age.
 type average struct {
-	value float64
-	at    time.Time
+	value, weight float64
+	at            time.Time
 }
 
-// minGain is the least weight of a sample, so that samples at the same time all count.
-const minGain = 0.005
-
-// add adds a sample. Older samples lose weight over window.
+// add adds a sample. window is the time in which the weight of a sample falls to 1/e.
 func (a *average) add(sample float64, window time.Duration, now time.Time) {
-	if a.at.IsZero() {
-		a.value, a.at = sample, now
-		return
-	}
-	a.value += max(gain(now.Sub(a.at), window), minGain) * (sample - a.value)
+	a.weight = a.weight*(1-gain(now.Sub(a.at), window)) + 1
+	a.value += (sample - a.value) / a.weight
 	a.at = now
 }
 
