--- a/internal/entry/client/reopening.go
+++ b/internal/entry/client/reopening.go
@@ -52,12 +52,13 @@
 // choose returns the upstream for the next attempt, after a wait if the request may wait. It
 // returns false if there is none.
 func (f *forwarding) choose(ctx context.Context) (service.Upstream, bool) {
+	isRetry := f.retryTaken
 	for {
 		turn := f.awaitReopening(ctx)
 		if turn == coreupstream.StillWaiting {
 			return service.Upstream{}, false // the caller has left
 		}
-		if f.retryState.Attempts() > 0 && !f.retryTaken && !f.takeRetry() {
+		if isRetry && !f.retryTaken && !f.takeRetry() {
 			return service.Upstream{}, false
 		}
 		u, ok := f.handler.pools.Choose(f.service, f.query, time.Now())
@@ -65,7 +66,6 @@
 			return u, ok
 		}
 		// Another request became the probe, or the group has stalled again.
-		f.returnRetry()
 	}
 }
 
