Age what is known of loads by the time of a suspension

A process whose clock stood still while it was suspended took reports of load from before for fresh. TestSuspensionMakesReportsOld fails without the change.

--- a/internal/core/upstream/advice.go
+++ b/internal/core/upstream/advice.go
@@ -187,8 +187,9 @@
 	return changes
 }
 
-// AgeAdvice makes all that is known of upstreams' limits and ends older by d.
+// AgeAdvice makes all that is known of upstreams' limits, ends and loads older by d.
 func (p *Pool) AgeAdvice(d time.Duration) {
+	p.agePlacement(d)
 	for _, m := range p.members {
 		if !m.endedAt.IsZero() {
 			m.endedAt = m.endedAt.Add(-d)
--- a/internal/core/upstream/placement.go
+++ b/internal/core/upstream/placement.go
@@ -240,6 +240,19 @@
 	}
 }
 
+// agePlacement makes all that is known of the load of upstreams older by d.
+func (p *Pool) agePlacement(d time.Duration) {
+	for _, m := range p.members {
+		if !m.reportedAt.IsZero() {
+			m.reportedAt = m.reportedAt.Add(-d)
+		}
+	}
+	p.placement.service.at = p.placement.service.at.Add(-d)
+	for _, l := range p.placement.domains {
+		l.recent.at = l.recent.at.Add(-d)
+	}
+}
+
 // recordFull records that m declined a request, which it does if it is full.
 func (p *Pool) recordFull(m *member, now time.Time) {
 	if full := float64(m.Slots - m.outstanding); m.otherLoad < full || now.Sub(m.reportedAt) > p.placement.stay.mean() {
--- a/internal/core/upstream/placement_test.go
+++ b/internal/core/upstream/placement_test.go
@@ -335,6 +335,17 @@
 	is.Equal(chooseID(p, PoolQuery{}, later), "u0") // one request of this entry is still at u1
 }
 
+// TestSuspensionMakesReportsOld guards against reports that count as fresh after a process was
+// suspended while its clock stood still.
+func TestSuspensionMakesReportsOld(t *testing.T) {
+	is := is.New(t)
+	p := newTestPool(ungroupedUpstreams(2))
+	p.RecordLoad("u0", 6, 10, testNow)
+	p.RecordLoad("u1", 1, 0, testNow)
+	p.AgeAdvice(time.Minute)
+	is.Equal(chooseID(p, PoolQuery{}, testNow), "u0")
+}
+
 // TestFullUpstreamIsAvoidedAfterRejection guards against requests that are all declined by one
 // full rank because nothing but that refusal tells that it is full.
 func TestFullUpstreamIsAvoidedAfterRejection(t *testing.T) {
