Cold ranks of a group take their part of the load

A process knows of its own requests at a rank only. Few processes send a cold rank requests, so that it got none while the others were full: 0 of 429 requests reached a cold third of a group, now 108.

--- a/internal/core/upstream/cold.go
+++ b/internal/core/upstream/cold.go
@@ -18,9 +18,6 @@
 	// burstDivisor is the fraction of what a part may send in a second that is for one
 	// request of each sender at the same time. The rest is for the steady rate.
 	burstDivisor = 3
-	// coldLoad is the number of outstanding requests that a cold upstream counts as having
-	// beside those that it has.
-	coldLoad = 1
 	// maxColdFor is the longest time for which an upstream may say that it is cold. A longer
 	// one is taken for an error of the upstream.
 	maxColdFor = 10 * time.Minute
@@ -78,6 +75,8 @@
 	// processes send it per second.
 	share limitShare
 	rate  float64
+	// part is the fraction of the processes that send it requests.
+	part float64
 	// sharers identifies the settings and processes from which share was computed.
 	sharers uint64
 	// reported is set while the last ColdChange of the upstream says that it is cold.
@@ -265,7 +264,9 @@
 	}
 	var count int
 	m.cold.sharers = p.cold.sharers
-	count, m.cold.rate = p.config.Cold.senders(max(len(p.config.Entries), 1))
+	processes := max(len(p.config.Entries), 1)
+	count, m.cold.rate = p.config.Cold.senders(processes)
+	m.cold.part = float64(count) / float64(processes)
 	m.cold.share = newShare(m.cold.rate, count, m.ID, m.FailureDomain, p.self, p.config.Entries, m.phase)
 }
 
--- a/internal/core/upstream/cold_test.go
+++ b/internal/core/upstream/cold_test.go
@@ -69,6 +69,32 @@
 	is.Equal(p.ColdUpstreams(now.Add(time.Second)), uint64(0))
 }
 
+// TestColdRanksTakeTheirPartOfTheLoad guards against cold ranks that stay nearly idle, since few
+// processes send them requests, while the others are overloaded.
+func TestColdRanksTakeTheirPartOfTheLoad(t *testing.T) {
+	const n = 36
+	is := is.New(t)
+	f := newColdFleet(t, n, 18, 1)
+	for i := range f.upstreams {
+		f.upstreams[i].Membership = &service.Membership{Group: "g", Epoch: 1, Rank: i, Size: len(f.upstreams)}
+	}
+	f.listAll()
+	for i := 0; i < len(f.upstreams); i += 3 {
+		f.upstreams[i].ColdFor = f.bound.Time
+		f.coldUntil[f.upstreams[i].ID] = f.now.Add(f.bound.Time)
+	}
+	f.listAll()
+	before := f.served
+	f.run(f.bound.Time, 4) // 8 a second for each rank
+	f.check()
+	cold := 0
+	for _, arrived := range f.arrived {
+		cold += len(arrived)
+	}
+	t.Logf("%d of %d requests reached the cold third", cold, f.served-before)
+	is.True(float64(cold) > 0.2*float64(f.served-before))
+}
+
 // TestCallersComeBackAtNextShare guards against requests that wait, or whose callers are told
 // of an outage, while all upstreams are cold.
 func TestCallersComeBackAtNextShare(t *testing.T) {
--- a/internal/core/upstream/pool.go
+++ b/internal/core/upstream/pool.go
@@ -300,8 +300,9 @@
 	if age := now.Sub(m.reportedAt); age < loadReportTTL && m.group == nil {
 		load += m.otherLoad * float64(loadReportTTL-age) / float64(loadReportTTL)
 	}
-	if m.cold.end().After(now) {
-		load += coldLoad
+	if m.group != nil && m.cold.end().After(now) {
+		// The other ranks get requests of all processes, a cold one only of its senders.
+		load *= m.cold.part
 	}
 	return load / float64(max(m.Slots, 1))
 }
