--- a/internal/core/upstream/placement.go
+++ b/internal/core/upstream/placement.go
@@ -211,11 +211,12 @@
 // predict returns the load that a request would meet at m as a fraction of the slots, with the
 // margins of the upstreams that are to be avoided among about equally loaded ones.
 func (l *placement) predict(m *member, stay time.Duration, now time.Time) float64 {
-	load := float64(m.outstanding) + l.others(m, stay, now) + m.margin
-	if m.cold.end().After(now) {
-		load += coldLoad
+	own := float64(m.outstanding)
+	if m.group != nil && m.cold.end().After(now) {
+		// The other ranks get requests of all processes, a cold one only of its senders.
+		own *= m.cold.part
 	}
-	return load / float64(max(m.Slots, 1))
+	return (own + l.others(m, stay, now) + m.margin) / float64(max(m.Slots, 1))
 }
 
 // recordPlacement counts a request that is sent to m.
