--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -49,7 +49,7 @@
 	flag.BoolVar(&f.extended, "extended", true, "inject the extended faults too; false repeats a seed from before there were any")
 	flag.BoolVar(&f.prompts, "prompts", true, "have upstreams end on a part of prompts; false repeats a seed from before they did")
 	flag.BoolVar(&f.requests, "requests", true, "have upstreams end on requests that are sent again and again; false repeats a seed from before they did")
-	flag.BoolVar(&f.evacuations, "evacuations", true, "evacuate failure domains too; false repeats a seed from before any were")
+	flag.BoolVar(&f.evacuations, "evacuations", false, "evacuate failure domains too; give -prompts=false -requests=false with it")
 	flag.Parse()
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	// After the first signal, restore the default, so that a second one terminates
