--- a/internal/core/admission/gate.go
+++ b/internal/core/admission/gate.go
@@ -45,10 +45,10 @@
 	// limit holds as it is.
 	leastUrgent = 0.85
 	// returnBonus raises the limit for requests that return after a refusal, while they are
-	// at most maxReturnShare of the admitted ones. Beyond that, returnMalus lowers it: in a
+	// at most maxReturnShare of the admitted ones. Beyond that, returnPenalty lowers it: in a
 	// long overload all answers would be late if those that wait longest always went first.
 	returnBonus    = 0.05
-	returnMalus    = 0.25
+	returnPenalty  = 0.25
 	maxReturnShare = 0.25
 )
 
@@ -147,7 +147,7 @@
 	case r.Returning && g.returns.value < maxReturnShare:
 		factor += returnBonus
 	case r.Returning:
-		factor -= returnMalus
+		factor -= returnPenalty
 	}
 	return g.load(r.Draw, now) < factor*limit
 }
