Returning requests are admitted up to a load of their own

A request that returns is mostly late already and has no further chance. It was held back like a new one, and refused for good while engines had room that the targets of others did not need. Now it is admitted up to 1.1 of the slots while passes take at most 0.7 of the target.

--- a/internal/core/admission/gate.go
+++ b/internal/core/admission/gate.go
@@ -50,6 +50,11 @@
 	returnBonus    = 0.05
 	returnPenalty  = 0.25
 	maxReturnShare = 0.25
+	// maxReturnLoad is the load of an upstream, as a fraction of its slots, and returnGapShare
+	// the fraction of the target for pauses that a pass may take, up to which requests that
+	// return are admitted.
+	maxReturnLoad  = 1.1
+	returnGapShare = 0.7
 )
 
 // Times over which observations are averaged.
@@ -149,9 +154,23 @@
 	case r.Returning:
 		factor -= returnPenalty
 	}
+	if r.Returning {
+		return g.load(r.Draw, now) < max(factor*limit, g.returnLimit())
+	}
 	return g.load(r.Draw, now) < factor*limit
 }
 
+// returnLimit returns the load of an upstream up to which returning requests are admitted,
+// most of which are late already: they may use what the targets of the others leave.
+func (g *Gate) returnLimit() float64 {
+	most := maxReturnLoad * float64(g.config.Slots)
+	if !g.config.Model.Known() || g.config.MaxGap <= 0 {
+		return most
+	}
+	gap := time.Duration(returnGapShare * float64(g.config.MaxGap))
+	return min(most, g.config.Model.Running(gap, g.skew.value))
+}
+
 // ownWeight is the number of requests in flight at which this entry's own count says as much
 // of the load as the time of a pass. Few requests come and go by chance.
 const ownWeight = 30
