--- a/internal/core/admission/gate.go
+++ b/internal/core/admission/gate.go
@@ -33,8 +33,8 @@
 	// minSlotShare is the fraction of the slots below which admission does not go.
 	// Engines are inefficient at less.
 	minSlotShare = 0.5
-	// gapShare is the fraction of the target for pauses that the predicted time of a
-	// pass may take. The rest is for passes that take longer than the others.
+	// gapShare is the fraction of the target for pauses that the time of a pass may
+	// take. The rest is for passes that take longer than the others.
 	gapShare = 0.85
 	// openShare is the fraction of the limit below which every request is admitted.
 	openShare = 0.85
@@ -44,11 +44,9 @@
 	// leastUrgent is the position among all requests, from the most urgent on, at which the
 	// limit holds as it is.
 	leastUrgent = 0.85
-	// maxReturnLoad is the load of an upstream, as a fraction of its slots, and returnGapShare
-	// the fraction of the target for pauses that a pass may take, up to which requests that
-	// return after a refusal are admitted. Most are late already, so they may use what the
-	// targets of the others leave.
-	maxReturnLoad  = 1.1
+	// returnGapShare is the fraction of the target for pauses that a pass may take for requests
+	// that return after a refusal. Most are late already, so they may use what the targets of
+	// the others leave.
 	returnGapShare = 0.7
 )
 
@@ -214,7 +212,8 @@
 	return (1-weight)*load + weight*g.usual.value*trend
 }
 
-// limit returns the load of an upstream up to which requests are in time, 0 for no limit.
+// limit returns the load of an upstream up to which requests that return are admitted, 0 for no
+// limit.
 func (g *Gate) limit() float64 {
 	slots := float64(g.config.Slots)
 	limit := slotShare * slots
@@ -274,7 +273,7 @@
 // State is the debug state of a Gate.
 type State struct {
 	// Load is the number of requests that an upstream runs or queues, Limit the one up to
-	// which requests are admitted.
+	// which requests that return are admitted.
 	Load  float64 `json:"load"`
 	Limit float64 `json:"limit"`
 	// LoadAgeMS is the time in milliseconds since an upstream last reported its load.
