--- a/internal/core/admission/gate.go
+++ b/internal/core/admission/gate.go
@@ -88,9 +88,6 @@
 	own      average
 	inFlight int
 	levels   levelMix
-	// usualInFlight is the value of own before the last outage, which ended at reopenedAt.
-	usualInFlight float64
-	reopenedAt    time.Time
 	// refusedSince and refusedAt are the times of the first and the last refusal of the
 	// current overload.
 	refusedSince, refusedAt time.Time
@@ -134,12 +131,8 @@
 func (g *Gate) admits(r Request, now time.Time) bool {
 	limit := g.limit()
 	switch {
-	case limit <= 0:
+	case limit <= 0, !g.reported.fresh(now):
 		return true
-	case !g.reported.fresh(now):
-		// After an outage all callers come at once, so this entry admits as many as usual
-		// until it hears of the load.
-		return now.Sub(g.reopenedAt) > maxAge || float64(g.inFlight) < max(g.usualInFlight, 1)
 	case r.Returning:
 		return g.passLeavesRoom(returnGapShare, 1, now) && g.load(r.Draw, now) < limit
 	}
@@ -167,14 +160,10 @@
 	return added <= factor*(share*gap-base)
 }
 
-// Suspend records that the upstreams have stopped to run requests.
-func (g *Gate) Suspend() { g.usualInFlight = g.own.value }
-
-// Reopen records that the upstreams run requests again at now. What was observed before says
-// nothing of the load and the passes that follow.
-func (g *Gate) Reopen(now time.Time) {
+// Reopen records that the upstreams run requests again after an outage. What was observed
+// before says nothing of the load and the passes that follow.
+func (g *Gate) Reopen() {
 	g.reported, g.usual, g.pass, g.usualPass, g.skew = average{}, average{}, average{}, average{}, average{}
-	g.reopenedAt = now
 }
 
 // ownWeight is the number of requests in flight at which this entry's own count says as much
--- a/internal/entry/upstream/admission.go
+++ b/internal/entry/upstream/admission.go
@@ -74,15 +74,12 @@
 	}, 0, true
 }
 
-// trackOutage tells the gate when the service's groups stop to run requests, and when they run
-// them again. Pools.mu must be held.
+// trackOutage tells the gate when the service's groups run requests again. Pools.mu must be
+// held.
 func (s *servicePool) trackOutage(now time.Time) {
 	stopped := s.pool.Availability(now) != core.Available
-	switch {
-	case stopped && !s.suspended:
-		s.gate.Suspend()
-	case !stopped && s.suspended:
-		s.gate.Reopen(now)
+	if s.suspended && !stopped {
+		s.gate.Reopen()
 	}
 	s.suspended = stopped
 }
