--- a/internal/entry/client/forward.go
+++ b/internal/entry/client/forward.go
@@ -84,6 +84,7 @@
 	})
 	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
 	defer cancel()
+	// A request that waits for a stalled group is no load before its wait has ended.
 	f.awaitReopening(ctx)
 	done, ok := f.admit(time.Now())
 	if !ok {
--- a/internal/entry/upstream/pools.go
+++ b/internal/entry/upstream/pools.go
@@ -55,7 +55,7 @@
 	quota    *core.RetryQuota
 	suspects *core.ContentSuspects
 	gate     *admission.Gate
-	// suspended is set while the gate knows that the service's groups run no requests.
+	// suspended is set if all of the service's groups were stalled when the gate last decided.
 	suspended bool
 	// watches holds the attempts that may be interrupted.
 	watches map[*Watch]bool
