--- a/review/harness/deployment.go
+++ b/review/harness/deployment.go
@@ -68,8 +68,15 @@
 	if err != nil {
 		return nil, err
 	}
-	d := &deployment{record: r, dir: dir, store: standin.NewStore(), network: byte(1 + rand.IntN(254)), base: byte(8 * rand.IntN(31))}
-	l, err := net.Listen("tcp", d.ip(0, 1).String()+":0")
+	d := &deployment{record: r, dir: dir, store: standin.NewStore()}
+	// The port of the store reserves the addresses of a run.
+	var l net.Listener
+	for range 20 {
+		d.network, d.base = byte(1+rand.IntN(254)), byte(8*rand.IntN(31))
+		if l, err = net.Listen("tcp", d.ip(0, 1).String()+":8223"); err == nil {
+			break
+		}
+	}
 	if err != nil {
 		return nil, err
 	}
