Drain: accept late requests by their limits, not by what most take

Cause: a draining entry accepted a stream while 4 s were left and any other request while 1 s was, whatever its limits.

Why it works: the deadline is when an entry gives a request up, so one whose deadline lies before the exit can't be cut by it. Others are refused before anything is sent. For 3 s after the signal callers may still be routed here, and requests are accepted as before.

--- a/internal/core/upstream/reopening.go
+++ b/internal/core/upstream/reopening.go
@@ -11,8 +11,8 @@
 // ReopeningQueue holds callers that wait for the groups of a service to run requests again.
 type ReopeningQueue struct {
 	waiting []*Waiter // most urgent first
-	// limit is the time until which any caller may wait, zero for none.
-	limit time.Time
+	// sendBy and endBy limit the waits at a process that stops, zero if it stays.
+	sendBy, endBy time.Time
 	// released is set once the waiting callers have their turns.
 	released bool
 	// phase, in [0, 1), spreads the first turns of several processes.
@@ -34,6 +34,8 @@
 	Urgency service.Urgency
 	// ArrivedAt is when the request arrived, Until the time until which it may wait.
 	ArrivedAt, Until time.Time
+	// EndsBy is the time by which the request has ended.
+	EndsBy time.Time
 	// MayProbe allows its use as a probe: it can be sent again if it is declined.
 	MayProbe bool
 }
@@ -78,7 +80,7 @@
 // is no outage, all places are taken by callers at least as urgent, or the outage is known
 // to last longer than the caller may wait.
 func (q *ReopeningQueue) Add(c Wait, a Availability, o *Outages, now time.Time) *Waiter {
-	until := q.until(c.Until)
+	until := q.until(c)
 	if a == Available || !until.After(now) {
 		return nil
 	}
@@ -108,17 +110,18 @@
 	q.waiting = slices.DeleteFunc(q.waiting, func(o *Waiter) bool { return o == w })
 }
 
-// Limit makes no caller wait longer than until at.
-func (q *ReopeningQueue) Limit(at time.Time) { q.limit = at }
+// Limit makes no caller wait longer than until sendBy whose request may last beyond endBy.
+func (q *ReopeningQueue) Limit(sendBy, endBy time.Time) { q.sendBy, q.endBy = sendBy, endBy }
 
 // Len returns the number of waiting callers.
 func (q *ReopeningQueue) Len() int { return len(q.waiting) }
 
-func (q *ReopeningQueue) until(t time.Time) time.Time {
-	if !q.limit.IsZero() && q.limit.Before(t) {
-		return q.limit
+// until returns the time until which a caller may wait.
+func (q *ReopeningQueue) until(c Wait) time.Time {
+	if !q.endBy.IsZero() && c.EndsBy.After(q.endBy) && q.sendBy.Before(c.Until) {
+		return q.sendBy
 	}
-	return t
+	return c.Until
 }
 
 // Poll returns the turn of a waiting caller at now, and removes the caller unless it waits on.
@@ -134,7 +137,7 @@
 	if w.displaced {
 		return Displaced
 	}
-	expired := !now.Before(q.until(w.Until))
+	expired := !now.Before(q.until(w.Wait))
 	if a == Available {
 		q.release(now)
 		if expired || !now.Before(w.turnAt) {
--- a/internal/core/upstream/reopening_test.go
+++ b/internal/core/upstream/reopening_test.go
@@ -50,12 +50,14 @@
 	q := NewReopeningQueue(0)
 	o, now := outagesOf(ListedBroken, 6*time.Second, 7*time.Second, 8*time.Second)
 	o.Record(Stalled, ListedBroken, now)
-	wait := func(at time.Time) Wait { return Wait{ArrivedAt: at, Until: at.Add(1600 * time.Millisecond)} }
+	wait := func(at time.Time) Wait {
+		return Wait{ArrivedAt: at, Until: at.Add(1600 * time.Millisecond), EndsBy: at.Add(8 * time.Second)}
+	}
 	is.True(q.Add(wait(now), Available, o, now) == nil)
 	is.True(q.Add(wait(now), Stalled, o, now) == nil) // no such outage ended within two seconds
 	later := now.Add(5 * time.Second)
 	is.True(q.Add(wait(later), Stalled, o, later) != nil)
-	q.Limit(later)
+	q.Limit(later, later)
 	is.True(q.Add(wait(later), Stalled, o, later) == nil) // this process stops
 }
 
@@ -96,7 +98,13 @@
 	is.Equal(q.Poll(w, Stalled, testNow.Add(time.Second)), StillWaiting)
 	is.Equal(q.Poll(w, ProbeDue, testNow.Add(time.Second)), Probing)
 	is.Equal(q.Len(), 0)
+	prober.EndsBy = testNow.Add(8 * time.Second)
 	w = q.Add(prober, Stalled, &o, testNow)
-	q.Limit(testNow.Add(500 * time.Millisecond))
+	prober.EndsBy = testNow.Add(7 * time.Second)
+	short := q.Add(prober, Stalled, &o, testNow)
+	q.Limit(testNow.Add(500*time.Millisecond), testNow.Add(7*time.Second))
+	is.Equal(q.Poll(w, Stalled, testNow.Add(499*time.Millisecond)), StillWaiting)
 	is.Equal(q.Poll(w, Stalled, testNow.Add(500*time.Millisecond)), Expired)
+	is.Equal(q.Poll(short, Stalled, testNow.Add(1999*time.Millisecond)), StillWaiting) // it ends in time
+	is.Equal(q.Poll(short, Stalled, testNow.Add(2*time.Second)), Expired)
 }
--- a/internal/entry/client/forward.go
+++ b/internal/entry/client/forward.go
@@ -86,6 +86,10 @@
 	defer cancel()
 	// A request that waits for a stalled group is no load before its wait has ended.
 	f.awaitReopening(ctx)
+	if !h.mayAccept(c, time.Now()) {
+		h.refuse(w, c, refuseLeaving()) // the drain began during the wait
+		return
+	}
 	done, ok := f.admit(time.Now())
 	if !ok {
 		return
--- a/internal/entry/client/handler.go
+++ b/internal/entry/client/handler.go
@@ -50,11 +50,6 @@
 	// successLogsPerSecond is how many requests that succeeded at the first
 	// attempt are logged each second; more would be too many to read.
 	successLogsPerSecond = 150
-	// drainRequestTime and drainStreamTime are the times that nearly all plain
-	// requests and streams complete in. A draining process refuses requests
-	// that arrive with less time than that before its exit.
-	drainRequestTime = time.Second
-	drainStreamTime  = 4 * time.Second
 )
 
 // Handler is the HTTP handler for the callers of one entry.
@@ -82,8 +77,15 @@
 
 	draining atomic.Bool
 	inFlight atomic.Int64
-	// exitAt is when the process will exit, nil if it is not draining.
-	exitAt atomic.Pointer[time.Time]
+	// drain holds the times of the drain, nil if the process is not draining.
+	drain atomic.Pointer[drainTimes]
+}
+
+// drainTimes are the times of a drain.
+type drainTimes struct {
+	// routedUntil is the time until which callers may still be routed here, endBy the
+	// time by which the last response must be ready.
+	routedUntil, endBy time.Time
 }
 
 // Config holds the dependencies of a Handler.
@@ -119,31 +121,38 @@
 // It must be called before the first request.
 func (h *Handler) SetAccepting(f func() bool) { h.accepting = f }
 
-// Drain makes the handler report that it is not ready and ask callers to close
-// their connections. Callers that wait for a service are answered in time. exit is when the process will exit, even if requests are
-// still in progress.
-func (h *Handler) Drain(exit time.Time) {
-	h.exitAt.Store(&exit)
+// Drain makes the handler report that it is not ready and ask callers to close their
+// connections. Callers may still be routed here until routedUntil. The process will exit at
+// exit, even if requests are still in progress. Requests that could be cut off then are refused,
+// also those of callers that wait for a service.
+func (h *Handler) Drain(routedUntil, exit time.Time) {
+	t := &drainTimes{routedUntil, exit.Add(-responseMargin)}
+	h.drain.Store(t)
 	h.draining.Store(true)
-	h.pools.LimitWaits(exit.Add(-drainStreamTime))
+	h.pools.LimitWaits(t.acceptUntil(usualStreamTime), t.endBy)
 }
 
-// canFinish reports whether a request of route r that starts now can be
-// expected to complete before the process exits.
-func (h *Handler) canFinish(r *service.Route, now time.Time) bool {
-	exit := h.exitAt.Load()
-	if exit == nil {
-		return true
+// acceptUntil returns the time until which requests are accepted that usually take no longer
+// than the given time, whatever their limits are.
+func (t *drainTimes) acceptUntil(usual time.Duration) time.Time {
+	if latest := t.endBy.Add(-usual); latest.Before(t.routedUntil) {
+		return latest
 	}
-	return exit.Sub(now) >= completionTime(r)
+	return t.routedUntil
 }
 
-// completionTime returns the time that nearly all requests of a route complete in.
-func completionTime(r *service.Route) time.Duration {
-	if r.Kind == service.Stream {
-		return drainStreamTime
-	}
-	return drainRequestTime
+// mayAccept reports whether a request that is sent at now may be accepted. A draining process
+// accepts those that are not worked on after their deadline and end before its exit. Callers
+// that are still routed here may meet another draining process when they come back, so
+// they are not refused if their requests usually end in time.
+func (h *Handler) mayAccept(c *callerRequest, now time.Time) bool {
+	t := h.drain.Load()
+	return t == nil || !c.deadline.After(t.endBy) || now.Before(t.acceptUntil(usualTime(c.route)))
+}
+
+// refuseLeaving returns the refusal of a request that may last beyond the exit of the process.
+func refuseLeaving() *answer.Refusal {
+	return answer.Refuse(answer.Leaving, "this entry leaves, and the request may last longer").WithRetryAfter(drainingRetryAfter)
 }
 
 // InFlight returns the number of requests in progress.
@@ -215,8 +224,9 @@
 		return answer.Refuse(answer.NotFound, "no route leads to %s%s", r.Host, r.URL.Path)
 	}
 	c.route = route
-	if !h.canFinish(route, c.arrived) {
-		return answer.Refuse(answer.Leaving, "this entry leaves").WithRetryAfter(drainingRetryAfter)
+	c.setDeadlines()
+	if !h.mayAccept(c, c.arrived) {
+		return refuseLeaving()
 	}
 	if c.view.RequiresKeys() && !route.Public {
 		if c.account, ok = c.view.Account(c.info.APIKey); !ok {
@@ -224,7 +234,6 @@
 		}
 	}
 	c.service = route.PickService(rand.Float64())
-	c.setDeadlines()
 	return h.readBody(w, r, c)
 }
 
--- a/internal/entry/client/reopening.go
+++ b/internal/entry/client/reopening.go
@@ -15,8 +15,20 @@
 	// minBeginShare and maxBeginShare limit the part of the route's patience that a wait leaves
 	// for the response to begin. Between them it is the route's latency target.
 	minBeginShare, maxBeginShare = 0.2, 0.5
+	// usualRequestTime and usualStreamTime are the times that nearly all plain requests and
+	// streams complete in. A wait leaves them before the deadline.
+	usualRequestTime = time.Second
+	usualStreamTime  = 4 * time.Second
 )
 
+// usualTime returns the time that nearly all requests of a route complete in.
+func usualTime(r *service.Route) time.Duration {
+	if r.Kind == service.Stream {
+		return usualStreamTime
+	}
+	return usualRequestTime
+}
+
 // returned reports whether the caller has come back after a refusal, as far as its remaining
 // time tells.
 func (c *callerRequest) returned() bool {
@@ -68,14 +80,14 @@
 		return coreupstream.NotWaiting
 	}
 	until := f.arrived.Add(maxWait(f.route))
-	if latest := f.deadline.Add(-completionTime(f.route)); latest.Before(until) {
+	if latest := f.deadline.Add(-usualTime(f.route)); latest.Before(until) {
 		until = latest
 	}
 	// A retry that follows a wait counts at the time at which it is made.
 	f.returnRetry()
 	began := time.Now()
 	turn := f.handler.pools.AwaitReopening(ctx, f.service, coreupstream.Wait{
-		Urgency: f.route.Urgency(f.account), ArrivedAt: f.arrived, Until: until,
+		Urgency: f.route.Urgency(f.account), ArrivedAt: f.arrived, Until: until, EndsBy: f.deadline,
 		MayProbe: f.retryState.Attempts()+1 < f.route.Attempts,
 	})
 	if turn != coreupstream.NotWaiting {
--- a/internal/entry/direct/entry.go
+++ b/internal/entry/direct/entry.go
@@ -38,13 +38,17 @@
 
 // Timing of a shutdown.
 const (
-	// unreadyGrace is how long callers may still be routed to this entry after
-	// it stopped being ready: two readiness checks one second apart, and
-	// requests already on their way.
-	unreadyGrace = 3200 * time.Millisecond
-	// exitMargin is the part of the grace period that is reserved for the exit
-	// of the process.
-	exitMargin = 500 * time.Millisecond
+	// routedTime is how long callers may still be routed to this entry after it stopped
+	// being ready: two readiness checks one second apart, and a second for those on their
+	// way.
+	routedTime = 3 * time.Second
+	// unreadyGrace is how long this entry goes on serving after it stopped being ready: the
+	// last request that was routed here must have arrived.
+	unreadyGrace = routedTime + 200*time.Millisecond
+	// exitMargin and exitMarginShare limit the part of the grace period that is reserved for
+	// the exit of the process.
+	exitMargin      = 500 * time.Millisecond
+	exitMarginShare = 0.1
 	// drainPollInterval is how often a draining entry checks whether all
 	// requests are done.
 	drainPollInterval = 20 * time.Millisecond
@@ -375,9 +379,10 @@
 func (e *Entry) shutDown(ctx context.Context) error {
 	l := e.log.Component("entry")
 	began := time.Now()
-	end := began.Add(time.Duration(e.config.Direct.Grace) - exitMargin)
-	l.Info("draining started", "grace", time.Duration(e.config.Direct.Grace).String(), "in-flight", e.handler.InFlight())
-	e.handler.Drain(end)
+	grace := time.Duration(e.config.Direct.Grace)
+	end := began.Add(grace - min(exitMargin, time.Duration(exitMarginShare*float64(grace))))
+	l.Info("draining started", "grace", grace.String(), "in-flight", e.handler.InFlight())
+	e.handler.Drain(began.Add(routedTime), end)
 	e.callerServer.DisableKeepAlives()
 	clock.Sleep(ctx, min(unreadyGrace, time.Until(end)))
 	for e.handler.InFlight() > 0 && time.Now().Before(end) && ctx.Err() == nil {
--- a/internal/entry/upstream/pools.go
+++ b/internal/entry/upstream/pools.go
@@ -45,8 +45,8 @@
 	announce func()
 	// withoutRegion holds the failure domains that were logged because their region is not known.
 	withoutRegion map[fleet.FailureDomain]bool
-	// waitLimit is the time until which callers may wait, zero for none.
-	waitLimit time.Time
+	// sendBy and endBy limit the waits of callers, zero for no limits.
+	sendBy, endBy time.Time
 }
 
 // servicePool is the pool, the retry quota and the suspects of one service.
@@ -140,7 +140,7 @@
 			pool: core.NewPool(p.seed, p.self, p.domain, p.config.Pool), quota: core.NewRetryQuota(p.config.Quota, p.started), suspects: core.NewContentSuspects(p.self),
 			gate: admission.NewGate(), watches: map[*Watch]bool{}, implicated: map[string]bool{}, reopening: core.NewReopeningQueue(p.phase),
 		}
-		s.reopening.Limit(p.waitLimit)
+		s.reopening.Limit(p.sendBy, p.endBy)
 		p.services[name] = s
 		if p.config.Admission {
 			p.gateGauges(name)
--- a/internal/entry/upstream/reopening.go
+++ b/internal/entry/upstream/reopening.go
@@ -57,13 +57,13 @@
 	p.series.set.GetOrCreateCounter(fmt.Sprintf(`bramleydeal_waits_total{service=%q,outcome=%q}`, name, t)).Inc()
 }
 
-// LimitWaits makes no caller wait longer than until at.
-func (p *Pools) LimitWaits(at time.Time) {
+// LimitWaits makes no caller wait longer than until sendBy whose request may last beyond endBy.
+func (p *Pools) LimitWaits(sendBy, endBy time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.waitLimit = at
+	p.sendBy, p.endBy = sendBy, endBy
 	for _, s := range p.services {
-		s.reopening.Limit(at)
+		s.reopening.Limit(sendBy, endBy)
 	}
 }
 
