Drain: a SIGTERM during a drain no longer ends the process

Cause: the second signal ended the process, whichever it was.

TestRepeatedStopCutsNothingOff failed before, for an entry and an agent.

Why it works: only SIGINT ends a process that drains; what outlasts the grace is ended by SIGKILL.

--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -32,7 +32,7 @@
 	only               string
 	extended, load     bool
 	prompts, requests  bool
-	evacuations        bool
+	evacuations, long  bool
 }
 
 func main() {
@@ -51,6 +51,7 @@
 	flag.BoolVar(&f.prompts, "prompts", true, "have upstreams end on a part of prompts; false repeats a seed from before they did")
 	flag.BoolVar(&f.requests, "requests", true, "have upstreams end on requests that are sent again and again; false repeats a seed from before they did")
 	flag.BoolVar(&f.evacuations, "evacuations", false, "evacuate failure domains too; give -prompts=false -requests=false with it")
+	flag.BoolVar(&f.long, "long", true, "have some callers send requests that take long; false repeats a seed from before they did")
 	flag.Parse()
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	// After the first signal, restore the default, so that a second one terminates
@@ -137,6 +138,9 @@
 	if f.requests {
 		options = append(options, run.WithDeadlyRequests())
 	}
+	if f.long {
+		options = append(options, run.WithLongRequests())
+	}
 	if f.evacuations {
 		options = append(options, run.WithEvacuations())
 	}
--- a/internal/operator/command/process.go
+++ b/internal/operator/command/process.go
@@ -31,7 +31,9 @@
 }
 
 // serve starts a process with start and runs it until it ends. The first SIGTERM or
-// SIGINT starts its drain, the second one ends it at once.
+// SIGINT starts its drain, and a SIGINT during the drain ends it at once. A SIGTERM during
+// the drain does nothing: service managers and overlapping restarts may send it more than
+// once.
 func serve(ctx context.Context, start func(ctx context.Context) (process, error)) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -46,8 +48,12 @@
 	go func() {
 		<-signals
 		drain()
-		<-signals
-		cancel()
+		for s := range signals {
+			if s == syscall.SIGINT {
+				cancel()
+				return
+			}
+		}
 	}()
 	running, err := start(ctx)
 	if err != nil {
@@ -73,7 +79,7 @@
 	var path string
 	return &command{
 		name: "entry", synopsis: "run an entry",
-		usage: "entry -settings FILE\n\nServes callers. The first SIGTERM drains, a second one ends the process at once.\n\nExample:\n  bramleydeal entry -settings entry.json",
+		usage: "entry -settings FILE\n\nServes callers. SIGTERM or ctrl-C drains, ctrl-C during the drain ends the process at once.\n\nExample:\n  bramleydeal entry -settings entry.json",
 		flags: func(f *flag.FlagSet) { addSettingsFlag(f, &path) },
 		run: func(ctx context.Context, _ []string) error {
 			c, err := config.Read(path, fleet.EntryRole)
@@ -119,7 +125,7 @@
 	var path string
 	return &command{
 		name: "agent", synopsis: "run the agent beside an upstream",
-		usage: "agent -settings FILE\n\nAll requests to the upstream pass through its agent. The first SIGTERM drains, a second one ends the process at once.\n\nExample:\n  bramleydeal agent -settings agent.json",
+		usage: "agent -settings FILE\n\nAll requests to the upstream pass through its agent. SIGTERM or ctrl-C drains, ctrl-C during the drain ends the process at once.\n\nExample:\n  bramleydeal agent -settings agent.json",
 		flags: func(f *flag.FlagSet) { addSettingsFlag(f, &path) },
 		run: func(ctx context.Context, _ []string) error {
 			c, err := config.Read(path, fleet.AgentRole)
--- a/internal/soak/caller/caller.go
+++ b/internal/soak/caller/caller.go
@@ -27,15 +27,21 @@
 	// timeLimit is the time from the sending of a request to the deadline that the
 	// caller gives the entry.
 	timeLimit = 3 * time.Second
-	// responseTimeout is the time after which a caller abandons a request without a
-	// complete response.
-	responseTimeout = timeLimit + 4*time.Second
+	// abandonDelay is the time after the deadline after which a caller abandons a request
+	// without a complete response.
+	abandonDelay = 4 * time.Second
 	// meanThinkTime is the mean time from the end of a request to the caller's next
 	// one.
 	meanThinkTime = 60 * time.Millisecond
 	// readyPollInterval is the time between two readiness probes of the entries. Two
 	// consecutive probes without status 200 remove an entry from the rotation.
 	readyPollInterval = 300 * time.Millisecond
+	// longTimeLimit is timeLimit for letters, which may take longer than a draining entry has
+	// left. Their upstream sends an event after minPace to maxPace, and answers a long confirm
+	// after confirmPaces times that.
+	longTimeLimit    = 8 * time.Second
+	minPace, maxPace = 200 * time.Millisecond, 850 * time.Millisecond
+	confirmPaces     = 3
 	// requestsPerEntry is the number of requests that a caller sends to one entry
 	// before it chooses another one.
 	requestsPerEntry = 12
@@ -51,6 +57,9 @@
 // DeadlySuffix ends the paths of the requests without a prompt on which upstreams end.
 const DeadlySuffix = "/deadly"
 
+// LongSuffix ends the paths of the requests that name the time that they take.
+const LongSuffix = "/long"
+
 // KeyName returns the API key that a version of the configuration adds.
 func KeyName(version int) string { return fmt.Sprintf("k-%d", version) }
 
@@ -65,6 +74,9 @@
 	StreamBody string
 	// DeadlyPart is the part of prompts on which upstreams end.
 	DeadlyPart string
+	// Long is the number of further callers who send only letters and confirms that take
+	// long.
+	Long int
 	// Deadly reports whether requests are sent on which upstreams end for the given cause.
 	Deadly func(history.DeadlyCause) bool
 
@@ -78,9 +90,13 @@
 func (c *Callers) Run(ctx context.Context, seed uint64, count int) {
 	var running sync.WaitGroup
 	running.Go(func() { c.pollReadiness(ctx) })
-	for n := range count {
+	for n := range count + c.Long {
 		random := rand.New(rand.NewPCG(seed, uint64(n)))
-		running.Go(func() { c.runCaller(ctx, random) })
+		send := c.send
+		if n >= count {
+			send = c.sendLong
+		}
+		running.Go(func() { c.runCaller(ctx, random, send) })
 	}
 	running.Wait()
 }
@@ -119,7 +135,7 @@
 
 // runCaller sends the requests of one caller until ctx ends. The caller keeps its entry
 // and connection for requestsPerEntry requests, unless the entry's process exits.
-func (c *Callers) runCaller(ctx context.Context, random *rand.Rand) {
+func (c *Callers) runCaller(ctx context.Context, random *rand.Rand, send func(http.RoundTripper, *rand.Rand, *program.Entry)) {
 	transport := &http.Transport{MaxIdleConnsPerHost: 2}
 	defer transport.CloseIdleConnections()
 	var entry *program.Entry
@@ -128,7 +144,7 @@
 			entry = c.pick(random)
 		}
 		if entry != nil {
-			c.send(transport, random, entry)
+			send(transport, random, entry)
 		}
 		time.Sleep(time.Duration(random.ExpFloat64() * float64(meanThinkTime)))
 	}
@@ -162,15 +178,50 @@
 		call.Path, call.Body = call.Path+DeadlySuffix, "slot=deadly"
 	}
 	r.Key = max(r.Key, 1)
+	c.exchange(transport, e, r, call)
+}
+
+// sendLong sends one request that takes long and records how it ended.
+func (c *Callers) sendLong(transport http.RoundTripper, random *rand.Rand, e *program.Entry) {
+	accepted, _ := c.KeyVersions()
+	r := history.Request{
+		ID: fmt.Sprintf("q-%d", c.requestCount.Add(1)), Entry: e.Settings.Name, Incarnation: e.Incarnation(), Key: accepted,
+		Kind: []history.Kind{history.Confirm, history.Letter, history.Letter}[random.IntN(3)],
+	}
+	pace := minPace + time.Duration(random.Float64()*float64(maxPace-minPace))
+	call := standin.Call{ID: r.ID, Method: http.MethodPost, Path: "/" + string(r.Kind) + LongSuffix, Host: Host, Body: pace.String(), TimeLeft: timeLimit}
+	if r.Kind == history.Letter {
+		call.Stream, call.TimeLeft = true, longTimeLimit
+	} else {
+		call.Body = (confirmPaces * pace).String()
+	}
+	c.exchange(transport, e, r, call)
+}
+
+// Pace returns the time that an upstream takes before its response to a request and between
+// events: the time that the request names, or usual.
+func Pace(r standin.Run, usual time.Duration) time.Duration {
+	if !strings.HasSuffix(r.Target, LongSuffix) {
+		return usual
+	}
+	pace, err := time.ParseDuration(r.Body)
+	if err != nil {
+		panic(err) // cannot happen: sendLong writes these bodies
+	}
+	return pace
+}
+
+// exchange sends a request and records how it ended.
+func (c *Callers) exchange(transport http.RoundTripper, e *program.Entry, r history.Request, call standin.Call) {
 	call.Key = KeyName(r.Key)
-	ctx, cancel := context.WithTimeout(context.Background(), responseTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), call.TimeLeft+abandonDelay)
 	defer cancel()
 	request, err := call.Request(ctx, e.Settings.ListenAddress)
 	if err != nil {
 		panic(err) // cannot happen: calls are built from constants
 	}
 	r.Sent = time.Now()
-	r.Deadline = r.Sent.Add(timeLimit)
+	r.Deadline = r.Sent.Add(call.TimeLeft)
 	response, err := transport.RoundTrip(request)
 	if err != nil {
 		r.Outcome, r.Detail = transportOutcome(err), err.Error()
@@ -215,7 +266,7 @@
 	switch {
 	case errors.Is(err, context.DeadlineExceeded):
 		r.Outcome = history.Abandoned
-	case err != nil && r.Kind == history.Draft && !strings.HasPrefix(c.StreamBody, body):
+	case err != nil && call.Stream && !strings.HasPrefix(c.StreamBody, body):
 		r.Outcome, r.Detail = history.Wrong, fmt.Sprintf("events %q", body)
 	case err != nil:
 		r.Outcome, r.Detail = history.Interrupted, err.Error()
@@ -231,9 +282,9 @@
 		r.Outcome, r.Detail = history.Failed, strings.TrimSpace(body)
 	case upstream == "":
 		r.Outcome, r.Detail = history.Wrong, "a success without a signature"
-	case r.Kind == history.Draft && body != c.StreamBody:
+	case call.Stream && body != c.StreamBody:
 		r.Outcome, r.Detail = history.Wrong, fmt.Sprintf("events %q", body)
-	case r.Kind != history.Draft && body != standin.ResponseBody(upstream, call.Method, call.Path, call.Body):
+	case !call.Stream && body != standin.ResponseBody(upstream, call.Method, call.Path, call.Body):
 		r.Outcome, r.Detail = history.Wrong, fmt.Sprintf("body %q of %s", body, upstream)
 	default:
 		r.Outcome, r.Detail = history.Answered, upstream
--- a/internal/soak/history/history.go
+++ b/internal/soak/history/history.go
@@ -16,6 +16,7 @@
 	Confirm Kind = "confirm" // not idempotent
 	Check   Kind = "check"   // idempotent
 	Draft   Kind = "draft"   // a stream that may be resumed
+	Letter  Kind = "letter"  // a stream that may be resumed and lasts for seconds
 )
 
 // Outcome is how a request ended for its caller.
@@ -88,7 +89,9 @@
 type FaultInterval struct {
 	Target, Fault string
 	// Planned faults, such as a restart that drains, must not interrupt requests.
-	Planned  bool
+	Planned bool
+	// Stops is set if the target is told to stop at the start.
+	Stops    bool
 	From, To time.Time
 }
 
--- a/internal/soak/program/program.go
+++ b/internal/soak/program/program.go
@@ -87,8 +87,10 @@
 	command     *exec.Cmd
 	done        chan struct{}
 	incarnation int
-	// restarting is set from BeginRestart to EndRestart.
+	// restarting is set from BeginRestart to EndRestart. ending is the incarnation that the
+	// restart replaces.
 	restarting bool
+	ending     int
 }
 
 // New returns an entry whose process is not started. program is the path of the
@@ -203,9 +205,22 @@
 func (e *Entry) BeginRestart() bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	marked := !e.restarting
-	e.restarting = true
-	return marked
+	if e.restarting {
+		return false
+	}
+	e.restarting, e.ending = true, e.incarnation
+	return true
+}
+
+// StopAgain asks the process that a restart is about to replace once more to shut down. It does
+// nothing if no restart is in progress or the next process runs already.
+func (e *Entry) StopAgain() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.restarting && e.ending == e.incarnation {
+		// An error means that the process has exited.
+		_ = e.command.Process.Signal(syscall.SIGTERM)
+	}
 }
 
 // EndRestart removes the mark that BeginRestart set.
--- a/internal/soak/run/faults.go
+++ b/internal/soak/run/faults.go
@@ -103,14 +103,17 @@
 // beginFault records that a fault of a target begins. The function that it returns
 // records the end.
 func (s *Soak) beginFault(target string, step schedule.Step, planned bool) func() {
-	return s.history.BeginFault(history.FaultInterval{Target: target, Fault: string(step.Fault), Planned: planned})
+	return s.history.BeginFault(history.FaultInterval{Target: target, Fault: string(step.Fault), Planned: planned, Stops: step.Fault == schedule.EntryStop})
 }
 
 // restartEntry ends an entry's process by calling end, waits and starts the next
-// process. It does nothing if a restart of the entry is in progress.
+// process. If a restart of the entry is in progress, it only sends the signal to stop again.
 func (s *Soak) restartEntry(n int, step schedule.Step, end func(*program.Entry)) {
 	e := s.entries[n]
 	if !e.BeginRestart() {
+		if step.Fault == schedule.EntryStop {
+			e.StopAgain()
+		}
 		return
 	}
 	defer e.EndRestart()
--- a/internal/soak/run/run.go
+++ b/internal/soak/run/run.go
@@ -41,6 +41,8 @@
 	// callersPerEntry is the number of callers per entry, which together send about
 	// 35 requests per second to it.
 	callersPerEntry = 4
+	// longCallersPerEntry is the number of callers per entry who send requests that take long.
+	longCallersPerEntry = 3
 	// retrySlack is the number of retries that entries may send within the retry
 	// window in addition to the retry ratio.
 	retrySlack = 60
@@ -86,6 +88,8 @@
 	extendedFaults bool
 	// evacuations is true if failure domains are evacuated too.
 	evacuations bool
+	// long is true if some callers send requests that take long.
+	long bool
 
 	history *history.History
 	proxies *proxy.Proxies
@@ -145,6 +149,9 @@
 // WithDeadlyRequests makes upstreams end on two requests that are sent again and again.
 func WithDeadlyRequests() Option { return func(s *Soak) { s.deadlyRequests = true } }
 
+// WithLongRequests makes some callers send requests that take long.
+func WithLongRequests() Option { return func(s *Soak) { s.long = true } }
+
 // WithLoad injects the faults of schedule.GenerateLoad too.
 func WithLoad() Option { return func(s *Soak) { s.load = true } }
 
@@ -246,6 +253,9 @@
 	calls, stop := context.WithCancel(ctx)
 	defer stop()
 	callers := &caller.Callers{History: s.history, Entries: s.entries, KeyVersions: s.keyVersions, StreamBody: s.upstreamSlots[0].upstream.StreamBody(), DeadlyPart: deadlyPartID, Deadly: s.sendsDeadly}
+	if s.long {
+		callers.Long = longCallersPerEntry * len(s.entries)
+	}
 	var running sync.WaitGroup
 	s.callersRun.Store(true)
 	running.Go(func() { callers.Run(calls, s.seed, callersPerEntry*len(s.entries)) })
@@ -321,7 +331,8 @@
 	s.startedUpstreams++
 	id := fmt.Sprintf("w-%d", s.startedUpstreams)
 	s.mu.Unlock()
-	w := standin.NewWorker(id, s.coldOption(id), standin.WithProcessingTime(processingTime), standin.WithObserver(func(a standin.Arrival) {
+	pace := func(r standin.Run) time.Duration { return caller.Pace(r, processingTime) }
+	w := standin.NewWorker(id, s.coldOption(id), standin.WithPace(pace), standin.WithObserver(func(a standin.Arrival) {
 		s.history.AddArrival(a.ID, history.Arrival{Upstream: a.Worker, FailureDomain: slot.failureDomain, At: a.At, Executed: a.Executed, Misdirected: a.Misdirected})
 	}), standin.WithDeadlyRequests(deadlyCause, func(why string) { s.endUpstream(slot, id, why) }))
 	link, err := s.proxies.NewLink(id, slot.address, w.Address())
@@ -353,7 +364,9 @@
 	if v > 1 {
 		keys = append(keys, caller.KeyName(v-1))
 	}
-	routes := standin.Routes(caller.Host)
+	letter := standin.Route(caller.Host, string(history.Letter), "/"+string(history.Letter)+"/", "stream", 2)
+	letter["resumable"], letter["gap_aim_ms"], letter["timeoutMs"] = true, 120, 8000
+	routes := append(standin.Routes(caller.Host), letter)
 	configuration := standin.Configuration(v, keys, routes)
 	if s.load {
 		configuration = withLoad(configuration, routes)
--- a/test/proof/drain_test.go
+++ b/test/proof/drain_test.go
@@ -295,3 +295,34 @@
 	is.Equal(counts["lost"], 1)
 	is.Equal(counts["fresh"], 1)
 }
+
+// TestRepeatedStopCutsNothingOff stops an entry and an agent by a series of SIGTERM, as
+// overlapping restarts send them. It guards against a process that ends at once at the
+// second one and cuts off the requests that it serves.
+func TestRepeatedStopCutsNothingOff(t *testing.T) {
+	for _, name := range []string{"e1", "s1"} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			d := deploy(t, fleetSize{entries: 1, services: 1}, nil)
+			d.setKnobs(d.processes["service-s1"].address, map[string]any{"delay-milliseconds": 1500})
+			var group sync.WaitGroup
+			results := make([]callResult, 6)
+			for n := range results {
+				method := []string{http.MethodGet, http.MethodPost}[n%2] // POST is not idempotent
+				group.Go(func() {
+					results[n] = d.call(t.Context(), "e1", method, fmt.Sprintf("/services/stock/%d", n), "", nil)
+				})
+			}
+			time.Sleep(300 * time.Millisecond)
+			for range 3 {
+				d.signal(name, syscall.SIGTERM)
+				time.Sleep(100 * time.Millisecond)
+			}
+			group.Wait()
+			for _, r := range results {
+				is.NoErr(r.err)
+				is.True(r.succeeded())
+			}
+		})
+	}
+}
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -13,6 +13,7 @@
 
 	"bramleydeal/internal/process/config"
 	"bramleydeal/internal/soak/run"
+	"bramleydeal/internal/soak/schedule"
 	"github.com/matryer/is"
 	"github.com/tailscale/hujson"
 )
@@ -33,8 +34,12 @@
 	// Requests adds the requests that are sent again and again and end upstreams.
 	Requests bool `json:"requests"`
 	// Evacuations is true if failure domains are evacuated too.
-	Evacuations bool   `json:"evacuations"`
-	Cause       string `json:"cause"`
+	Evacuations bool `json:"evacuations"`
+	// Long is true if some callers send requests that take long.
+	Long bool `json:"long"`
+	// Only lists the kinds of faults that are injected, all if it is empty.
+	Only  []schedule.Fault `json:"only"`
+	Cause string           `json:"cause"`
 }
 
 // readSeeds returns the runs in seeds.jsonc.
@@ -79,6 +84,12 @@
 			if s.Evacuations {
 				options = append(options, run.WithEvacuations())
 			}
+			if s.Long {
+				options = append(options, run.WithLongRequests())
+			}
+			if len(s.Only) > 0 {
+				options = append(options, run.WithFaults(s.Only...))
+			}
 			report, err := run.New(s.Seed, program, t.TempDir(), options...).Run(t.Context())
 			is.NoErr(err)
 			for _, v := range report.Violations {
