Platform: an odd object hides no others, and odd values name no worker

Sizes out of range made agents panic or take all memory; entries that claim the address or rank of sound ones took their place.

--- a/internal/agent/direct/direct_test.go
+++ b/internal/agent/direct/direct_test.go
@@ -106,6 +106,29 @@
 	is.Equal(r.current.Load().engineAddresses["0"], engineAddress(0))
 }
 
+// TestRosterIgnoresOddEntries guards against an agent that takes the place of its engine, or the
+// address of another rank, from an entry that another writer or a former engine has left.
+func TestRosterIgnoresOddEntries(t *testing.T) {
+	is := is.New(t)
+	r := newRoster(engineAddress(1), 7100)
+	entry := func(name, group string, n, size int, address netip.AddrPort, startedAt time.Time) store.Object {
+		return object(name, service.Upstream{
+			ID: name, Service: "quotes", Address: address, StartedAt: startedAt, Membership: &service.Membership{Group: group, Epoch: 1, Rank: n, Size: size},
+		})
+	}
+	started := time.UnixMilli(1750000000000)
+	r.lister.(fixedStore)[directory.Upstreams] = []store.Object{
+		entry("a", "g0", 0, 2, engineAddress(0), started), entry("b", "g0", 1, 2, engineAddress(1), started),
+		entry("odd-1", "g9", 0, 4096, engineAddress(1), time.Time{}), entry("odd-2", "g0", 0, 2, engineAddress(7), time.Time{}),
+		entry("odd-3", "g0", 6, 8, engineAddress(8), time.Time{}), {Name: "odd-4", Value: []byte(`7`)},
+	}
+	_, err := r.read(t.Context())
+	is.NoErr(err)
+	is.Equal(r.Name(), "g0")
+	is.Equal(r.Ranks(), []string{"0", "1"})
+	is.Equal(r.current.Load().engineAddresses, map[string]netip.AddrPort{"0": engineAddress(0), "1": engineAddress(1)})
+}
+
 func TestFollowersUseLongRosterInterval(t *testing.T) {
 	is := is.New(t)
 	r := newRoster(engineAddress(1), 7100)
--- a/internal/agent/direct/roster.go
+++ b/internal/agent/direct/roster.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -262,8 +263,13 @@
 			continue // not a rank of a group, or malformed
 		}
 		all = append(all, u)
-		if u.Address == r.ownEngine {
-			own = &all[len(all)-1]
+	}
+	// Several entries may claim one address or one rank: those of former engines, and those
+	// that others have written.
+	slices.SortStableFunc(all, func(a, b service.Upstream) int { return a.StartedAt.Compare(b.StartedAt) })
+	for i := range all {
+		if all[i].Address == r.ownEngine {
+			own = &all[i]
 		}
 	}
 	if own == nil {
@@ -272,8 +278,8 @@
 	next := &groupInfo{self: *own.Membership, service: own.Service, engineAddresses: map[string]netip.AddrPort{}}
 	domains := map[string]fleet.FailureDomain{}
 	for _, u := range all {
-		if u.Membership.Group == own.Membership.Group {
-			name := strconv.Itoa(u.Membership.Rank)
+		if m := u.Membership; m.Group == own.Membership.Group && m.Rank < own.Membership.Size {
+			name := strconv.Itoa(m.Rank)
 			next.engineAddresses[name], domains[name] = u.Address, u.FailureDomain
 		}
 	}
--- a/internal/core/store/era.go
+++ b/internal/core/store/era.go
@@ -8,6 +8,9 @@
 // revisionBits is the number of bits of a version that hold the revision.
 const revisionBits = 40
 
+// MaxRevision is the highest revision that a version can hold.
+const MaxRevision = 1<<revisionBits - 1
+
 // VersionOf returns the version of a revision in an era. It is 0, which stands for no
 // version, for revision 0.
 func VersionOf(era, revision uint64) uint64 {
@@ -21,4 +24,4 @@
 func EraOf(version uint64) uint64 { return version >> revisionBits }
 
 // RevisionOf returns the revision of a version.
-func RevisionOf(version uint64) uint64 { return version & (1<<revisionBits - 1) }
+func RevisionOf(version uint64) uint64 { return version & MaxRevision }
--- a/internal/process/directory/directory.go
+++ b/internal/process/directory/directory.go
@@ -21,6 +21,7 @@
 	"bramleydeal/internal/world/fleet"
 	"bramleydeal/internal/world/service"
 	"github.com/go-logr/logr"
+	"github.com/samber/oops"
 )
 
 // Kind is a kind of objects. Each kind is listed and watched on its own and has its own
@@ -398,6 +399,9 @@
 	instances := map[string]fleet.Instance{}
 	for _, o := range d.replicas[Instances].List("") {
 		i, err := fleet.ParseInstance(o.Value)
+		if err == nil && i.Name != o.Name {
+			err = oops.Code("instance-malformed").Errorf("the object describes %q", i.Name)
+		}
 		if err != nil {
 			d.log.Info("ignoring an instance whose object cannot be decoded", "object", o.Name, "reason", err.Error())
 			continue
--- a/internal/world/fleet/fleet.go
+++ b/internal/world/fleet/fleet.go
@@ -57,5 +57,8 @@
 	if i.Name == "" || !i.Address.IsValid() {
 		return Instance{}, oops.Code("instance-malformed").Errorf("instance object lacks a name or an address: %s", value)
 	}
+	if i.Address.Port() == 0 || i.Address.Addr().IsUnspecified() {
+		return Instance{}, oops.Code("instance-malformed").Errorf("no instance can be reached at %s", i.Address)
+	}
 	return i, nil
 }
