Entries with agents: no promise of not run after a lost attempt

What callers saw: 'overloaded', which says that the request has not run, for an idempotent request that one agent may have run before the next one refused it.

Cause: the refusal of the last attempt decided.

Why it works: the refusal promises not run only if each attempt was unsent or refused; TestRefusalAfterALostAttemptPromisesNothing.

--- a/internal/entry/caller/caller_test.go
+++ b/internal/entry/caller/caller_test.go
@@ -7,6 +7,8 @@
 	"testing"
 
 	"bramleydeal/internal/entry/agent"
+	"bramleydeal/internal/wire/peer"
+	"bramleydeal/internal/world/answer"
 	"github.com/matryer/is"
 )
 
@@ -89,3 +91,14 @@
 	is.Equal(w.Code, http.StatusCreated)
 	is.Equal(w.Body.String(), "whole")
 }
+
+// TestRefusalAfterALostAttemptPromisesNothing guards against telling a caller that its request has
+// not run because the last of several agents refused it, though an earlier one may have run it.
+func TestRefusalAfterALostAttemptPromisesNothing(t *testing.T) {
+	is := is.New(t)
+	refusals := []*peer.Refusal{{Kind: string(answer.Overloaded)}}
+	for _, last := range []agent.Event{agent.Refused{Refusal: refusals[0]}, agent.NotSent{}, nil} {
+		is.Equal(answer.Lookup(finalRefusal(t.Context(), last, refusals, false).Kind).Run, answer.NotRun)
+		is.Equal(answer.Lookup(finalRefusal(t.Context(), last, refusals, true).Kind).Run, answer.RunUnknown)
+	}
+}
--- a/internal/entry/caller/idempotent.go
+++ b/internal/entry/caller/idempotent.go
@@ -54,6 +54,7 @@
 	retries := tree.Get(rq.snapshot.Tree, rq.scope, reference.Retries)
 	var last agent.Event
 	var refusals []*peer.Refusal
+	mayHaveRun := false
 	for attempt := 0; attempt <= retries || out.headSent && attempt <= startedRetryFactor*retries; attempt++ {
 		i, ok := h.chooseNext(ctx, rq, &p, out)
 		if !ok {
@@ -67,6 +68,9 @@
 			refusals = append(refusals, refused.Refusal)
 			continue
 		}
+		if _, notSent := last.(agent.NotSent); !notSent {
+			mayHaveRun = true
+		}
 		if !h.allowMove(ctx, rq, last, out) || !p.prepareMove(out, attempt) {
 			break
 		}
@@ -76,7 +80,7 @@
 	if _, complete := last.(agent.Complete); complete || out.callerGone || errors.Is(ctx.Err(), context.Canceled) {
 		return
 	}
-	h.fail(rq, out, finalRefusal(ctx, last, refusals))
+	h.fail(rq, out, finalRefusal(ctx, last, refusals, mayHaveRun))
 }
 
 // allowMove reports whether a request may be retried at another upstream after
@@ -225,18 +229,20 @@
 }
 
 // finalRefusal returns the refusal for a request after its last attempt.
-// refusals are those of the agents that refused it.
-func finalRefusal(ctx context.Context, last agent.Event, refusals []*peer.Refusal) *answer.Refusal {
+// refusals are those of the agents that refused it. If an attempt may have run, the refusal
+// does not say otherwise.
+func finalRefusal(ctx context.Context, last agent.Event, refusals []*peer.Refusal, mayHaveRun bool) *answer.Refusal {
 	switch e := last.(type) {
-	case nil, agent.NotSent:
+	case agent.Interrupted:
+		return answer.Refuse(answer.UpstreamFailed, "%s", e.Detail)
+	case nil, agent.NotSent, agent.Refused:
+		if mayHaveRun {
+			break
+		}
 		if len(refusals) > 0 {
 			return earliestRetry(refusals)
 		}
 		return answer.Refuse(answer.NoUpstream, "no upstream can be reached")
-	case agent.Refused:
-		return earliestRetry(refusals)
-	case agent.Interrupted:
-		return answer.Refuse(answer.UpstreamFailed, "%s", e.Detail)
 	}
 	if ctx.Err() != nil {
 		return answer.Refuse(answer.DeadlineExceeded, "the request took longer than request-deadline")
