Engine reads: a late copy of an answer changes no state

What was reported: a faulty worker wrote an earlier refusal once more on a kept connection, and clients were told 'not run' for requests that had run.

What happened here: requests and orders never share connections, shown by TestRefusalThatIsSentAgainIsNoPromise. Reads of an engine's state do: a copy of another answer made each later read fail, so the agent stood still, and an earlier report could end its promise.

Why it works: an answer of another kind or of an earlier pass is read again on a new connection, and so is a report that contradicts the state before anything follows from it.

--- a/internal/agent/direct/direct_test.go
+++ b/internal/agent/direct/direct_test.go
@@ -379,8 +379,11 @@
 	e.reports++
 	return rank.Report{Epoch: 1, NextStep: 5}, nil
 }
-func (e *idleEngine) Counts(context.Context) ([]uint32, error) { return []uint32{1, 2, 3, 4}, nil }
-func (e *idleEngine) Held(context.Context) ([][]int, error)    { return [][]int{{0, 2}}, nil }
+func (e *idleEngine) ReportAnew(ctx context.Context) (rank.Report, error) { return e.Report(ctx) }
+func (e *idleEngine) Counts(context.Context) ([]uint32, error)            { return []uint32{1, 2, 3, 4}, nil }
+func (e *idleEngine) Held(context.Context, uint64) ([][]int, error) {
+	return [][]int{{0, 2}}, nil
+}
 func (e *idleEngine) Prepare(context.Context, rank.Fence, uint64, [][][]int) (bool, error) {
 	return true, nil
 }
--- a/internal/agent/rank/orders.go
+++ b/internal/agent/rank/orders.go
@@ -21,13 +21,16 @@
 // carried out later. False means that the engine refused the order and will not carry it
 // out later.
 type OrderEngine interface {
-	// Report returns the engine's current step, maps and pending orders.
+	// Report returns the engine's current step, maps and pending orders. It may return an
+	// earlier report if the engine sends one again; ReportAnew does not.
 	Report(ctx context.Context) (Report, error)
+	ReportAnew(ctx context.Context) (Report, error)
 	// Counts returns how often each expert was selected since the rank started,
 	// modulo 2^32, in one list ordered by layer and expert.
 	Counts(ctx context.Context) ([]uint32, error)
-	// Held returns the experts that the rank holds, by layer.
-	Held(ctx context.Context) ([][]int, error)
+	// Held returns the experts that the rank holds, by layer. It fails if the rank does not
+	// use the map of the given version.
+	Held(ctx context.Context, version uint64) ([][]int, error)
 	// Prepare starts to fetch the experts of a map, which are given by layer and
 	// rank.
 	Prepare(ctx context.Context, f Fence, version uint64, experts [][][]int) (bool, error)
@@ -154,7 +157,7 @@
 	}
 	s.Chosen, e.lastCounts = group.NewSample(e.lastCounts, counts), counts
 	if e.heldExperts == nil || e.heldMapVersion != r.Map {
-		if e.heldExperts, err = e.engine.Held(ctx); err != nil {
+		if e.heldExperts, err = e.engine.Held(ctx, r.Map); err != nil {
 			return Status{}, err
 		}
 		e.heldMapVersion = r.Map
@@ -163,12 +166,15 @@
 	return s, nil
 }
 
-// report reads the engine's report. When the report does not agree with the state, it
-// starts a new incarnation from the report, unless it may be older than the state. It also
-// releases a hold whose order had no reply and belongs to no change any more. The caller holds
-// e.mu.
+// report reads the engine's report. When the report does not agree with the state, and neither
+// does one that is read anew, it starts a new incarnation from the report, unless it may be
+// older than the state. It also releases a hold whose order had no reply and belongs to no
+// change any more. The caller holds e.mu.
 func (e *orderAdapter) report(ctx context.Context) (Report, error) {
 	r, err := e.engine.Report(ctx)
+	if err == nil && (e.state == nil || e.disagreesWith(r) && !e.mayBeOld(r)) {
+		r, err = e.engine.ReportAnew(ctx)
+	}
 	if err != nil {
 		return r, err
 	}
@@ -204,8 +210,12 @@
 	if r.Epoch != e.epoch {
 		return r.Epoch < e.epoch
 	}
-	disagrees := e.contradictedBy(r) || r.Hold != 0 && r.Hold != e.state.HoldStep
-	return disagrees && !e.orderedAt.IsZero() && e.now().Sub(e.orderedAt) <= e.reportLag
+	return e.disagreesWith(r) && !e.orderedAt.IsZero() && e.now().Sub(e.orderedAt) <= e.reportLag
+}
+
+// disagreesWith reports whether a report is not what this agent's orders lead to.
+func (e *orderAdapter) disagreesWith(r Report) bool {
+	return r.Epoch != e.epoch || e.contradictedBy(r) || r.Hold != 0 && r.Hold != e.state.HoldStep
 }
 
 // contradictedBy reports whether this agent's orders cannot have led to the report:
--- a/internal/agent/rank/orders_test.go
+++ b/internal/agent/rank/orders_test.go
@@ -113,8 +113,9 @@
 	}, nil
 }
 
-func (s *simulatedEngine) Counts(context.Context) ([]uint32, error) { return nil, nil }
-func (s *simulatedEngine) Held(context.Context) ([][]int, error)    { return nil, nil }
+func (s *simulatedEngine) ReportAnew(ctx context.Context) (Report, error) { return s.Report(ctx) }
+func (s *simulatedEngine) Counts(context.Context) ([]uint32, error)       { return nil, nil }
+func (s *simulatedEngine) Held(context.Context, uint64) ([][]int, error)  { return nil, nil }
 
 func (s *simulatedEngine) Prepare(_ context.Context, f Fence, version uint64, _ [][][]int) (bool, error) {
 	return s.group.handle(func() bool {
@@ -270,6 +271,8 @@
 	return p.reports[0].report, nil
 }
 
+func (p *laggingProxy) ReportAnew(ctx context.Context) (Report, error) { return p.Report(ctx) }
+
 // recordReports records the reports that the fallbacks get later.
 func (w *simulation) recordReports() {
 	for _, f := range w.fallbacks {
@@ -284,10 +287,13 @@
 	rank  int
 }
 
-func (p *engineProxy) current() *simulatedEngine                    { return p.group.ranks[p.rank] }
-func (p *engineProxy) Report(ctx context.Context) (Report, error)   { return p.current().Report(ctx) }
-func (p *engineProxy) Counts(ctx context.Context) ([]uint32, error) { return nil, nil }
-func (p *engineProxy) Held(ctx context.Context) ([][]int, error)    { return nil, nil }
+func (p *engineProxy) current() *simulatedEngine                     { return p.group.ranks[p.rank] }
+func (p *engineProxy) Report(ctx context.Context) (Report, error)    { return p.current().Report(ctx) }
+func (p *engineProxy) Counts(ctx context.Context) ([]uint32, error)  { return nil, nil }
+func (p *engineProxy) Held(context.Context, uint64) ([][]int, error) { return nil, nil }
+func (p *engineProxy) ReportAnew(ctx context.Context) (Report, error) {
+	return p.current().ReportAnew(ctx)
+}
 func (p *engineProxy) Hold(ctx context.Context, f Fence, s uint64) (bool, error) {
 	return p.current().Hold(ctx, f, s)
 }
--- a/internal/agent/rank/stage_test.go
+++ b/internal/agent/rank/stage_test.go
@@ -33,6 +33,8 @@
 	return r, nil
 }
 
+func (e *stagingEngine) ReportAnew(ctx context.Context) (Report, error) { return e.Report(ctx) }
+
 func (e *stagingEngine) Prepare(_ context.Context, _ Fence, version uint64, experts [][][]int) (bool, error) {
 	if version <= e.version {
 		return false, nil
