Streams: only the rest of a stream follows its beginning

What was reported: a stream broke off, the next worker answered with an error, and clients found its text or head within their stream, or the stream ended as if it were complete.

What happened here: any 2xx response of the second upstream counted as the rest of the stream, whatever its type, status and events. Entries with agents did not look at the second head at all.

Why it works: the response must have the status that was sent and be a stream of events, and each event's ID must follow the one before. Otherwise nothing of it is sent and the attempt counts as lost.

--- a/internal/entry/caller/caller_test.go
+++ b/internal/entry/caller/caller_test.go
@@ -102,3 +102,25 @@
 		is.Equal(answer.Lookup(finalRefusal(t.Context(), last, refusals, true).Kind).Run, answer.RunUnknown)
 	}
 }
+
+// TestStreamGoesOnWithAStreamOnly guards against an error response that is taken for the rest of a
+// stream that another upstream had begun, and against a stream that goes on after a part of an
+// error response.
+func TestStreamGoesOnWithAStreamOnly(t *testing.T) {
+	is := is.New(t)
+	head := func(status int, contentType string) agent.Head {
+		return agent.Head{Status: status, Headers: []*peer.Header{{Name: "Content-Type", Value: contentType}}}
+	}
+	stream, problem := head(http.StatusOK, "text/event-stream"), head(http.StatusInternalServerError, "application/json")
+	o := newRelay(httptest.NewRecorder(), true, 0)
+	is.True(o.accepts(problem)) // nothing was sent
+	o.start(stream)
+	is.True(o.accepts(head(http.StatusOK, "text/event-stream; charset=utf-8")))
+	is.True(!o.accepts(problem))
+	is.True(!o.accepts(head(http.StatusOK, "application/json")))
+	is.True(!o.accepts(head(http.StatusInternalServerError, "text/event-stream")))
+	is.True(o.restart())
+	o = newRelay(httptest.NewRecorder(), true, 0)
+	o.start(problem)
+	is.True(!o.restart())
+}
--- a/internal/entry/caller/idempotent.go
+++ b/internal/entry/caller/idempotent.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net/http"
 	"slices"
 	"time"
@@ -172,6 +173,9 @@
 	for {
 		switch e := call.Next().(type) {
 		case agent.Head:
+			if !out.accepts(e) {
+				return agent.Interrupted{Detail: fmt.Sprintf("a stream that had begun was answered with status %d, %q", e.Status, contentType(e))}
+			}
 			out.start(e)
 		case agent.Data:
 			if !out.add(e) {
--- a/internal/entry/caller/relay.go
+++ b/internal/entry/caller/relay.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"bramleydeal/internal/entry/agent"
+	"bramleydeal/internal/wire/header"
 	"bramleydeal/internal/world/answer"
 )
 
@@ -56,15 +57,31 @@
 	}
 }
 
+// accepts reports whether a response with the given head may be relayed. It may not go on with a
+// stream that began as a response of another kind: its text would be sent within the stream.
+func (o *relay) accepts(h agent.Head) bool {
+	return !o.events || !o.headSent || h.Status == o.head.Status && header.IsEventStream(contentType(h)) == header.IsEventStream(contentType(*o.head))
+}
+
+// contentType returns the type of a response's content.
+func contentType(h agent.Head) string {
+	for _, x := range h.Headers {
+		if x.Name == "Content-Type" {
+			return x.Value
+		}
+	}
+	return ""
+}
+
 func (o *relay) sendHead() {
-	header := o.w.Header()
+	out := o.w.Header()
 	for _, x := range o.head.Headers {
 		if x.Name != "Content-Length" || !o.events {
-			header.Add(x.Name, x.Value)
+			out.Add(x.Name, x.Value)
 		}
 	}
 	for name, value := range o.extraHeaders {
-		header.Set(name, value)
+		out.Set(name, value)
 	}
 	o.w.WriteHeader(o.head.Status)
 	o.headSent = true
@@ -160,10 +177,10 @@
 
 // restart prepares the relay for another attempt. Bytes start again at position
 // 0; it reports false if the caller already has some of them. Events continue
-// at the current position.
+// at the current position, but an error response that has begun has none.
 func (o *relay) restart() bool {
 	if o.events {
-		return true
+		return !o.headSent || o.head.Status == http.StatusOK
 	}
 	if o.headSent {
 		return false
--- a/internal/entry/client/forward.go
+++ b/internal/entry/client/forward.go
@@ -48,8 +48,10 @@
 	// watch watches the current attempt; interruption is why it was interrupted.
 	watch        *upstream.Watch
 	interruption atomic.Int32
-	// headSent is true once the status and headers were sent to the caller.
-	headSent bool
+	// headSent is true once the status and headers were sent to the caller, statusSent is that
+	// status.
+	headSent   bool
+	statusSent int
 	// retryTaken is true while a retry that was taken from the quota was not made yet.
 	retryTaken bool
 	// heldUntil is when the first upstream may be sent a request again if all that are
@@ -115,7 +117,8 @@
 			return
 		}
 		next := f.retryState.RecordOutcome(outcome, f.takeRetry, time.Now())
-		if _, again := next.(core.Retry); !again {
+		if _, again := next.(core.Retry); !again || f.headSent && !f.events.Resumable() {
+			f.returnRetry()
 			f.fail(next)
 			return
 		}
@@ -252,6 +255,8 @@
 		return f.recordDeclined(u, began, x.Response.StatusCode, info)
 	case promisesNotRun(x.Response.StatusCode):
 		return f.recordFailure(ctx, u, began, errUnfoundedPromise)
+	case f.headSent && !f.continues(x.Response):
+		return f.recordFailure(ctx, u, began, errNotContinued)
 	case isSuccess(x.Response) && (!info.Signed || x.Response.Header.Get("Content-Encoding") != ""):
 		return f.recordFailure(ctx, u, began, errors.New("the response is unsigned or has a Content-Encoding, so it is not the upstream's own"))
 	case isSuccess(x.Response) && f.route.Kind == service.Stream:
@@ -365,7 +370,7 @@
 	default:
 		f.handler.pools.RecordOutcome(u, coreupstream.UpstreamError, 0, now)
 		f.logAttempt(u, began, "lost", err)
-		if !errors.Is(err, errStalled) {
+		if !errors.Is(err, errStalled) && !errors.Is(err, errNotContinued) {
 			f.checkEnd(ctx, u)
 		}
 		return core.Lost{}
@@ -475,5 +480,5 @@
 	f.handler.setConnectionClose(out)
 	f.answered = true
 	f.w.WriteHeader(head.StatusCode)
-	f.headSent = true
+	f.headSent, f.statusSent = true, head.StatusCode
 }
--- a/internal/entry/client/stream.go
+++ b/internal/entry/client/stream.go
@@ -10,6 +10,7 @@
 	core "bramleydeal/internal/core/client"
 	coreupstream "bramleydeal/internal/core/upstream"
 	"bramleydeal/internal/entry/upstream"
+	"bramleydeal/internal/wire/header"
 	"bramleydeal/internal/world/service"
 )
 
@@ -19,6 +20,9 @@
 // errTruncatedEvent means that a stream ended within an event.
 var errTruncatedEvent = errors.New("the stream ended within an event")
 
+// errNotContinued means that an upstream did not go on with the stream that another one had begun.
+var errNotContinued = errors.New("the response does not go on with the stream")
+
 // errEventTooLong means that a stream had an event that is longer than any may be.
 var errEventTooLong = errors.New("an event of the stream is too long")
 
@@ -27,7 +31,7 @@
 // another upstream after its last event.
 func (f *forwarding) relayStream(ctx, attemptCtx context.Context, stallTimer *time.Timer, u service.Upstream, x *upstream.Exchange, began time.Time) core.Outcome {
 	control := http.NewResponseController(f.w)
-	f.events.DiscardPartial()
+	f.events.Resume()
 	buffer := make([]byte, 4<<10)
 	timeToFirst := time.Duration(0)
 	lastEventAt := time.Time{}
@@ -58,6 +62,8 @@
 			}
 		}
 		switch {
+		case f.events.Discontinuous():
+			err = errNotContinued
 		case f.events.TooLong():
 			err = errEventTooLong
 		case err == nil:
@@ -73,6 +79,12 @@
 	}
 }
 
+// continues reports whether a response may go on with the stream whose head was sent to the
+// caller. Its events are checked as they arrive.
+func (f *forwarding) continues(r *http.Response) bool {
+	return r.StatusCode == f.statusSent && header.IsEventStream(r.Header.Get("Content-Type"))
+}
+
 // recordPause records the time since the last event of a stream, zero for the first one. It
 // returns the time of the last event.
 func (f *forwarding) recordPause(u service.Upstream, last, now time.Time) time.Time {
--- a/internal/entry/upstream/events.go
+++ b/internal/entry/upstream/events.go
@@ -10,11 +10,20 @@
 	pending []byte
 	lastID  string
 	count   int
+	// order is the order of the event IDs so far.
+	order eventOrder
+	// resumed is set once the stream goes on at another upstream, discontinuous once an event
+	// did not follow the one before it then.
+	resumed, discontinuous bool
 }
 
 // Add appends the next bytes of the stream and returns the complete events so
-// far that were not yet returned, unchanged, or nil if there are none.
+// far that were not yet returned, unchanged, or nil if there are none. It returns none that do
+// not follow the events of the upstream before.
 func (e *EventSplitter) Add(p []byte) []byte {
+	if e.discontinuous {
+		return nil
+	}
 	e.pending = append(e.pending, p...)
 	end := endOfEvents(e.pending)
 	// Further blank lines after an event are returned at once; they belong to
@@ -26,6 +35,13 @@
 		return nil
 	}
 	complete := bytes.Clone(e.pending[:end])
+	if !e.order.follow(complete) {
+		if e.resumed {
+			e.discontinuous = true
+			return nil
+		}
+		e.order.unknown = true // the upstream's own disorder is passed on
+	}
 	e.pending = append(e.pending[:0], e.pending[end:]...)
 	e.count += countEvents(complete)
 	if id, ok := lastID(complete); ok {
@@ -60,8 +76,18 @@
 // be.
 func (e *EventSplitter) TooLong() bool { return len(e.pending) > maxEvent }
 
-// DiscardPartial discards the bytes of an incomplete event.
-func (e *EventSplitter) DiscardPartial() { e.pending = e.pending[:0] }
+// Resume prepares for the stream of another upstream, which goes on after the last complete
+// event. The bytes of an incomplete one are discarded.
+func (e *EventSplitter) Resume() {
+	e.pending, e.discontinuous = e.pending[:0], false
+	e.resumed = e.resumed || e.count > 0
+}
+
+// Resumable reports whether an upstream can be told after which event the stream is to go on.
+func (e *EventSplitter) Resumable() bool { return e.count == 0 || e.lastID != "" }
+
+// Discontinuous reports whether an event did not follow those of the upstream before.
+func (e *EventSplitter) Discontinuous() bool { return e.discontinuous }
 
 // eventTerminators are the byte sequences that end an event.
 var eventTerminators = [][]byte{[]byte("\n\n"), []byte("\r\n\r\n"), []byte("\r\r")}
--- a/internal/entry/upstream/upstream_test.go
+++ b/internal/entry/upstream/upstream_test.go
@@ -42,7 +42,7 @@
 			is.Equal(events.String(), test.events)
 			is.Equal(e.LastID(), test.last)
 			is.Equal(e.Partial(), test.partial)
-			e.DiscardPartial()
+			e.Resume()
 			is.True(!e.Partial())
 		})
 	}
@@ -199,3 +199,35 @@
 	e.Add([]byte("data: c\n\n"))
 	is.Equal(e.Count(), 3)
 }
+
+// TestEventsOfAnotherUpstreamMustFollow guards against events that are missing or come twice after
+// a stream was resumed at another upstream.
+func TestEventsOfAnotherUpstreamMustFollow(t *testing.T) {
+	for name, test := range map[string]struct {
+		before, after string
+		follows       bool
+	}{
+		"the next one":                 {"id: 1\n\nid: 2\n\n", "id: 3\ndata: a\n\n", true},
+		"a comment first":              {"id: 1\n\nid: 2\n\n", ": hello\n\nid: 3\n\n", true},
+		"the same again":               {"id: 1\n\nid: 2\n\n", "id: 2\n\n", false},
+		"one is missing":               {"id: 1\n\nid: 2\n\n", "id: 4\n\n", false},
+		"the second one is missing":    {"id: 1\n\nid: 2\n\n", "id: 3\n\nid: 5\n\n", false},
+		"no ID":                        {"id: 1\n\nid: 2\n\n", "data: a\n\n", false},
+		"text as the ID":               {"id: 1\n\nid: 2\n\n", "id: x\n\n", false},
+		"IDs that rise by more":        {"id: 10\n\nid: 20\n\n", "id: 35\n\n", true},
+		"IDs that rise by more, again": {"id: 10\n\nid: 20\n\n", "id: 20\n\n", false},
+		"text as all IDs":              {"id: a\n\nid: b\n\n", "id: c\n\n", true},
+		"nothing before":               {"", "id: 7\n\n", true},
+		"CRLF":                         {"id: 1\r\n\r\nid: 2\r\n\r\n", "id: 3\r\n\r\nid: 4\r\n\r\n", true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			var e EventSplitter
+			e.Add([]byte(test.before))
+			e.Resume()
+			events := e.Add([]byte(test.after))
+			is.Equal(e.Discontinuous(), !test.follows)
+			is.Equal(len(events) > 0, test.follows)
+		})
+	}
+}
