Ranks: orders for another group are not carried out

Cause: an order for another group only made the agent read its list anew.

Why it works: the engine's own report names its group; an order that names another one gets an error, and no state, whoever controls the engine.

--- a/internal/agent/rank/rank.go
+++ b/internal/agent/rank/rank.go
@@ -77,12 +77,16 @@
 // InvalidArgument for a malformed order, else Unavailable, also for a STAGE order
 // with a malformed map. A STAGE order whose content builds on an unknown map is refused
 // with UnknownBase. After Unavailable the order may or may not have been carried
-// out, and may be sent again.
+// out, and may be sent again. FailedPrecondition means that the engine belongs to another
+// group than the order, which was not carried out.
 func (r *Rank) Order(ctx context.Context, m *peer.GrantOrder) (*peer.GrantReply, error) {
 	if m.Kind == peer.GrantOrder_STAGE {
 		if r.superseded(m) {
 			return &peer.GrantReply{}, nil
 		}
+		if s, err := r.engine.Read(ctx, false); err != nil || inOtherGroup(s, m) {
+			return nil, orderError(err)
+		}
 		err := r.engine.Stage(ctx, m.Map, m.Content)
 		if errors.Is(err, orders.ErrUnknownBase) {
 			return &peer.GrantReply{UnknownBase: true}, nil
@@ -98,9 +102,9 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	reply, err := r.decide(ctx, o, m.Loads, m.Held)
+	reply, err := r.decide(ctx, o, m)
 	if err != nil {
-		return nil, grpcstatus.Error(codes.Unavailable, err.Error())
+		return nil, orderError(err)
 	}
 	if reply.Accepted {
 		r.stats.Accepted.Add(1)
@@ -111,6 +115,24 @@
 	return reply, nil
 }
 
+// errOtherGroup means that the engine belongs to another group than the order. Its address may
+// have been that of a rank of the order's group before.
+var errOtherGroup = errors.New("the engine belongs to another group")
+
+// inOtherGroup reports whether an engine belongs to another group than an order.
+func inOtherGroup(s Status, m *peer.GrantOrder) bool {
+	return s.Group != "" && m.Group != "" && s.Group != m.Group
+}
+
+// orderError returns the gRPC status of an order that was not carried out. Without an error that
+// is because of errOtherGroup.
+func orderError(err error) error {
+	if err == nil || errors.Is(err, errOtherGroup) {
+		return grpcstatus.Error(codes.FailedPrecondition, errOtherGroup.Error())
+	}
+	return grpcstatus.Error(codes.Unavailable, err.Error())
+}
+
 // superseded reports whether the rank has promised to follow a higher ballot than
 // that of the order. It is false for an order without a ballot.
 func (r *Rank) superseded(m *peer.GrantOrder) bool {
@@ -120,14 +142,17 @@
 }
 
 // decide reads the rank's state from the engine, decides on the order, and applies
-// the new plan to the engine before it returns the reply. With loads the reply contains
-// how often experts were chosen, with held the experts that the rank holds, if the engine
-// counts by expert. The caller holds r.mu.
-func (r *Rank) decide(ctx context.Context, o group.Order, loads, held bool) (*peer.GrantReply, error) {
-	s, err := r.engine.Read(ctx, loads)
+// the new plan to the engine before it returns the reply. o is the order of m. If m asks for
+// loads the reply contains how often experts were chosen, and if it asks for them the experts
+// that the rank holds, if the engine counts by expert. The caller holds r.mu.
+func (r *Rank) decide(ctx context.Context, o group.Order, m *peer.GrantOrder) (*peer.GrantReply, error) {
+	s, err := r.engine.Read(ctx, m.Loads)
 	if err != nil {
 		return nil, err
 	}
+	if inOtherGroup(s, m) {
+		return nil, errOtherGroup
+	}
 	state, err := r.engineState(ctx, &s)
 	if err != nil {
 		return nil, err
@@ -148,7 +173,7 @@
 	reply := orders.ReplyToProto(group.Reply{Accepted: accepted, State: next, NextStep: s.Step})
 	reply.LoadMap, reply.Loads = s.LoadMap, s.Tokens
 	reply.Chosen, reply.ChosenUnit = s.Chosen.Counts, float32(s.Chosen.Unit)
-	if !held {
+	if !m.Held {
 		return reply, nil
 	}
 	for _, experts := range s.HeldExperts {
