Callers' connections: a request that crosses the close of its idle connection is served

Suspected, not seen: an entry out of file descriptors closes its longest idle connections by a read deadline. A request that arrived at that moment kept the deadline, net/http took its expiry for a caller that had left, and the request was cut off. Only a stopping entry cleared the deadline.

TestRequestOnConnectionThatIsBeingClosedIsServed failed before.

--- a/internal/entry/client/accept_test.go
+++ b/internal/entry/client/accept_test.go
@@ -182,3 +182,29 @@
 	await(true)
 	is.True(servedWithin(t, address, 2*slowTime))
 }
+
+// deadlineConn is a connection that records its read deadline.
+type deadlineConn struct {
+	net.Conn
+	deadline time.Time
+}
+
+func (c *deadlineConn) SetReadDeadline(t time.Time) error {
+	c.deadline = t
+	return nil
+}
+
+// TestRequestOnConnectionThatIsBeingClosedIsServed guards against a request that arrives on an idle
+// connection as that is closed for a new one: the deadline that closes it would end the request.
+func TestRequestOnConnectionThatIsBeingClosedIsServed(t *testing.T) {
+	is := is.New(t)
+	s := NewServer(http.NotFoundHandler(), log.New(io.Discard, log.Text, "test"))
+	c := &deadlineConn{}
+	s.connectionChanged(s.current, c, http.StateIdle)
+	s.mu.Lock()
+	is.Equal(s.closeLongestIdle(time.Now().Add(time.Minute)), 1)
+	s.mu.Unlock()
+	is.True(!c.deadline.IsZero())
+	s.connectionChanged(s.current, c, http.StateActive)
+	is.True(c.deadline.IsZero())
+}
--- a/internal/entry/client/server.go
+++ b/internal/entry/client/server.go
@@ -141,11 +141,9 @@
 		s.idle[c] = time.Now()
 	case http.StateActive:
 		delete(s.idle, c)
-		if s.closed {
-			// The deadline that closeIdle has set must not end this request. An error
-			// means that the connection is closed, which the handler notices.
-			_ = c.SetReadDeadline(time.Time{})
-		}
+		// A deadline that closeIdle or closeLongestIdle has set just now must not end this
+		// request. An error means that the connection is closed, which the handler notices.
+		_ = c.SetReadDeadline(time.Time{})
 	case http.StateClosed, http.StateHijacked:
 		delete(s.idle, c)
 		g.connections--
