--- a/internal/entry/client/forward.go
+++ b/internal/entry/client/forward.go
@@ -89,7 +89,7 @@
 	// A request that waits for a stalled group is no load before its wait has ended.
 	f.awaitReopening(ctx)
 	if !h.mayAccept(c, time.Now()) {
-		h.refuse(w, c, refuseLeaving()) // the drain began during the wait
+		h.refuse(w, c, refuseLeaving()) // the drain began meanwhile
 		return
 	}
 	done, ok := f.admit(time.Now())
