--- a/internal/entry/caller/caller_test.go
+++ b/internal/entry/caller/caller_test.go
@@ -124,3 +124,12 @@
 	o.start(problem)
 	is.True(!o.restart())
 }
+
+// TestUpstreamHeadersNameTheAccountOfTheKey guards against an account that the caller claims, and
+// against passing on its key.
+func TestUpstreamHeadersNameTheAccountOfTheKey(t *testing.T) {
+	is := is.New(t)
+	from := http.Header{"Authorization": {"Bearer k"}, "X-Own": {"kept"}}
+	from.Set(ownHeaderPrefix+"account", "forged")
+	is.Equal(upstreamHeaders(from, "planner"), []*peer.Header{{Name: ownHeaderPrefix + "Account", Value: "planner"}, {Name: "X-Own", Value: "kept"}})
+}
--- a/internal/entry/client/forward.go
+++ b/internal/entry/client/forward.go
@@ -104,6 +104,7 @@
 			f.fail(f.contentHeld(why, time.Now()))
 			return
 		}
+		f.updateAccount()
 		f.query.Regions = f.regions()
 		u, ok := f.choose(ctx)
 		if !ok {
@@ -309,11 +310,8 @@
 	// response would be of no use.
 	h.Del("Content-Length")
 	h.Del("Expect")
-	out := ForwardInfo{UpstreamID: u.ID, LastEventID: f.events.LastID()}
+	out := ForwardInfo{UpstreamID: u.ID, Account: f.accountName(), LastEventID: f.events.LastID()}
 	out.Rank, out.Ranked = f.view.UrgencyRank(f.route.Urgency(f.account), MaxUrgencyRank+1)
-	if f.account != nil {
-		out.Account = f.account.Name
-	}
 	if !f.callerDeadline.IsZero() {
 		out.TimeLeft = max(f.callerDeadline.Sub(now), time.Millisecond)
 	}
--- a/internal/entry/client/forwardlog.go
+++ b/internal/entry/client/forwardlog.go
@@ -11,7 +11,7 @@
 // caller.
 func (f *forwarding) logAttempt(u service.Upstream, began time.Time, outcome string, err error, more ...any) {
 	values := []any{
-		"request", f.info.ID, "route", f.route.Name, "upstream", u.ID, "address", u.Address, "outcome", outcome,
+		"request", f.info.ID, "route", f.route.Name, "account", f.accountName(), "upstream", u.ID, "address", u.Address, "outcome", outcome,
 		"took-ms", time.Since(began).Milliseconds(), "try", f.retryState.Attempts() + 1, "request-identity", f.identity,
 	}
 	if f.route.Kind == service.Stream {
@@ -37,7 +37,7 @@
 // log logs the end of a request.
 func (f *forwarding) log(status int, outcome string, more ...any) {
 	values := []any{
-		"request", f.info.ID, "route", f.route.Name, "service", f.service, "status", status,
+		"request", f.info.ID, "route", f.route.Name, "account", f.accountName(), "service", f.service, "status", status,
 		"configuration-version", f.configurationVersion(), "tries", f.retryState.Attempts() + 1, "took-ms", time.Since(f.arrived).Milliseconds(),
 	}
 	f.handler.log.Info(outcome, append(values, more...)...)
--- a/internal/entry/client/handler.go
+++ b/internal/entry/client/handler.go
@@ -228,10 +228,8 @@
 	if !h.mayAccept(c, c.arrived) {
 		return refuseLeaving()
 	}
-	if c.view.RequiresKeys() && !route.Public {
-		if c.account, ok = c.view.Account(c.info.APIKey); !ok {
-			return answer.Refuse(answer.Unauthorized, "the key belongs to no client account")
-		}
+	if c.account, ok = c.view.Authorize(route, c.info.APIKey); !ok {
+		return answer.Refuse(answer.Unauthorized, "the key belongs to no client account")
 	}
 	c.service = route.PickService(rand.Float64())
 	return h.readBody(w, r, c)
@@ -239,11 +237,9 @@
 
 // identify returns the identity of a resolved request.
 func (h *Handler) identify(r *http.Request, c *callerRequest) string {
-	content := core.Content{Method: r.Method, Host: r.Host, Target: r.RequestURI, Prompt: c.info.Prompt, Body: c.body}
-	if c.account != nil {
-		content.Account = c.account.Name
-	}
-	return h.identityKey.Load().Identify(content)
+	return h.identityKey.Load().Identify(core.Content{
+		Method: r.Method, Host: r.Host, Target: r.RequestURI, Account: c.accountName(), Prompt: c.info.Prompt, Body: c.body,
+	})
 }
 
 // setDeadlines derives the deadlines from the route's timeout and the caller's.
@@ -312,6 +308,14 @@
 	return c.route.Name
 }
 
+// accountName returns the name of the client account, empty if the request has none.
+func (c *callerRequest) accountName() string {
+	if c.account == nil {
+		return ""
+	}
+	return c.account.Name
+}
+
 func (c *callerRequest) configurationVersion() uint64 {
 	if c.view.Configuration == nil {
 		return 0
--- a/internal/entry/client/headercodec.go
+++ b/internal/entry/client/headercodec.go
@@ -53,7 +53,7 @@
 	// another one that receives it must refuse it.
 	UpstreamID string
 	// Account is the client account that the caller's API key belongs to, empty
-	// if none.
+	// if none. It replaces whatever the caller sent, and so do Rank and Ranked.
 	Account string
 	// TimeLeft is how much longer the caller waits, 0 if not known.
 	TimeLeft time.Duration
--- a/internal/entry/client/regions.go
+++ b/internal/entry/client/regions.go
@@ -1,23 +1,36 @@
 package client
 
-import "bramleydeal/internal/world/fleet"
+import (
+	"bramleydeal/internal/world/fleet"
+	"bramleydeal/internal/world/service"
+)
+
+// newestView returns the view with the newest configuration, or that of the request's arrival if
+// there is none that is confirmed after a suspension.
+func (f *forwarding) newestView() *service.View {
+	if view := f.handler.view(); view.Configuration != nil {
+		return view
+	}
+	return f.view
+}
+
+// updateAccount makes the client account that holds the request's key in the newest configuration
+// that of the next attempt. If none holds it any more, the request keeps its account.
+func (f *forwarding) updateAccount() {
+	if a, ok := f.newestView().Account(f.info.APIKey); ok {
+		f.account = a
+	}
+}
 
 // regions returns the sets of regions whose upstreams may be sent the request now: those of its
-// route and of its client account in the newest configuration, so that a change binds the next
-// attempt. What has gone from the configuration keeps the regions that it had on arrival. The
-// account of a key binds on public routes too. It returns nil if there are none.
+// route in the newest configuration, so that a change binds the next attempt, and those of its
+// client account. A route that has gone from the configuration keeps the regions that it had on
+// arrival. It returns nil if there are none.
 func (f *forwarding) regions() [][]fleet.Region {
 	route, account := f.route, f.account
-	view := f.handler.view()
-	if view.Configuration == nil {
-		view = f.view // not confirmed after a suspension
-	}
-	if r, ok := view.Route(f.request.Host, f.request.URL.Path); ok {
+	if r, ok := f.newestView().Route(f.request.Host, f.request.URL.Path); ok {
 		route = r
 	}
-	if a, ok := view.Account(f.info.APIKey); ok {
-		account = a
-	}
 	var sets [][]fleet.Region
 	if len(route.Regions) > 0 {
 		sets = append(sets, route.Regions)
--- a/internal/world/service/view.go
+++ b/internal/world/service/view.go
@@ -41,7 +41,9 @@
 	}
 	for i := range c.Accounts {
 		for _, k := range c.Accounts[i].Keys {
-			v.accountsByKey[k] = &c.Accounts[i]
+			if k != "" { // a request without a key is nobody's
+				v.accountsByKey[k] = &c.Accounts[i]
+			}
 		}
 	}
 	return v
@@ -84,10 +86,15 @@
 	return a, ok
 }
 
-// RequiresKeys reports whether routes that are not public require an API key, which is
-// so if the configuration has any client accounts.
-func (v *View) RequiresKeys() bool {
-	return v.Configuration != nil && len(v.Configuration.Accounts) > 0
+// Authorize returns the client account of a request to a route with an API key, nil if the key
+// belongs to none, and whether the route serves the request. A key names its account on public
+// routes too, which serve requests without one. All routes do if the configuration has no client
+// accounts.
+func (v *View) Authorize(r *Route, key string) (account *Account, ok bool) {
+	if a, found := v.Account(key); found {
+		return a, true
+	}
+	return nil, r.Public || v.Configuration == nil || len(v.Configuration.Accounts) == 0
 }
 
 // LeadsTo reports whether the named service is a target of the route.
