--- a/internal/agent/direct/agent.go
+++ b/internal/agent/direct/agent.go
@@ -98,25 +98,26 @@
 func (a *Agent) registerMetrics() {
 	stats, leader := a.candidate.controller.Stats(), &a.candidate.metrics
 	for name, value := range map[string]func() float64{
-		`bramleydeal_rank_orders{outcome="accepted"}`: func() float64 { return float64(stats.Accepted.Load()) },
-		`bramleydeal_rank_orders{outcome="refused"}`:  func() float64 { return float64(stats.Refused.Load()) },
-		"bramleydeal_changes_completed":               func() float64 { return float64(stats.Completed.Load()) },
-		"bramleydeal_group_term":                      func() float64 { return float64(leader.term.Load()) },
-		"bramleydeal_group_map":                       func() float64 { return float64(leader.mapVersion.Load()) },
-		"bramleydeal_group_skew":                      func() float64 { return float64(leader.skewMilli.Load()) / 1000 },
-		"bramleydeal_group_step_seconds":              func() float64 { return time.Duration(leader.stepNanoseconds.Load()).Seconds() },
-		"bramleydeal_experts_moved":                   func() float64 { return float64(leader.expertsMoved.Load()) },
-		"bramleydeal_task_panics":                     func() float64 { return float64(task.Panics()) },
+		`bramleydeal_rank_orders{outcome="accepted"}`:    func() float64 { return float64(stats.Accepted.Load()) },
+		`bramleydeal_rank_orders{outcome="refused"}`:     func() float64 { return float64(stats.Refused.Load()) },
+		`bramleydeal_rank_orders{outcome="misdirected"}`: func() float64 { return float64(stats.Misdirected.Load()) },
+		"bramleydeal_changes_completed":                  func() float64 { return float64(stats.Completed.Load()) },
+		"bramleydeal_group_term":                         func() float64 { return float64(leader.term.Load()) },
+		"bramleydeal_group_map":                          func() float64 { return float64(leader.mapVersion.Load()) },
+		"bramleydeal_group_skew":                         func() float64 { return float64(leader.skewMilli.Load()) / 1000 },
+		"bramleydeal_group_step_seconds":                 func() float64 { return time.Duration(leader.stepNanoseconds.Load()).Seconds() },
+		"bramleydeal_experts_moved":                      func() float64 { return float64(leader.expertsMoved.Load()) },
+		"bramleydeal_task_panics":                        func() float64 { return float64(task.Panics()) },
 	} {
 		a.metricSet.NewGauge(name, value)
 	}
 }
 
-// Order implements peer.AgentServer. An order for another group than the known
+// Order implements peer.AgentServer. An order for another group or rank than the known
 // one also triggers a refresh of the roster.
 func (a *Agent) Order(ctx context.Context, m *peer.GrantOrder) (*peer.GrantReply, error) {
-	if m.Group != a.roster.Name() {
-		a.roster.requestRefresh() // the engine has joined another group
+	if m.Group != a.roster.Name() || m.Rank != "" && m.Rank != a.roster.Self() {
+		a.roster.requestRefresh() // the group was formed anew
 	}
 	return a.candidate.controller.Order(ctx, m)
 }
--- a/internal/agent/direct/courier.go
+++ b/internal/agent/direct/courier.go
@@ -120,13 +120,13 @@
 	return out
 }
 
-// contentKey identifies the content of an order but for the incarnation.
+// contentKey identifies the content of an order but for the rank and its incarnation.
 func contentKey(m *peer.GrantOrder) string {
 	if m.Kind == peer.GrantOrder_STAGE {
 		return "stage " + strconv.FormatUint(m.Map, 10) + " " + strconv.Itoa(len(m.Content))
 	}
 	plain := proto.CloneOf(m)
-	plain.Incarnation = ""
+	plain.Rank, plain.Incarnation = "", ""
 	return plain.String()
 }
 
@@ -259,7 +259,7 @@
 	for name, d := range missing {
 		if out.Order == nil {
 			out.Order = proto.CloneOf(d.message)
-			out.Order.Incarnation = ""
+			out.Order.Rank, out.Order.Incarnation = "", ""
 		}
 		number, err := strconv.ParseUint(name, 10, 32)
 		if err != nil {
--- a/internal/agent/direct/courier_test.go
+++ b/internal/agent/direct/courier_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"net"
 	"net/netip"
 	"strconv"
@@ -86,12 +87,26 @@
 	pool := dial.NewPool(nil, &dial.Traffic{})
 	r := &roster{ownEngine: engineAddress(number), agentPort: port, pool: pool, log: logr.Discard()}
 	r.current.Store(info)
-	controller := rank.New(r, rank.NewOrderAdapter(&idleEngine{}, logr.Discard()), logr.Discard())
+	controller := rank.New(r, rank.NewOrderAdapter(&rankEngine{number: number}, logr.Discard()), logr.Discard())
 	c := &candidate{roster: r, controller: controller, log: logr.Discard()}
 	c.courier = &courier{roster: r, own: controller, log: logr.Discard(), pausedUntil: map[string]time.Time{}}
 	return &Agent{roster: r, candidate: c, pool: pool, log: log.New(discard{}, log.Text, "a")}
 }
 
+// rankEngine is an engine that tells which rank of the group g0 it is.
+type rankEngine struct {
+	idleEngine
+	number int
+}
+
+func (e *rankEngine) Report(ctx context.Context) (rank.Report, error) {
+	r, err := e.idleEngine.Report(ctx)
+	r.Group, r.Rank = "g0", strconv.Itoa(e.number)
+	return r, err
+}
+
+func (e *rankEngine) ReportAnew(ctx context.Context) (rank.Report, error) { return e.Report(ctx) }
+
 // discard is a writer that discards what is written.
 type discard struct{}
 
@@ -102,7 +117,7 @@
 func (g *largeGroup) collect(ctx context.Context) (replied map[string]bool, samples int) {
 	var batch []dispatch
 	for i := range g.agents {
-		m := orders.OrderToProto("g0", group.Collect{Ballot: group.Ballot{Term: 1, Proposer: "0"}})
+		m := orders.OrderToProto("g0", strconv.Itoa(i), group.Collect{Ballot: group.Ballot{Term: 1, Proposer: "0"}})
 		m.Loads = true
 		batch = append(batch, dispatch{rank: strconv.Itoa(i), message: m})
 	}
@@ -218,6 +233,45 @@
 	is.True(!r.unreachable("4", later.Add(unreachableAfter)))
 }
 
+// TestRankDoesNotAnswerForAnother guards against a leader whose list of addresses is older than the
+// group: a rank that has the address of another one carried out the orders for both, and the other
+// one was left on another map. In a large group the orders go by way of relays.
+func TestRankDoesNotAnswerForAnother(t *testing.T) {
+	for _, ranks := range []int{4, 24} {
+		t.Run(strconv.Itoa(ranks), func(t *testing.T) {
+			is := is.New(t)
+			g := startLargeGroup(t, ranks)
+			leader := g.agents[0].roster
+			older := *leader.current.Load()
+			older.engineAddresses = maps.Clone(older.engineAddresses)
+			older.engineAddresses["2"] = engineAddress(3)
+			leader.current.Store(&older)
+			replied, _ := g.collect(t.Context())
+			is.Equal(len(replied), ranks-1)
+			is.True(!replied["2"])
+			is.True(g.agents[3].candidate.controller.Stats().Misdirected.Load() > 0)
+			_, promised := g.agents[2].candidate.controller.LastOrder()
+			is.Equal(promised, group.Ballot{})
+		})
+	}
+}
+
+// TestOrderForAnotherRankMakesLeaderReadTheList guards against a leader that keeps an older list of
+// addresses until its next regular read.
+func TestOrderForAnotherRankMakesLeaderReadTheList(t *testing.T) {
+	is := is.New(t)
+	g := startLargeGroup(t, 4)
+	c := g.agents[0].candidate
+	c.roster.refresh = make(chan struct{}, 1)
+	l := newLeadership(c, 1, &experts, 4)
+	order := []group.OutgoingOrder{{Rank: "2", Order: group.Collect{Ballot: group.Ballot{Term: 1, Proposer: "0"}}}}
+	l.send(t.Context(), order, func(string, group.Order, group.Reply) {})
+	is.Equal(len(c.roster.refresh), 0)
+	c.roster.current.Load().engineAddresses["2"] = engineAddress(3)
+	l.send(t.Context(), order, func(string, group.Order, group.Reply) { t.Error("another rank replied") })
+	is.Equal(len(c.roster.refresh), 1)
+}
+
 func TestRelayRejectsInvalidRequests(t *testing.T) {
 	is := is.New(t)
 	_, err := relayTargets(&peer.RelayRequest{})
--- a/internal/agent/direct/direct_test.go
+++ b/internal/agent/direct/direct_test.go
@@ -129,6 +129,98 @@
 	is.Equal(r.current.Load().engineAddresses, map[string]netip.AddrPort{"0": engineAddress(0), "1": engineAddress(1)})
 }
 
+// listed returns the stored object of the engine that is rank n of the group g0, which has four.
+func listed(n int, epoch uint64, address netip.AddrPort, startedAt time.Time) store.Object {
+	name := fmt.Sprintf("rank-%d-epoch-%d", n, epoch)
+	return object(name, service.Upstream{
+		ID: name, Service: "quotes", Address: address, StartedAt: startedAt, Membership: &service.Membership{Group: "g0", Epoch: epoch, Rank: n, Size: 4},
+	})
+}
+
+// TestRosterOfTwoEpochs guards against one engine that is taken for two ranks, and against an
+// address that a rank had before its group was formed anew. Clocks may have been set back meanwhile.
+func TestRosterOfTwoEpochs(t *testing.T) {
+	started := time.UnixMilli(1750000000000)
+	for name, test := range map[string]struct {
+		list []store.Object
+		want map[string]netip.AddrPort
+	}{
+		"one engine is listed as two ranks": {
+			[]store.Object{
+				listed(0, 2, engineAddress(0), started), listed(1, 2, engineAddress(1), started),
+				listed(3, 2, engineAddress(2), started.Add(time.Minute)),
+				listed(2, 1, engineAddress(2), started), listed(3, 1, engineAddress(3), started),
+			},
+			map[string]netip.AddrPort{"0": engineAddress(0), "1": engineAddress(1), "3": engineAddress(2)},
+		},
+		"after a clock was set back": {
+			[]store.Object{
+				listed(0, 2, engineAddress(0), started), listed(1, 2, engineAddress(1), started),
+				listed(3, 2, engineAddress(2), started.Add(-time.Minute)),
+				listed(2, 1, engineAddress(2), started), listed(3, 1, engineAddress(3), started),
+			},
+			map[string]netip.AddrPort{"0": engineAddress(0), "1": engineAddress(1), "3": engineAddress(2)},
+		},
+		"ranks that have not written since": {
+			[]store.Object{
+				listed(0, 2, engineAddress(0), started), listed(1, 1, engineAddress(1), started),
+				listed(2, 1, engineAddress(2), started), listed(3, 2, engineAddress(4), started),
+			},
+			map[string]netip.AddrPort{"0": engineAddress(0), "1": engineAddress(1), "2": engineAddress(2), "3": engineAddress(4)},
+		},
+	} {
+		for order := range 2 {
+			t.Run(fmt.Sprint(name, " ", order), func(t *testing.T) {
+				is := is.New(t)
+				r := newRoster(engineAddress(0), 7100)
+				list := slices.Clone(test.list)
+				if order == 1 {
+					slices.Reverse(list)
+				}
+				r.lister.(fixedStore)[directory.Upstreams] = list
+				_, err := r.read(t.Context())
+				is.NoErr(err)
+				is.Equal(r.current.Load().engineAddresses, test.want)
+			})
+		}
+	}
+}
+
+// agedStore is a store whose lists have a revision.
+type agedStore struct {
+	fixedStore
+	revision uint64
+}
+
+func (s *agedStore) ListCached(ctx context.Context, k directory.Kind) (store.Update, error) {
+	u, err := s.fixedStore.ListCached(ctx, k)
+	u.Revision = s.revision
+	return u, err
+}
+
+// TestRosterIgnoresOlderLists guards against a leader that goes back to the addresses of a list
+// which is older than one that it has read. Revisions begin anew in another era of the store.
+func TestRosterIgnoresOlderLists(t *testing.T) {
+	is := is.New(t)
+	r := newRoster(engineAddress(0), 7100)
+	s := &agedStore{fixedStore: r.lister.(fixedStore)}
+	r.lister = s
+	read := func(era, revision uint64, address netip.AddrPort) error {
+		s.revision = store.VersionOf(era, revision)
+		s.fixedStore[directory.Upstreams] = []store.Object{listed(0, 1, engineAddress(0), time.Time{}), listed(1, 1, address, time.Time{})}
+		_, err := r.read(t.Context())
+		return err
+	}
+	is.NoErr(read(0, 20, engineAddress(1)))
+	is.True(errors.Is(read(0, 19, engineAddress(5)), errOlderList))
+	is.Equal(r.current.Load().engineAddresses["1"], engineAddress(1))
+	is.NoErr(read(0, 20, engineAddress(1)))
+	is.NoErr(read(1, 3, engineAddress(6)))
+	is.Equal(r.current.Load().engineAddresses["1"], engineAddress(6))
+	is.True(errors.Is(read(0, 21, engineAddress(5)), errOlderList))
+	is.Equal(r.current.Load().engineAddresses["1"], engineAddress(6))
+}
+
 func TestFollowersUseLongRosterInterval(t *testing.T) {
 	is := is.New(t)
 	r := newRoster(engineAddress(1), 7100)
@@ -143,7 +235,7 @@
 	is := is.New(t)
 	c := &candidate{controller: rank.New(newRoster(engineAddress(1), 7100), rank.NewOrderAdapter(&idleEngine{}, logr.Discard()), logr.Discard())}
 	is.True(!c.hasOtherLeader()) // no order was received
-	order := orders.OrderToProto("g0", group.Collect{Ballot: group.Ballot{Term: 1, Proposer: "w0"}})
+	order := orders.OrderToProto("g0", "", group.Collect{Ballot: group.Ballot{Term: 1, Proposer: "w0"}})
 	reply, err := c.controller.Order(t.Context(), order)
 	is.NoErr(err)
 	is.True(reply.Accepted)
@@ -159,7 +251,7 @@
 	readRoster(t, r)
 	a := &Agent{roster: r, candidate: &candidate{controller: rank.New(r, rank.NewOrderAdapter(&idleEngine{}, logr.Discard()), logr.Discard())}}
 	order := func(name string) {
-		_, err := a.Order(t.Context(), orders.OrderToProto(name, group.Collect{Ballot: group.Ballot{Term: 1, Proposer: "w0"}}))
+		_, err := a.Order(t.Context(), orders.OrderToProto(name, "", group.Collect{Ballot: group.Ballot{Term: 1, Proposer: "w0"}}))
 		is.NoErr(err)
 	}
 	order("g0")
@@ -365,7 +457,7 @@
 	r := newRoster(engineAddress(0), 7100)
 	readRoster(t, r)
 	c := newCandidate(r, &leaseStore{})
-	_, err := c.controller.Order(t.Context(), orders.OrderToProto("g0", group.Collect{Ballot: group.Ballot{Term: 9, Proposer: "b"}}))
+	_, err := c.controller.Order(t.Context(), orders.OrderToProto("g0", "", group.Collect{Ballot: group.Ballot{Term: 9, Proposer: "b"}}))
 	is.NoErr(err)
 	term, err := c.claim(t.Context())
 	is.NoErr(err)
@@ -455,7 +547,7 @@
 	c := &remoteAgent{rank: "0", address: address, pool: r.pool, log: logr.Discard(), onUnreachable: func() { unreachable++ }}
 	c.fallback = rank.New(r, rank.NewOrderAdapter(fallbackEngine, logr.Discard()), logr.Discard())
 	call := func() (*peer.GrantReply, error) {
-		m := orders.OrderToProto("g0", group.Collect{Ballot: group.Ballot{Term: 1}})
+		m := orders.OrderToProto("g0", "", group.Collect{Ballot: group.Ballot{Term: 1}})
 		m.Loads, m.Held = true, true
 		return c.call(t.Context(), m)
 	}
--- a/internal/agent/direct/leadership.go
+++ b/internal/agent/direct/leadership.go
@@ -18,6 +18,8 @@
 	"bramleydeal/internal/wire/peer"
 	"bramleydeal/internal/world/service"
 	"github.com/go-logr/logr"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
 )
 
 // Leases stores the lease of each group, which names its leader and its term.
@@ -294,7 +296,7 @@
 	var out []dispatch
 	held := g.needsHeldExperts()
 	for _, o := range batch {
-		m := orders.OrderToProto(g.candidate.roster.Name(), o.Order)
+		m := orders.OrderToProto(g.candidate.roster.Name(), o.Rank, o.Order)
 		m.Loads = m.Kind == peer.GrantOrder_COLLECT
 		m.Held = m.Loads && held
 		out = append(out, dispatch{o.Rank, o.Order, m})
@@ -303,6 +305,9 @@
 		sample: g.addSample,
 		reply: func(d dispatch, m *peer.GrantReply, err error) {
 			if err != nil {
+				if status.Code(err) == codes.FailedPrecondition {
+					g.candidate.roster.requestRefresh() // another rank has the address
+				}
 				g.candidate.log.V(1).Info("no reply from a rank to an order", "rank", d.rank, "order", d.message.Kind.String(), "reason", err.Error())
 				return
 			}
--- a/internal/agent/direct/relay.go
+++ b/internal/agent/direct/relay.go
@@ -70,10 +70,10 @@
 // relayTo returns the reply of a rank to an order, nil if there is none.
 func (a *Agent) relayTo(ctx context.Context, t relayTarget, order *peer.GrantOrder) *peer.GrantReply {
 	m := proto.CloneOf(order)
-	m.Incarnation = t.incarnation
+	m.Rank, m.Incarnation = strconv.FormatUint(uint64(t.rank), 10), t.incarnation
 	var reply *peer.GrantReply
 	var err error
-	if name := strconv.FormatUint(uint64(t.rank), 10); m.Group == a.roster.Name() && name == a.roster.Self() {
+	if m.Group == a.roster.Name() && m.Rank == a.roster.Self() {
 		reply, err = a.Order(ctx, m)
 	} else {
 		reply, err = orders.CallAt(ctx, a.pool, t.address, m)
--- a/internal/agent/direct/roster.go
+++ b/internal/agent/direct/roster.go
@@ -1,7 +1,9 @@
 package direct
 
 import (
+	"cmp"
 	"context"
+	"errors"
 	"math/rand/v2"
 	"net/netip"
 	"slices"
@@ -85,6 +87,8 @@
 	fencing bool
 
 	current atomic.Pointer[groupInfo]
+	// revision is that of the newest list that was read. Only run uses it.
+	revision uint64
 	// hasOtherLeader reports whether another agent leads the group; nil means never.
 	hasOtherLeader func() bool
 	// groupFormed reports whether the agent's engine belongs to a group. Before it
@@ -245,6 +249,9 @@
 	}
 }
 
+// errOlderList means that a list of upstreams is older than one that was read before.
+var errOlderList = errors.New("the list is older than the last one")
+
 // read reads the list of upstreams and stores the group of the agent's engine, if
 // the list contains it. The configuration is read only when the service is new or
 // its experts are unknown. It returns the number of upstreams that are ranks.
@@ -255,8 +262,11 @@
 	if err != nil {
 		return 0, err
 	}
+	if list.Revision < r.revision {
+		return 0, oops.With("revision", store.RevisionOf(list.Revision), "last", store.RevisionOf(r.revision)).Wrap(errOlderList)
+	}
+	r.revision = list.Revision
 	var all []service.Upstream
-	var own *service.Upstream
 	for _, o := range list.Objects {
 		u, err := r.decoder.Upstream(o.Name, o.Value)
 		if err != nil || u.Membership == nil {
@@ -264,24 +274,14 @@
 		}
 		all = append(all, u)
 	}
-	// Several entries may claim one address or one rank: those of former engines, and those
-	// that others have written.
-	slices.SortStableFunc(all, func(a, b service.Upstream) int { return a.StartedAt.Compare(b.StartedAt) })
-	for i := range all {
-		if all[i].Address == r.ownEngine {
-			own = &all[i]
-		}
-	}
+	own := latestAt(all, r.ownEngine)
 	if own == nil {
 		return len(all), nil
 	}
 	next := &groupInfo{self: *own.Membership, service: own.Service, engineAddresses: map[string]netip.AddrPort{}}
 	domains := map[string]fleet.FailureDomain{}
-	for _, u := range all {
-		if m := u.Membership; m.Group == own.Membership.Group && m.Rank < own.Membership.Size {
-			name := strconv.Itoa(m.Rank)
-			next.engineAddresses[name], domains[name] = u.Address, u.FailureDomain
-		}
+	for name, u := range members(all, own.Membership) {
+		next.engineAddresses[name], domains[name] = u.Address, u.FailureDomain
 	}
 	next.relayGroups = relayGroups(domains)
 	if before := r.current.Load(); before != nil && before.service == next.service && before.experts != nil {
@@ -293,6 +293,52 @@
 	return len(all), nil
 }
 
+// latestAt returns the rank at an address, nil if there is none. Of several entries that claim
+// the address, those of former engines and those that others have written, the latest counts.
+func latestAt(all []service.Upstream, address netip.AddrPort) *service.Upstream {
+	var latest *service.Upstream
+	for i := range all {
+		if all[i].Address == address && (latest == nil || compareAge(all[i], *latest) >= 0) {
+			latest = &all[i]
+		}
+	}
+	return latest
+}
+
+// compareAge orders two entries of ranks, the earlier one first: by the epochs of their group if
+// it is the same, otherwise by the starts of the engines.
+func compareAge(a, b service.Upstream) int {
+	if a.Membership.Group == b.Membership.Group {
+		if byEpoch := cmp.Compare(a.Membership.Epoch, b.Membership.Epoch); byEpoch != 0 {
+			return byEpoch
+		}
+	}
+	return a.StartedAt.Compare(b.StartedAt)
+}
+
+// members returns the upstream of each rank of a group, by the rank's name. While the group is
+// formed anew, the list has entries of two epochs, and those of the former one may claim a rank
+// or an address that has another owner by now. Of several that claim one of them, the latest
+// counts: a rank whose only entry claims another's address is missing.
+func members(all []service.Upstream, own *service.Membership) map[string]service.Upstream {
+	var claims []service.Upstream
+	for _, u := range all {
+		if m := u.Membership; m.Group == own.Group && m.Rank < own.Size {
+			claims = append(claims, u)
+		}
+	}
+	slices.SortStableFunc(claims, compareAge)
+	out := map[string]service.Upstream{}
+	taken := map[netip.AddrPort]bool{}
+	for _, u := range slices.Backward(claims) {
+		name := strconv.Itoa(u.Membership.Rank)
+		if _, claimed := out[name]; !claimed && !taken[u.Address] {
+			out[name], taken[u.Address] = u, true
+		}
+	}
+	return out
+}
+
 // readServiceConfig sets the expert layout and the maximum gap of the group's
 // service from the configuration.
 func (r *roster) readServiceConfig(ctx context.Context, info *groupInfo) error {
--- a/internal/agent/direct/staging.go
+++ b/internal/agent/direct/staging.go
@@ -105,10 +105,10 @@
 	isWhole := map[string]bool{}
 	for _, name := range needWhole {
 		isWhole[name] = true
-		batch = append(batch, dispatch{rank: name, message: s.order(s.whole)})
+		batch = append(batch, dispatch{rank: name, message: s.order(name, s.whole)})
 	}
 	for _, name := range ranks {
-		batch = append(batch, dispatch{rank: name, message: s.order(s.content)})
+		batch = append(batch, dispatch{rank: name, message: s.order(name, s.content)})
 	}
 	var mu sync.Mutex
 	s.candidate.courier.send(ctx, batch, replyHandler{
@@ -132,9 +132,9 @@
 	return missing, wholeMissing, err
 }
 
-// order returns the order that stages the map.
-func (s *staging) order(content []byte) *peer.GrantOrder {
+// order returns the order that stages the map at a rank.
+func (s *staging) order(rank string, content []byte) *peer.GrantOrder {
 	return &peer.GrantOrder{
-		Group: s.candidate.roster.Name(), Kind: peer.GrantOrder_STAGE, Map: s.version, Content: content, Ballot: orders.BallotToProto(s.ballot),
+		Group: s.candidate.roster.Name(), Rank: rank, Kind: peer.GrantOrder_STAGE, Map: s.version, Content: content, Ballot: orders.BallotToProto(s.ballot),
 	}
 }
--- a/internal/agent/rank/engine.go
+++ b/internal/agent/rank/engine.go
@@ -86,8 +86,10 @@
 // Status is the engine's response: its next step, its plan, and the map under which
 // Tokens were counted.
 type Status struct {
-	// Group is the name of the engine's group, empty if it is not known.
+	// Group is the name of the engine's group and Rank that of its rank in it, each empty if
+	// the engine does not tell it.
 	Group   string   `json:"-"`
+	Rank    string   `json:"-"`
 	Step    uint64   `json:"step"`
 	Plan    Plan     `json:"plan"`
 	LoadMap uint64   `json:"load-map"`
--- a/internal/agent/rank/orders.go
+++ b/internal/agent/rank/orders.go
@@ -62,8 +62,9 @@
 
 // Report is the current state of an engine.
 type Report struct {
-	// Group is the name of the engine's group, empty if the engine does not tell it.
-	Group string
+	// Group is the name of the engine's group and Rank that of its rank in it, each empty if
+	// the engine does not tell it.
+	Group, Rank string
 	// Epoch increases whenever the group re-forms; the engines then drop all maps but
 	// the initial one.
 	Epoch uint64
@@ -259,7 +260,7 @@
 // status returns the status for a report, with a copy of the state.
 func (e *orderAdapter) status(r Report) Status {
 	state := *e.state
-	return Status{Group: r.Group, Step: r.NextStep, LoadMap: r.Map, Plan: Plan{HoldStep: state.HoldStep, State: &state}}
+	return Status{Group: r.Group, Rank: r.Rank, Step: r.NextStep, LoadMap: r.Map, Plan: Plan{HoldStep: state.HoldStep, State: &state}}
 }
 
 // Put implements Engine. It sends the orders that lead from the current state to that
--- a/internal/agent/rank/orders_test.go
+++ b/internal/agent/rank/orders_test.go
@@ -336,7 +336,7 @@
 	if w.cutOff[r] || w.engines.withFaults && rapid.IntRange(0, 7).Draw(w.t, "use fallback") == 0 {
 		agent = w.fallbacks[r]
 	}
-	reply, err := agent.Order(context.Background(), orders.OrderToProto("g", u.order))
+	reply, err := agent.Order(context.Background(), orders.OrderToProto("g", "", u.order))
 	if err != nil {
 		return
 	}
--- a/internal/agent/rank/rank.go
+++ b/internal/agent/rank/rank.go
@@ -46,11 +46,14 @@
 	lastOrder time.Time
 	promised  group.Ballot
 	stats     Stats
+	// lastMisdirected is the recipient of the last order that was for another rank. It is not
+	// guarded by mu.
+	lastMisdirected atomic.Value
 }
 
-// Stats counts the orders that a rank accepted and refused, and the unfinished
-// changes that it completed.
-type Stats struct{ Accepted, Refused, Completed atomic.Uint64 }
+// Stats counts the orders that a rank accepted and refused, those that were for another
+// rank, and the unfinished changes that it completed.
+type Stats struct{ Accepted, Refused, Misdirected, Completed atomic.Uint64 }
 
 // Group describes the group of a rank and sends orders to its other ranks.
 type Group interface {
@@ -78,16 +81,20 @@
 // with a malformed map. A STAGE order whose content builds on an unknown map is refused
 // with UnknownBase. After Unavailable the order may or may not have been carried
 // out, and may be sent again. FailedPrecondition means that the engine belongs to another
-// group than the order, which was not carried out.
+// group or is another rank than the order is for, which was not carried out.
 func (r *Rank) Order(ctx context.Context, m *peer.GrantOrder) (*peer.GrantReply, error) {
 	if m.Kind == peer.GrantOrder_STAGE {
 		if r.superseded(m) {
 			return &peer.GrantReply{}, nil
 		}
-		if s, err := r.engine.Read(ctx, false); err != nil || inOtherGroup(s, m) {
+		s, err := r.engine.Read(ctx, false)
+		if err == nil {
+			err = r.checkRecipient(s, m)
+		}
+		if err != nil {
 			return nil, orderError(err)
 		}
-		err := r.engine.Stage(ctx, m.Map, m.Content)
+		err = r.engine.Stage(ctx, m.Map, m.Content)
 		if errors.Is(err, orders.ErrUnknownBase) {
 			return &peer.GrantReply{UnknownBase: true}, nil
 		}
@@ -115,20 +122,33 @@
 	return reply, nil
 }
 
-// errOtherGroup means that the engine belongs to another group than the order. Its address may
-// have been that of a rank of the order's group before.
-var errOtherGroup = errors.New("the engine belongs to another group")
+// errOtherRank means that the engine is not the rank that an order is for. Its address may have
+// been that of the rank before.
+var errOtherRank = errors.New("the order is for another rank")
 
-// inOtherGroup reports whether an engine belongs to another group than an order.
-func inOtherGroup(s Status, m *peer.GrantOrder) bool {
-	return s.Group != "" && m.Group != "" && s.Group != m.Group
+// checkRecipient returns errOtherRank if an order is for another group or rank than the engine
+// with the given status. The engine's own word counts before the list of upstreams, which may
+// be older.
+func (r *Rank) checkRecipient(s Status, m *peer.GrantOrder) error {
+	rank := s.Rank
+	if rank == "" && m.Rank != "" {
+		rank = r.group.Self()
+	}
+	if (s.Group == "" || m.Group == "" || s.Group == m.Group) && (m.Rank == "" || m.Rank == rank) {
+		return nil
+	}
+	r.stats.Misdirected.Add(1)
+	if wanted := m.Group + "/" + m.Rank; r.lastMisdirected.Swap(wanted) != wanted {
+		r.log.Info("order for another rank not carried out; further ones are counted only", "for-group", m.Group, "for-rank", m.Rank,
+			"group", s.Group, "rank", rank, "order", m.Kind.String(), "term", m.Ballot.GetTerm())
+	}
+	return errOtherRank
 }
 
-// orderError returns the gRPC status of an order that was not carried out. Without an error that
-// is because of errOtherGroup.
+// orderError returns the gRPC status of an order that was not carried out.
 func orderError(err error) error {
-	if err == nil || errors.Is(err, errOtherGroup) {
-		return grpcstatus.Error(codes.FailedPrecondition, errOtherGroup.Error())
+	if errors.Is(err, errOtherRank) {
+		return grpcstatus.Error(codes.FailedPrecondition, err.Error())
 	}
 	return grpcstatus.Error(codes.Unavailable, err.Error())
 }
@@ -150,8 +170,8 @@
 	if err != nil {
 		return nil, err
 	}
-	if inOtherGroup(s, m) {
-		return nil, errOtherGroup
+	if err := r.checkRecipient(s, m); err != nil {
+		return nil, err
 	}
 	state, err := r.engineState(ctx, &s)
 	if err != nil {
@@ -308,17 +328,19 @@
 
 // State is the rank's debug state.
 type State struct {
-	Step      uint64     `json:"step"`
-	Rank      group.Rank `json:"rank"`
-	Accepted  uint64     `json:"orders-accepted"`
-	Refused   uint64     `json:"orders-refused"`
-	Completed uint64     `json:"changes-completed"`
-	Error     string     `json:"error,omitempty"`
+	Step     uint64     `json:"step"`
+	Rank     group.Rank `json:"rank"`
+	Accepted uint64     `json:"orders-accepted"`
+	Refused  uint64     `json:"orders-refused"`
+	// Misdirected counts the orders that were for another rank.
+	Misdirected uint64 `json:"orders-misdirected"`
+	Completed   uint64 `json:"changes-completed"`
+	Error       string `json:"error,omitempty"`
 }
 
 // State returns the rank's debug state. Error is set when the engine cannot be read.
 func (r *Rank) State(ctx context.Context) State {
-	out := State{Accepted: r.stats.Accepted.Load(), Refused: r.stats.Refused.Load(), Completed: r.stats.Completed.Load()}
+	out := State{Accepted: r.stats.Accepted.Load(), Refused: r.stats.Refused.Load(), Misdirected: r.stats.Misdirected.Load(), Completed: r.stats.Completed.Load()}
 	s, err := r.engine.Read(ctx, false)
 	if err != nil {
 		out.Error = err.Error()
--- a/internal/core/group/grants_test.go
+++ b/internal/core/group/grants_test.go
@@ -45,10 +45,15 @@
 	term        uint64
 	lastVersion uint64
 	restarts    int
+	// recipients are the ranks that orders of a leader for another rank reach instead.
+	recipients map[recipient]int
 	// events is the history, printed when a check fails.
 	events []string
 }
 
+// recipient is a rank as a leader addresses it.
+type recipient struct{ leader, rank int }
+
 // addEvent adds a line to the history.
 func (s *simulation) addEvent(format string, args ...any) {
 	s.events = append(s.events, fmt.Sprintf(format, args...))
@@ -112,9 +117,13 @@
 		}
 		return
 	}
-	next, accepted := s.ranks[m.rank].Apply(m.order, s.step)
-	s.ranks[m.rank] = next
-	s.addEvent("rank %d receives %+v, accepted %v", m.rank, m.order, accepted)
+	to, misdirected := s.recipients[recipient{m.leader, m.rank}]
+	if !misdirected {
+		to = m.rank
+	}
+	next, accepted := s.ranks[to].Apply(m.order, s.step)
+	s.ranks[to] = next
+	s.addEvent("rank %d receives %+v for rank %d, accepted %v", to, m.order, m.rank, accepted)
 	s.inFlight = append(s.inFlight, message{m.leader, m.rank, m.order, &Reply{Accepted: accepted, State: next, NextStep: s.step}})
 }
 
@@ -173,6 +182,24 @@
 	})
 }
 
+// TestMisdirectedOrdersGrantNoTwoMaps checks the same while orders reach other ranks than those
+// that they are for, as by a list that is older than the group: a rank that answers for two must
+// not be counted as both of them.
+func TestMisdirectedOrdersGrantNoTwoMaps(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := newSimulation(t)
+		s.recipients = map[recipient]int{}
+		for range rapid.IntRange(50, 400).Draw(t, "events") {
+			if rapid.IntRange(0, 29).Draw(t, "a leader reads a list") == 0 {
+				of := recipient{rapid.IntRange(0, len(s.leaders)-1).Draw(t, "leader"), rapid.IntRange(0, len(s.ranks)-1).Draw(t, "rank")}
+				s.recipients[of] = rapid.IntRange(0, len(s.ranks)-1).Draw(t, "recipient")
+				s.addEvent("orders of leader %d for rank %d reach rank %d", of.leader, of.rank, s.recipients[of])
+			}
+			s.performEvent()
+		}
+	})
+}
+
 // TestGroupProgressesWithOneLeaderAndWorkingLinks checks that the group runs steps again
 // after any history of faults, once a single leader is active and no messages are lost.
 func TestGroupProgressesWithOneLeaderAndWorkingLinks(t *testing.T) {
@@ -204,8 +231,8 @@
 // group wait, although each message takes up to ten steps.
 func TestUndisturbedChangeDelaysNoStep(t *testing.T) {
 	s := &simulation{names: []string{"a", "b", "c"}, paused: map[int]bool{}}
-	for range s.names {
-		s.ranks = append(s.ranks, Rank{Incarnation: "x"})
+	for _, name := range s.names {
+		s.ranks = append(s.ranks, Rank{Incarnation: "first of " + name})
 	}
 	config := LeaderConfig{ResendInterval: time.Hour, PromiseTimeout: time.Hour, MinStepsAhead: 50}
 	l := NewLeader(s.names, Ballot{Term: 1}, 1, config)
--- a/internal/entry/rank/leader.go
+++ b/internal/entry/rank/leader.go
@@ -304,7 +304,7 @@
 		return err
 	}
 	_, err = orders.Call(ctx, g.groupLeader.current(), g.groupLeader.pool, rank,
-		&peer.GrantOrder{Group: g.name, Kind: peer.GrantOrder_STAGE, Map: version, Content: content})
+		&peer.GrantOrder{Group: g.name, Rank: rank, Kind: peer.GrantOrder_STAGE, Map: version, Content: content})
 	return err
 }
 
@@ -372,7 +372,7 @@
 	var calls sync.WaitGroup
 	for i, rank := range g.ranks {
 		calls.Go(func() {
-			m := orders.OrderToProto(g.name, group.Collect{Ballot: b})
+			m := orders.OrderToProto(g.name, rank, group.Collect{Ballot: b})
 			m.Loads = true
 			reply, err := g.call(ctx, rank, m)
 			if err == nil && reply.LoadMap == current.Version && len(reply.Loads) == g.shape.Layers*g.shape.Slots {
--- a/internal/wire/orders/orders.go
+++ b/internal/wire/orders/orders.go
@@ -22,9 +22,9 @@
 	"google.golang.org/grpc/encoding/gzip"
 )
 
-// OrderToProto converts an order to a rank of the named group.
-func OrderToProto(name string, o group.Order) *peer.GrantOrder {
-	m := &peer.GrantOrder{Group: name}
+// OrderToProto converts an order to the named rank of the named group.
+func OrderToProto(name, rank string, o group.Order) *peer.GrantOrder {
+	m := &peer.GrantOrder{Group: name, Rank: rank}
 	switch v := o.(type) {
 	case group.Collect:
 		m.Kind, m.Ballot = peer.GrantOrder_COLLECT, BallotToProto(v.Ballot)
@@ -138,7 +138,7 @@
 			calls.Go(func() {
 				task.Once(log, "send-order", func() {
 					// Without a reply the leader sends the order again.
-					if reply, err := call(ctx, o.Rank, OrderToProto(name, o.Order)); err == nil {
+					if reply, err := call(ctx, o.Rank, OrderToProto(name, o.Rank, o.Order)); err == nil {
 						deliver(o.Rank, o.Order, ReplyFromProto(reply))
 					}
 				})
