--- a/internal/entry/client/server.go
+++ b/internal/entry/client/server.go
@@ -12,6 +12,7 @@
 
 	"bramleydeal/internal/process/clock"
 	"bramleydeal/internal/process/log"
+	"bramleydeal/internal/wire/http10"
 	"bramleydeal/internal/world/service"
 	"github.com/samber/oops"
 )
@@ -86,7 +87,8 @@
 	l = l.Effective()
 	g := &generation{incoming: make(chan net.Conn), closed: make(chan struct{})}
 	g.server = &http.Server{
-		Handler:           http.HandlerFunc(s.serveRequest),
+		Handler:           http10.ResetBroken(http.HandlerFunc(s.serveRequest)),
+		ConnContext:       http10.KeepConnection,
 		ReadHeaderTimeout: l.HeaderTimeout,
 		IdleTimeout:       l.IdleTimeout,
 		MaxHeaderBytes:    int(l.HeaderBytes),
--- a/internal/entry/server/server.go
+++ b/internal/entry/server/server.go
@@ -32,6 +32,7 @@
 	"bramleydeal/internal/settings/tree"
 	"bramleydeal/internal/store/object"
 	"bramleydeal/internal/wire/dial"
+	"bramleydeal/internal/wire/http10"
 	"bramleydeal/internal/wire/peer"
 	"bramleydeal/internal/world/fleet"
 	"github.com/samber/oops"
@@ -166,7 +167,8 @@
 	peers := grpc.NewServer(dial.ServerOptions(e.files.PeerCredentials())...)
 	peer.RegisterSpreadServer(peers, e.replicator)
 	callers := &http.Server{
-		Handler: e.handler.Routes(), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		Handler: http10.ResetBroken(e.handler.Routes()), ConnContext: http10.KeepConnection,
+		ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 		BaseContext: func(net.Listener) context.Context { return ctx },
 	}
 	go e.runListener("peers", func() error { return peers.Serve(peerListener) })
