object: refuse an empty answer that should have an object or a list

A store, or a connection without a framing that is cut after the head of a 200, may give an empty body. Processes took it for an object without a name, version and value, for a list at revision 0 without objects, and for a watch that tells that the store has lost its state. Found while every reader was tested with answers that are cut at each byte: TestAnswerCutAtAnyByteIsAnError failed for objects, writes, lists and watches before.

An empty body was allowed for answers that have none; the object API sends none with 200 or 409. It is decoded now like any other, and is no JSON.

Other readers hold: TestResponseCutAtAnyByteIsIncomplete and TestEndlessResponseEnds (agent to upstream), TestStatusCutAtAnyByteIsAnError and TestEndlessStatusEnds (engine that takes whole plans).

--- a/internal/store/object/client.go
+++ b/internal/store/object/client.go
@@ -157,7 +157,8 @@
 	if err != nil {
 		return 0, oops.Code("platform-unreachable").Wrap(err)
 	}
-	if len(body) > 0 && (response.StatusCode == http.StatusOK || response.StatusCode == http.StatusConflict) {
+	if response.StatusCode == http.StatusOK || response.StatusCode == http.StatusConflict {
+		// An empty body is none of these: the answer broke off after its head.
 		if err := json.Unmarshal(body, into); err != nil {
 			return 0, oops.Code("platform-call").Wrapf(err, "read the platform's answer")
 		}
