--- a/internal/entry/client/handler.go
+++ b/internal/entry/client/handler.go
@@ -144,10 +144,14 @@
 // mayAccept reports whether a request that is sent at now may be accepted. A draining process
 // accepts those that are not worked on after their deadline and end before its exit. Callers
 // that are still routed here may meet another draining process when they come back, so
-// they are not refused if their requests usually end in time.
+// they are not refused if their requests usually end in time. Those that run at most once are: a
+// caller whose request is cut off must not send it again.
 func (h *Handler) mayAccept(c *callerRequest, now time.Time) bool {
 	t := h.drain.Load()
-	return t == nil || !c.deadline.After(t.endBy) || now.Before(t.acceptUntil(usualTime(c.route)))
+	if t == nil || !c.deadline.After(t.endBy) {
+		return true
+	}
+	return c.route.Kind != service.NonIdempotent && now.Before(t.acceptUntil(usualTime(c.route)))
 }
 
 // refuseLeaving returns the refusal of a request that may last beyond the exit of the process.
