--- a/internal/core/client/identity.go
+++ b/internal/core/client/identity.go
@@ -29,7 +29,8 @@
 	Account string
 	// Prompt describes the model and the prompt, empty if the request has none.
 	Prompt string
-	Body   []byte
+	// Body is the body in pieces of any size.
+	Body [][]byte
 }
 
 // identityBytes is the size of an identity in bytes.
@@ -39,15 +40,17 @@
 func (k IdentityKey) Identify(c Content) string {
 	h := hmac.New(sha256.New, k[:])
 	var length [8]byte
-	write := func(field []byte) {
-		binary.BigEndian.PutUint64(length[:], uint64(len(field)))
+	write := func(pieces ...[]byte) {
+		binary.BigEndian.PutUint64(length[:], uint64(BodyBytes(pieces)))
 		// Writes to a hash never fail.
 		_, _ = h.Write(length[:])
-		_, _ = h.Write(field)
+		for _, p := range pieces {
+			_, _ = h.Write(p)
+		}
 	}
 	for _, field := range []string{c.Method, c.Host, c.Target, c.Account, c.Prompt} {
 		write([]byte(field))
 	}
-	write(c.Body)
+	write(c.Body...)
 	return hex.EncodeToString(h.Sum(nil)[:identityBytes])
 }
--- a/internal/core/client/identity_test.go
+++ b/internal/core/client/identity_test.go
@@ -11,9 +11,9 @@
 func TestIdentityDistinguishesContents(t *testing.T) {
 	is := is.New(t)
 	k := NewIdentityKey()
-	c := Content{Method: "POST", Host: "books.example", Target: "/check/1?page=2", Account: "planner", Prompt: "m", Body: []byte("a")}
+	c := Content{Method: "POST", Host: "books.example", Target: "/check/1?page=2", Account: "planner", Prompt: "m", Body: [][]byte{[]byte("a")}}
 	equal := c
-	equal.Body = []byte("a")
+	equal.Body = [][]byte{[]byte("a")}
 	is.Equal(k.Identify(c), k.Identify(equal))
 	seen := map[string]bool{k.Identify(c): true}
 	for _, change := range []func(*Content){
@@ -22,7 +22,7 @@
 		func(c *Content) { c.Target = "/check/1?page=3" },
 		func(c *Content) { c.Account = "clerk" },
 		func(c *Content) { c.Prompt = "n" },
-		func(c *Content) { c.Body = []byte("b") },
+		func(c *Content) { c.Body = [][]byte{[]byte("b")} },
 		func(c *Content) { c.Body = nil },
 		func(c *Content) { c.Prompt, c.Body = "ma", nil },
 		func(c *Content) { c.Account, c.Prompt = "plannerm", "" },
--- a/internal/entry/client/handler.go
+++ b/internal/entry/client/handler.go
@@ -8,7 +8,6 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"strconv"
@@ -69,6 +68,10 @@
 	unreadMu sync.Mutex
 	unread   map[string]bool
 
+	// bodies bounds the bytes of the bodies that are held; bodiesMu guards it.
+	bodiesMu sync.Mutex
+	bodies   *core.BodyBudget
+
 	// identityKey is the key under which requests are identified.
 	identityKey atomic.Pointer[core.IdentityKey]
 
@@ -99,6 +102,8 @@
 	Pools             *upstream.Pools
 	HeaderCodec       HeaderCodec
 	Log               logr.Logger
+	// BodyBudget is the number of bytes of request bodies that may be held at once.
+	BodyBudget int64
 	// CountSuppressed counts a log line that was suppressed.
 	CountSuppressed func()
 	Metrics         *metrics.Set
@@ -107,8 +112,9 @@
 // New returns a Handler and registers its metrics in c.Metrics.
 func New(c Config) *Handler {
 	h := &Handler{
-		view: c.View, awaitConfirmation: c.AwaitConfirmation, pools: c.Pools, headerCodec: c.HeaderCodec, log: c.Log, successLogRate: log.NewRateLimiter(successLogsPerSecond), countSuppressed: c.CountSuppressed, counters: counters{c.Metrics}, unread: map[string]bool{}, accepting: func() bool { return true },
+		view: c.View, awaitConfirmation: c.AwaitConfirmation, pools: c.Pools, headerCodec: c.HeaderCodec, log: c.Log, successLogRate: log.NewRateLimiter(successLogsPerSecond), countSuppressed: c.CountSuppressed, counters: counters{c.Metrics}, unread: map[string]bool{}, bodies: core.NewBodyBudget(c.BodyBudget), accepting: func() bool { return true },
 	}
+	c.Metrics.NewGauge("bramleydeal_held_body_bytes", func() float64 { return float64(h.heldBodyBytes()) })
 	c.Metrics.NewGauge("bramleydeal_requests_in_flight", func() float64 { return float64(h.InFlight()) })
 	return h
 }
@@ -190,7 +196,9 @@
 	route                    *service.Route
 	service                  string
 	account                  *service.Account
-	body                     []byte
+	// body is the body in pieces, bodyReserved the bytes that are reserved for it.
+	body         [][]byte
+	bodyReserved int64
 	// identity tells the request apart from others with other content.
 	identity string
 	// answered is set once the head of a response was written.
@@ -204,6 +212,7 @@
 	arrived := time.Now()
 	h.awaitConfirmation(r.Context())
 	c := &callerRequest{info: h.headerCodec.ParseRequest(r.Header), arrived: arrived, view: h.view()}
+	defer h.releaseBody(c)
 	if refusal := h.resolve(w, r, c); refusal != nil {
 		h.refuse(w, c, refusal)
 		return
@@ -257,32 +266,6 @@
 	}
 }
 
-// readBody reads the whole body into memory, so that the request can be sent
-// more than once.
-func (h *Handler) readBody(w http.ResponseWriter, r *http.Request, c *callerRequest) *answer.Refusal {
-	limit := c.view.Configuration.Limits.Effective().BodyBytes
-	if r.ContentLength == 0 {
-		return nil
-	}
-	if r.ContentLength > limit {
-		return answer.Refuse(answer.TooLarge, "the body has %d bytes, the most is %d", r.ContentLength, limit)
-	}
-	control := http.NewResponseController(w)
-	// The error is ignored: a connection without support for deadlines is read
-	// without one.
-	_ = control.SetReadDeadline(c.deadline)
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
-	_ = control.SetReadDeadline(time.Time{})
-	if tooLarge := new(http.MaxBytesError); errors.As(err, &tooLarge) {
-		return answer.Refuse(answer.TooLarge, "the body has more than %d bytes", limit)
-	}
-	if err != nil {
-		return answer.Refuse(answer.InvalidRequest, "the body ended early: %v", err)
-	}
-	c.body = body
-	return nil
-}
-
 // refuse responds with a refusal by this entry, counts it and logs it.
 func (h *Handler) refuse(w http.ResponseWriter, c *callerRequest, refusal *answer.Refusal) {
 	row := answer.Lookup(refusal.Kind)
--- a/internal/entry/direct/entry.go
+++ b/internal/entry/direct/entry.go
@@ -68,6 +68,9 @@
 	// slowFactor is the multiple of the median latency above which an upstream
 	// is ejected.
 	slowFactor = 3
+	// bodyMemoryShare is the part of the process's memory that bodies of requests may take. The rest
+	// holds responses, connections and the entry's state.
+	bodyMemoryShare = 0.6
 	// removalGraceShare is the part of the drain time during which an upstream
 	// that was removed from the list may still be used if no better one is left.
 	removalGraceShare = 0.4
@@ -130,6 +133,7 @@
 		append(evacuationOptions(c.Direct), directory.WithSeedPeers(otherPeers(c)), directory.WithNews(e.pools), directory.WithLog(logger.Component("directory")))...)
 	e.handler = client.New(client.Config{
 		View: e.directory.View, AwaitConfirmation: e.directory.AwaitConfirmation, Pools: e.pools, HeaderCodec: d.HeaderCodec, Log: logger.Component("client"), CountSuppressed: logger.CountSuppressed, Metrics: e.metricSet,
+		BodyBudget: int64(bodyMemoryShare * float64(c.MemoryBytes())),
 	})
 	e.identityKey = coreclient.NewIdentityKey()
 	e.handler.SetIdentityKey(e.identityKey)
--- a/internal/entry/upstream/exchange.go
+++ b/internal/entry/upstream/exchange.go
@@ -15,8 +15,10 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
 	"strconv"
 
+	"bramleydeal/internal/core/client"
 	"bramleydeal/internal/wire/dial"
 	"github.com/samber/oops"
 )
@@ -46,7 +48,8 @@
 	Target string
 	Host   string
 	Header http.Header
-	Body   []byte
+	// Body is the body in pieces of any size.
+	Body [][]byte
 }
 
 // Exchange is one request to one upstream and its response. Each exchange has
@@ -83,8 +86,11 @@
 // send writes the request and reads the head of the response.
 func (x *Exchange) send(r *Request) error {
 	head := r.head()
-	if len(r.Body) <= maxInlineBody {
-		if n, err := x.connection.Write(append(head, r.Body...)); err != nil {
+	if client.BodyBytes(r.Body) <= maxInlineBody {
+		for _, piece := range r.Body {
+			head = append(head, piece...)
+		}
+		if n, err := x.connection.Write(head); err != nil {
 			if n == 0 {
 				return errors.Join(ErrUnsent, err)
 			}
@@ -99,7 +105,8 @@
 		}
 		// An upstream may respond before it has read the body. The write error
 		// is ignored; if the upstream is gone, reading the response fails too.
-		go func() { _, _ = x.connection.Write(r.Body) }()
+		body := net.Buffers(slices.Clone(r.Body)) // WriteTo changes it
+		go func() { _, _ = body.WriteTo(x.connection) }()
 	}
 	return x.readHead(r.Method)
 }
@@ -151,8 +158,9 @@
 	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: %s\r\n", r.Method, r.Target, r.Host)
 	// Writes to a bytes.Buffer never fail.
 	_ = r.Header.Write(&b)
-	if len(r.Body) > 0 || r.Method != http.MethodGet && r.Method != http.MethodHead {
-		b.WriteString("Content-Length: " + strconv.Itoa(len(r.Body)) + "\r\n")
+	size := client.BodyBytes(r.Body)
+	if size > 0 || r.Method != http.MethodGet && r.Method != http.MethodHead {
+		b.WriteString("Content-Length: " + strconv.Itoa(size) + "\r\n")
 	}
 	b.WriteString("Connection: close\r\n\r\n")
 	return b.Bytes()
--- a/internal/entry/upstream/upstream_test.go
+++ b/internal/entry/upstream/upstream_test.go
@@ -80,7 +80,7 @@
 	is := is.New(t)
 	r := &Request{
 		Method: http.MethodPost, Target: "/a%20b?q=1", Host: "books.example",
-		Header: http.Header{"X-Own": {"kept"}}, Body: []byte("body"),
+		Header: http.Header{"X-Own": {"kept"}}, Body: [][]byte{[]byte("bo"), []byte("dy")},
 	}
 	is.Equal(string(r.head()), "POST /a%20b?q=1 HTTP/1.1\r\nHost: books.example\r\nX-Own: kept\r\nContent-Length: 4\r\nConnection: close\r\n\r\n")
 	r.Method, r.Body = http.MethodGet, nil
@@ -154,7 +154,7 @@
 // it writes a long body to an upstream that has responded without reading it.
 func TestResponseBeforeLongBodyIsRead(t *testing.T) {
 	is := is.New(t)
-	r := &Request{Method: http.MethodPost, Target: "/", Host: "h", Header: http.Header{}, Body: bytes.Repeat([]byte("x"), 8<<20)}
+	r := &Request{Method: http.MethodPost, Target: "/", Host: "h", Header: http.Header{}, Body: [][]byte{bytes.Repeat([]byte("x"), 8<<20)}}
 	x, err := Send(t.Context(), serveOnce(t, 10, "HTTP/1.1 413 Too Large\r\nContent-Length: 0\r\n\r\n"), r)
 	if err != nil {
 		// The connection may be reset before the response was read.
--- a/internal/operator/command/process.go
+++ b/internal/operator/command/process.go
@@ -96,9 +96,14 @@
 	}
 }
 
+// heapMemoryShare is the part of its memory up to which a process lets garbage pile up. The rest is
+// for what the runtime does not count.
+const heapMemoryShare = 0.85
+
 // newDirectEntry returns an entry on a prepared platform. The entry reloads its
 // settings file when the file changes.
 func newDirectEntry(ctx context.Context, path string, c config.Process) (process, error) {
+	debug.SetMemoryLimit(int64(heapMemoryShare * float64(c.MemoryBytes())))
 	logger := log.New(log.NewNonBlockingWriter(os.Stdout), c.LogFormat, c.Name)
 	e, err := direct.New(c, entryDependencies(c), rand.Uint64(), logger)
 	if err != nil {
--- a/internal/process/config/config.go
+++ b/internal/process/config/config.go
@@ -5,6 +5,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"encoding/json"
 	"errors"
 	"net/netip"
@@ -73,11 +74,22 @@
 	// PlainOutsideLoopback allows listening on other than loopback addresses without
 	// TLS certificates.
 	PlainOutsideLoopback bool `json:"plain-outside-loopback"`
+	// MemoryMegabytes is the memory that the process may take, in units of 1,000,000 bytes; 0 stands
+	// for DefaultMemoryMegabytes.
+	MemoryMegabytes int `json:"memory-megabytes"`
 	// Direct is set for a process on the operators' prepared platform, where entries
 	// connect to the upstreams directly instead of through agents.
 	Direct *Direct `json:"direct"`
 }
 
+// DefaultMemoryMegabytes is the memory of a process whose settings name none.
+const DefaultMemoryMegabytes = 256
+
+// MemoryBytes returns the memory that the process may take, in bytes.
+func (p Process) MemoryBytes() int64 {
+	return int64(cmp.Or(p.MemoryMegabytes, DefaultMemoryMegabytes)) * 1e6
+}
+
 // Direct is the part of the settings that only a deployment on the prepared platform
 // has.
 type Direct struct {
@@ -184,6 +196,8 @@
 		return fail("upstream.target", "give the service or model group that the upstream belongs to")
 	case p.LogFormat != log.Text && p.LogFormat != log.JSON:
 		return fail("log-format", "write \"text\" or \"json\"")
+	case p.MemoryMegabytes < 0:
+		return fail("memory-megabytes", "give the memory that the process may take, such as 256, or leave it out")
 	case (p.TLS.Certificate == "") != (p.TLS.Key == "") || (p.TLS.Certificate == "") != (p.TLS.Authority == ""):
 		return fail("tls", "give certificate, key and authority together")
 	}
