--- a/internal/core/upstream/presence.go
+++ b/internal/core/upstream/presence.go
@@ -22,6 +22,9 @@
 	// leaving holds the upstreams that were listed as leaving, with the time of the last
 	// list that had them.
 	leaving map[service.Incarnation]time.Time
+	// gone holds the upstreams that left the list without notice, with the time of that, doubted
+	// those of them that an older copy of the list may still have, until when they must not be used.
+	gone, doubted map[service.Incarnation]time.Time
 }
 
 // PresenceConfig holds the grace periods of a Presence.
@@ -44,7 +47,10 @@
 
 // NewPresence returns a Presence without upstreams.
 func NewPresence(config PresenceConfig) *Presence {
-	return &Presence{config: config, listed: map[string]service.Upstream{}, lapsed: map[string]lapsedUpstream{}, leaving: map[service.Incarnation]time.Time{}}
+	return &Presence{
+		config: config, listed: map[string]service.Upstream{}, lapsed: map[string]lapsedUpstream{}, leaving: map[service.Incarnation]time.Time{},
+		gone: map[service.Incarnation]time.Time{}, doubted: map[service.Incarnation]time.Time{},
+	}
 }
 
 // UpdateList replaces the list, which was read at now. sinceRecovery is the time since
@@ -59,33 +65,66 @@
 	}
 	// If two or more upstreams, and more than half of all, disappear at once, the list is
 	// assumed to be incomplete.
-	until := now.Add(p.config.RemovalGrace)
+	until, incomplete := now.Add(p.config.RemovalGrace), false
 	if many := removed > 1 && 2*removed > len(p.listed); many || sinceRecovery >= 0 && sinceRecovery < p.config.RecoveryGrace {
-		until = now.Add(p.config.RecoveryGrace - max(sinceRecovery, 0))
+		until, incomplete = now.Add(p.config.RecoveryGrace-max(sinceRecovery, 0)), true
 	}
+	forget(p.gone, now)
 	for id, u := range p.listed {
-		if _, ok := list[id]; !ok && !u.Leaving {
+		if _, ok := list[id]; ok || u.Leaving {
+			continue
+		}
+		doubted := p.isDoubted(u, now)
+		if !doubted {
 			p.lapsed[id] = lapsedUpstream{u, until}
 		}
+		if doubted || !incomplete {
+			p.gone[u.Incarnation()] = now
+		}
 	}
-	for id := range list {
+	for id, u := range list {
 		delete(p.lapsed, id)
+		delete(p.gone, u.Incarnation())
 	}
 	p.listed = latestByAddress(list)
 }
 
-// leavingMemory is the time for which an upstream that was listed as leaving is known as
-// such after the last list that had it.
+// leavingMemory is the time for which an upstream that was listed as leaving, or was removed from the
+// list, is known as such after the last list that had it.
 const leavingMemory = 10 * time.Minute
 
+// doubtTime is the time for which an upstream that was gone is not used after its store came back
+// from an older copy. The store drops those that do not write to it after several heartbeats.
+const doubtTime = 10 * time.Second
+
+// DoubtGone tells that the next list may be that of a store that came back from an older copy: the
+// upstreams that are gone may be in it and are not used before the store had time to drop them.
+func (p *Presence) DoubtGone(now time.Time) {
+	for i := range p.gone {
+		p.doubted[i] = now.Add(doubtTime)
+	}
+}
+
+// isDoubted reports whether an upstream was gone before the store came back from an older copy, and
+// may be listed only because of that.
+func (p *Presence) isDoubted(u service.Upstream, now time.Time) bool {
+	until, doubted := p.doubted[u.Incarnation()]
+	if doubted && !now.Before(until) {
+		delete(p.doubted, u.Incarnation())
+		return false
+	}
+	return doubted
+}
+
+// forget deletes what was known for longer than leavingMemory.
+func forget(since map[service.Incarnation]time.Time, now time.Time) {
+	maps.DeleteFunc(since, func(_ service.Incarnation, at time.Time) bool { return now.Sub(at) > leavingMemory })
+}
+
 // keepLeaving returns list with Leaving set for the upstreams that were listed as leaving
 // before: a store that came back from an older copy lists them as they were then.
 func (p *Presence) keepLeaving(list map[string]service.Upstream, now time.Time) map[string]service.Upstream {
-	for i, at := range p.leaving {
-		if now.Sub(at) > leavingMemory {
-			delete(p.leaving, i)
-		}
-	}
+	forget(p.leaving, now)
 	out := maps.Clone(list)
 	for id, u := range list {
 		if _, known := p.leaving[u.Incarnation()]; known || u.Leaving {
@@ -119,6 +158,15 @@
 func (p *Presence) Usable(now time.Time) (map[string]service.Upstream, time.Time) {
 	out := maps.Clone(p.listed)
 	var next time.Time
+	for id, u := range p.listed {
+		if !p.isDoubted(u, now) {
+			continue
+		}
+		delete(out, id)
+		if until := p.doubted[u.Incarnation()]; next.IsZero() || until.Before(next) {
+			next = until
+		}
+	}
 	for id, l := range p.lapsed {
 		if !now.Before(l.until) {
 			delete(p.lapsed, id)
--- a/internal/core/upstream/presence_test.go
+++ b/internal/core/upstream/presence_test.go
@@ -110,3 +110,54 @@
 	usable, _ = p.Usable(start.Add(11 * time.Second))
 	is.True(!usable["u1"].Leaving)
 }
+
+// TestGoneUpstreamStaysGoneInOlderList guards against new work for an upstream that left without
+// notice, after the store came back from a copy that still lists it. One that lives is used again
+// once the store had time to drop it, and a successor at once.
+func TestGoneUpstreamStaysGoneInOlderList(t *testing.T) {
+	is := is.New(t)
+	all := ungroupedUpstreams(3)
+	for i := range all {
+		all[i].StartedAt = testNow
+	}
+	p := NewPresence(presenceConfig)
+	p.UpdateList(byID(all...), -1, testNow)
+	p.UpdateList(byID(all[1:]...), -1, testNow)
+	restored := testNow.Add(5 * time.Second)
+	is.Equal(usableIDs(p, restored), []string{"u1", "u2"})
+	for range 2 { // twice in a row
+		p.DoubtGone(restored)
+		p.UpdateList(byID(all...), 0, restored)
+		out, next := p.Usable(restored)
+		is.Equal(slices.Sorted(maps.Keys(out)), []string{"u1", "u2"})
+		is.Equal(next, restored.Add(doubtTime))
+		p.UpdateList(byID(all[1:]...), 2*time.Second, restored.Add(2*time.Second)) // the store drops it
+		is.Equal(usableIDs(p, restored.Add(2*time.Second)), []string{"u1", "u2"})
+		restored = restored.Add(3 * time.Second)
+	}
+	p.DoubtGone(restored)
+	successor := all[0]
+	successor.StartedAt = restored
+	p.UpdateList(byID(successor, all[1], all[2]), 0, restored)
+	is.Equal(usableIDs(p, restored), []string{"u0", "u1", "u2"})
+	p.UpdateList(byID(all...), 0, restored)
+	is.Equal(usableIDs(p, restored.Add(doubtTime)), []string{"u0", "u1", "u2"}) // it lives after all
+}
+
+// TestUpstreamThatLapsedWithTheListIsNotDoubted guards against an outage of all upstreams because
+// they had lapsed before the store came back from an older copy.
+func TestUpstreamThatLapsedWithTheListIsNotDoubted(t *testing.T) {
+	is := is.New(t)
+	four := ungroupedUpstreams(4)
+	for name, since := range map[string]time.Duration{"most at once": -1, "after an outage": 0} {
+		p := NewPresence(presenceConfig)
+		p.UpdateList(byID(four...), -1, testNow)
+		p.UpdateList(byID(four[3:]...), since, testNow)
+		p.DoubtGone(testNow.Add(time.Second))
+		p.UpdateList(byID(four...), 0, testNow.Add(time.Second))
+		if got := usableIDs(p, testNow.Add(time.Second)); len(got) != 4 {
+			t.Errorf("%s: %v are usable", name, got)
+		}
+	}
+	is.True(doubtTime < leavingMemory)
+}
--- a/internal/process/directory/directory.go
+++ b/internal/process/directory/directory.go
@@ -283,6 +283,9 @@
 		d.log.Info("the store came back from an older copy", "kind", k, "era", era, "revision", store.RevisionOf(u.Revision),
 			"former-revision", store.RevisionOf(before), "source", source)
 		d.markRecovered(k)
+		if k == Upstreams {
+			d.presence.DoubtGone(time.Now())
+		}
 	}
 	d.log.V(1).Info("objects changed", "kind", k, "revision", store.RevisionOf(u.Revision), "from", store.RevisionOf(before), "source", source, "objects", len(u.Objects))
 	switch k {
