Take back a switch that an engine carries out late (review/2, MAP)

Cause: the orders to switch had no answer, all agents were killed, and the new leader gave the change up. One engine carried its order out seconds later, before the step began. Its agent took the switch for its state; nobody ordered it back.

Fix: without fencing tokens, an agent takes a switch back if the rank has been granted another map from its step on.

--- a/internal/agent/direct/direct_test.go
+++ b/internal/agent/direct/direct_test.go
@@ -480,6 +480,7 @@
 	return true, nil
 }
 func (e *idleEngine) Arm(context.Context, rank.Fence, uint64, uint64) (bool, error) { return true, nil }
+func (e *idleEngine) Disarm(context.Context, rank.Fence, uint64) (bool, error)      { return true, nil }
 func (e *idleEngine) Hold(context.Context, rank.Fence, uint64) (bool, error)        { return true, nil }
 func (e *idleEngine) Release(context.Context, rank.Fence, uint64) (bool, error)     { return true, nil }
 
--- a/internal/agent/rank/orders.go
+++ b/internal/agent/rank/orders.go
@@ -1,6 +1,7 @@
 package rank
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"math/rand/v2"
@@ -36,6 +37,8 @@
 	Prepare(ctx context.Context, f Fence, version uint64, experts [][][]int) (bool, error)
 	// Arm makes the rank switch to a prepared map at the start of a step.
 	Arm(ctx context.Context, f Fence, version, step uint64) (bool, error)
+	// Disarm takes a pending switch to a map back. It has no effect if there is none.
+	Disarm(ctx context.Context, f Fence, version uint64) (bool, error)
 	// Hold stops the group before a step, and Release ends that hold.
 	Hold(ctx context.Context, f Fence, step uint64) (bool, error)
 	Release(ctx context.Context, f Fence, step uint64) (bool, error)
@@ -197,6 +200,14 @@
 	if e.state != nil && e.mayBeOld(r) {
 		return r, oops.Code("engine").Wrap(errOldReport)
 	}
+	if e.isStraySwitch(r) {
+		// The order to switch was carried out after its change had been given up.
+		e.log.Info("taking back a switch that belongs to no change", "map", r.Armed, "step", r.ArmedStep, "next", r.NextStep)
+		if ok, err := e.engine.Disarm(ctx, e.fence(r, e.state.Promised), r.Armed); err != nil || !ok {
+			return r, oops.Code("engine").Wrapf(cmp.Or(err, errStraySwitch), "map %d", r.Armed)
+		}
+		r.Armed, r.ArmedStep = 0, 0
+	}
 	if e.state == nil || r.Epoch != e.epoch || e.contradictedBy(r) {
 		e.startIncarnation(r)
 	}
@@ -220,6 +231,18 @@
 	return r, nil
 }
 
+// errStraySwitch means that an engine does not take back a switch that belongs to no change.
+var errStraySwitch = errors.New("the engine keeps a switch that belongs to no change")
+
+// isStraySwitch reports whether the engine is about to switch to a map at a step from which on the
+// rank has been granted another one: it has carried out an order late, whose change was given up.
+// An engine that compares fencing tokens refuses such an order.
+func (e *orderAdapter) isStraySwitch(r Report) bool {
+	return !e.fencing && e.state != nil && r.Epoch == e.epoch && r.Armed != 0 && slices.ContainsFunc(e.state.Grants, func(g group.Grant) bool {
+		return g.FromStep == r.ArmedStep && g.MapVersion != r.Armed
+	})
+}
+
 // mayBeOld reports whether a report may be older than the last order: it is of an earlier
 // epoch, or it disagrees with the state and that order is not long ago.
 func (e *orderAdapter) mayBeOld(r Report) bool {
--- a/internal/agent/rank/orders_test.go
+++ b/internal/agent/rank/orders_test.go
@@ -143,6 +143,18 @@
 	})
 }
 
+func (s *simulatedEngine) Disarm(_ context.Context, f Fence, version uint64) (bool, error) {
+	return s.group.handle(func() bool {
+		if !s.acceptFence(f) || s.mapInUse == version {
+			return false
+		}
+		if s.armed == version {
+			s.armed, s.armedStep = 0, 0
+		}
+		return true
+	})
+}
+
 func (s *simulatedEngine) Hold(_ context.Context, f Fence, step uint64) (bool, error) {
 	return s.group.handle(func() bool {
 		if !s.acceptFence(f) {
@@ -305,6 +317,9 @@
 func (p *engineProxy) Arm(ctx context.Context, f Fence, v, s uint64) (bool, error) {
 	return p.current().Arm(ctx, f, v, s)
 }
+func (p *engineProxy) Disarm(ctx context.Context, f Fence, v uint64) (bool, error) {
+	return p.current().Disarm(ctx, f, v)
+}
 func (p *engineProxy) Prepare(ctx context.Context, f Fence, v uint64, experts [][][]int) (bool, error) {
 	return p.current().Prepare(ctx, f, v, experts)
 }
--- a/internal/agent/rank/promise_test.go
+++ b/internal/agent/rank/promise_test.go
@@ -1,12 +1,15 @@
 package rank
 
 import (
+	"context"
+	"strconv"
 	"testing"
 	"time"
 
 	"bramleydeal/internal/core/group"
 	"bramleydeal/internal/wire/orders"
 	"bramleydeal/internal/wire/peer"
+	"github.com/go-logr/logr"
 	"github.com/matryer/is"
 )
 
@@ -102,3 +105,82 @@
 	grants := orders.ReplyFromProto(reply).State.Grants
 	is.Equal(grants[len(grants)-1], grant)
 }
+
+// lateEngine is an engine that compares no fencing tokens, and carries out orders to switch only when
+// carryOut is called.
+type lateEngine struct {
+	engineProxy
+	carryOut []func()
+	late     bool
+}
+
+func (e *lateEngine) Arm(ctx context.Context, f Fence, version, step uint64) (bool, error) {
+	f.Token = 0
+	if !e.late {
+		return e.engineProxy.Arm(ctx, f, version, step)
+	}
+	e.carryOut = append(e.carryOut, func() {
+		// The outcome reaches nobody.
+		_, _ = e.engineProxy.Arm(ctx, f, version, step)
+	})
+	return false, errNoReply
+}
+
+// TestSwitchThatIsCarriedOutLateIsTakenBack guards against a rank that switches alone to the map of a
+// change that was given up: all agents were killed after the orders to switch, which the engines
+// had not answered, and one engine carries its order out seconds later, while the group is idle.
+func TestSwitchThatIsCarriedOutLateIsTakenBack(t *testing.T) {
+	is := is.New(t)
+	const ranks = 3
+	engines := newEngineGroup(nil, ranks)
+	engines.withFaults = false
+	now := time.Unix(1000, 0)
+	var late []*lateEngine
+	var agents []*Rank
+	newAgent := func(i int) *Rank {
+		return New(namedGroup{strconv.Itoa(i), ranks}, NewOrderAdapter(late[i], logr.Discard()), logr.Discard())
+	}
+	for i := range ranks {
+		late = append(late, &lateEngine{engineProxy: engineProxy{engines, i}})
+		agents = append(agents, newAgent(i))
+	}
+	lead := func(term uint64, rounds int, propose uint64) {
+		l := group.NewLeader(namedGroup{"", ranks}.Ranks(), group.Ballot{Term: term, Proposer: "p"}, 0,
+			group.LeaderConfig{ResendInterval: 100 * time.Millisecond, PollInterval: 100 * time.Millisecond, PromiseTimeout: time.Second, MinStepsAhead: 2})
+		for range rounds {
+			now = now.Add(50 * time.Millisecond)
+			for _, o := range l.Tick(now) {
+				n, err := strconv.Atoi(o.Rank)
+				is.NoErr(err)
+				if m, err := agents[n].Order(t.Context(), orders.OrderToProto("", o.Rank, o.Order)); err == nil {
+					l.HandleReply(o.Rank, o.Order, orders.ReplyFromProto(m), now)
+				}
+			}
+			if propose != 0 && l.Propose(propose) {
+				propose = 0
+			}
+		}
+	}
+	for i, e := range engines.ranks {
+		e.prepared, e.highestPrepared = 1, 1
+		late[i].late = true
+	}
+	lead(1, 40, 1)
+	for i := range ranks {
+		is.True(len(late[i].carryOut) > 0) // the order to switch was sent
+		late[i].late = false
+		agents[i] = newAgent(i) // killed, and started again
+	}
+	lead(2, 40, 0)
+	is.Equal(engines.ranks[1].hold, uint64(0)) // the change was given up
+	late[1].carryOut[0]()
+	is.Equal(engines.ranks[1].armed, uint64(1))
+	lead(3, 40, 0)
+	for range 20 {
+		engines.startStep()
+	}
+	for _, e := range engines.ranks {
+		is.Equal(e.mapInUse, uint64(0))
+	}
+	is.True(engines.step >= 20)
+}
