--- a/internal/core/group/leader.go
+++ b/internal/core/group/leader.go
@@ -264,7 +264,7 @@
 		l.startCollecting(Ballot{Term: l.ballot.Term, Attempt: l.ballot.Attempt + 1, Proposer: l.ballot.Proposer})
 		return
 	}
-	if l.dropDoubleReply(rank, r.State.Incarnation) {
+	if l.phase == Collecting && l.dropDoubleReply(rank, r.State.Incarnation) {
 		return
 	}
 	l.replies[rank] = r
@@ -282,7 +282,7 @@
 
 // dropDoubleReply reports whether another rank has replied with the same incarnation. The orders
 // for both reached one rank then, and it is not known which of the two it is, so neither reply
-// counts. Both are asked again. After Collecting, all incarnations differ.
+// counts. Both are asked again. After Collecting all incarnations differ.
 func (l *Leader) dropDoubleReply(rank, incarnation string) bool {
 	for other, r := range l.replies {
 		if other != rank && incarnation != "" && r.State.Incarnation == incarnation {
--- a/internal/core/upstream/presence.go
+++ b/internal/core/upstream/presence.go
@@ -70,6 +70,7 @@
 		until, incomplete = now.Add(p.config.RecoveryGrace-max(sinceRecovery, 0)), true
 	}
 	forget(p.gone, now)
+	maps.DeleteFunc(p.doubted, func(_ service.Incarnation, until time.Time) bool { return !now.Before(until) })
 	for id, u := range p.listed {
 		if _, ok := list[id]; ok || u.Leaving {
 			continue
@@ -108,12 +109,7 @@
 // isDoubted reports whether an upstream was gone before the store came back from an older copy, and
 // may be listed only because of that.
 func (p *Presence) isDoubted(u service.Upstream, now time.Time) bool {
-	until, doubted := p.doubted[u.Incarnation()]
-	if doubted && !now.Before(until) {
-		delete(p.doubted, u.Incarnation())
-		return false
-	}
-	return doubted
+	return now.Before(p.doubted[u.Incarnation()])
 }
 
 // forget deletes what was known for longer than leavingMemory.
