--- a/internal/entry/client/body.go
+++ b/internal/entry/client/body.go
@@ -41,6 +41,9 @@
 	return answer.Refuse(answer.InvalidRequest, "the body ended early: %v", err)
 }
 
+// firstPiece is the size in bytes of the first piece of a body whose length is not known.
+const firstPiece = 4 << 10
+
 // errBodyBudget means that there is no memory for the rest of a body.
 var errBodyBudget = errors.New("the body budget is used up")
 
@@ -53,11 +56,12 @@
 // not known. Memory is taken as the bytes arrive.
 func (h *Handler) readPieces(from io.Reader, size int64, c *callerRequest) error {
 	for read := int64(0); read != size; {
-		length := int64(core.BodySegment)
-		if size >= 0 {
-			length = min(length, size-read)
-		} else if !h.reserveBody(c, length) {
-			return errBodyBudget
+		length := min(core.BodySegment, size-read)
+		if size < 0 {
+			length = min(core.BodySegment, max(firstPiece, read)) // most bodies are short
+			if !h.reserveBody(c, length) {
+				return errBodyBudget
+			}
 		}
 		piece := make([]byte, length)
 		n, err := fill(from, piece)
