--- a/internal/entry/client/body.go
+++ b/internal/entry/client/body.go
@@ -21,7 +21,7 @@
 		return answer.Refuse(answer.TooLarge, "the body has %d bytes, the most is %d", r.ContentLength, limit)
 	}
 	if r.ContentLength > 0 && !h.reserveBody(c, r.ContentLength) {
-		return refuseBody()
+		return refuseMemory()
 	}
 	control := http.NewResponseController(w)
 	// The error is ignored: a connection without support for deadlines is read
@@ -30,11 +30,13 @@
 	err := h.readPieces(http.MaxBytesReader(w, r.Body, limit), r.ContentLength, c)
 	_ = control.SetReadDeadline(time.Time{})
 	tooLarge := new(http.MaxBytesError)
+	// Nothing is done with what follows the body. It isn't counted, so it isn't kept.
+	r.Trailer = nil
 	switch {
 	case err == nil:
 		return nil
-	case errors.Is(err, errBodyBudget):
-		return refuseBody()
+	case errors.Is(err, errBodyBudget) || c.connection.Evicted():
+		return refuseMemory()
 	case errors.As(err, &tooLarge):
 		return answer.Refuse(answer.TooLarge, "the body has more than %d bytes", limit)
 	}
@@ -47,9 +49,9 @@
 // errBodyBudget means that there is no memory for the rest of a body.
 var errBodyBudget = errors.New("the body budget is used up")
 
-// refuseBody returns the refusal of a request for whose body there is no memory.
-func refuseBody() *answer.Refusal {
-	return answer.Refuse(answer.Overloaded, "the bodies of other requests take the memory of this entry")
+// refuseMemory returns the refusal of a request for which there is no memory or no descriptor.
+func refuseMemory() *answer.Refusal {
+	return answer.Refuse(answer.Overloaded, "other requests take the memory of this entry")
 }
 
 // readPieces reads a body to its end. size is its size, for which memory is reserved, or -1 if it is
@@ -91,26 +93,16 @@
 
 // reserveBody reserves room for more bytes of a request's body.
 func (h *Handler) reserveBody(c *callerRequest, bytes int64) bool {
-	h.bodiesMu.Lock()
-	defer h.bodiesMu.Unlock()
-	if !h.bodies.Reserve(bytes, c.bodyReserved+bytes) {
+	if !c.connection.Reserve(bytes) {
 		return false
 	}
 	c.bodyReserved += bytes
+	h.heldBodies.Add(bytes)
 	return true
 }
 
-// releaseBody releases the memory of a request's body.
+// releaseBody forgets a request's body. Its memory is returned with the connection's.
 func (h *Handler) releaseBody(c *callerRequest) {
-	h.bodiesMu.Lock()
-	defer h.bodiesMu.Unlock()
-	h.bodies.Release(c.bodyReserved)
+	h.heldBodies.Add(-c.bodyReserved)
 	c.body, c.bodyReserved = nil, 0
 }
-
-// heldBodyBytes returns the bytes of the bodies that are held.
-func (h *Handler) heldBodyBytes() int64 {
-	h.bodiesMu.Lock()
-	defer h.bodiesMu.Unlock()
-	return h.bodies.Held()
-}
--- a/internal/entry/client/handler.go
+++ b/internal/entry/client/handler.go
@@ -18,6 +18,7 @@
 	core "bramleydeal/internal/core/client"
 	"bramleydeal/internal/entry/upstream"
 	"bramleydeal/internal/process/log"
+	"bramleydeal/internal/wire/inbound"
 	"bramleydeal/internal/world/answer"
 	"bramleydeal/internal/world/service"
 	"github.com/VictoriaMetrics/metrics"
@@ -68,9 +69,8 @@
 	unreadMu sync.Mutex
 	unread   map[string]bool
 
-	// bodies bounds the bytes of the bodies that are held; bodiesMu guards it.
-	bodiesMu sync.Mutex
-	bodies   *core.BodyBudget
+	// heldBodies is the number of bytes of the bodies that are held.
+	heldBodies atomic.Int64
 
 	// identityKey is the key under which requests are identified.
 	identityKey atomic.Pointer[core.IdentityKey]
@@ -102,8 +102,6 @@
 	Pools             *upstream.Pools
 	HeaderCodec       HeaderCodec
 	Log               logr.Logger
-	// BodyBudget is the number of bytes of request bodies that may be held at once.
-	BodyBudget int64
 	// CountSuppressed counts a log line that was suppressed.
 	CountSuppressed func()
 	Metrics         *metrics.Set
@@ -112,9 +110,9 @@
 // New returns a Handler and registers its metrics in c.Metrics.
 func New(c Config) *Handler {
 	h := &Handler{
-		view: c.View, awaitConfirmation: c.AwaitConfirmation, pools: c.Pools, headerCodec: c.HeaderCodec, log: c.Log, successLogRate: log.NewRateLimiter(successLogsPerSecond), countSuppressed: c.CountSuppressed, counters: counters{c.Metrics}, unread: map[string]bool{}, bodies: core.NewBodyBudget(c.BodyBudget), accepting: func() bool { return true },
+		view: c.View, awaitConfirmation: c.AwaitConfirmation, pools: c.Pools, headerCodec: c.HeaderCodec, log: c.Log, successLogRate: log.NewRateLimiter(successLogsPerSecond), countSuppressed: c.CountSuppressed, counters: counters{c.Metrics}, unread: map[string]bool{}, accepting: func() bool { return true },
 	}
-	c.Metrics.NewGauge("bramleydeal_held_body_bytes", func() float64 { return float64(h.heldBodyBytes()) })
+	c.Metrics.NewGauge("bramleydeal_held_body_bytes", func() float64 { return float64(h.heldBodies.Load()) })
 	c.Metrics.NewGauge("bramleydeal_requests_in_flight", func() float64 { return float64(h.InFlight()) })
 	return h
 }
@@ -189,6 +187,8 @@
 type callerRequest struct {
 	info    RequestInfo
 	arrived time.Time
+	// connection counts what the request holds, nil if nothing does.
+	connection *inbound.Conn
 	// deadline is when the response must be sent; callerDeadline is when the
 	// caller stops waiting, zero if not known.
 	deadline, callerDeadline time.Time
@@ -211,12 +211,18 @@
 	defer h.inFlight.Add(-1)
 	arrived := time.Now()
 	h.awaitConfirmation(r.Context())
-	c := &callerRequest{info: h.headerCodec.ParseRequest(r.Header), arrived: arrived, view: h.view()}
+	c := &callerRequest{info: h.headerCodec.ParseRequest(r.Header), arrived: arrived, view: h.view(), connection: inbound.FromContext(r.Context())}
+	defer c.connection.End()
 	defer h.releaseBody(c)
+	if !c.connection.Begin() {
+		h.refuse(w, c, refuseMemory())
+		return
+	}
 	if refusal := h.resolve(w, r, c); refusal != nil {
 		h.refuse(w, c, refusal)
 		return
 	}
+	c.connection.SetWaiting()
 	c.identity = h.identify(r, c)
 	h.pools.RecordRequest(c.service, c.arrived)
 	h.forward(w, r, c)
@@ -270,6 +276,9 @@
 func (h *Handler) refuse(w http.ResponseWriter, c *callerRequest, refusal *answer.Refusal) {
 	row := answer.Lookup(refusal.Kind)
 	h.setConnectionClose(w.Header())
+	if c.connection.Evicted() {
+		w.Header().Set("Connection", "close")
+	}
 	h.headerCodec.SetRequestID(w.Header(), c.info.ID)
 	w.Header().Set("Content-Type", "application/json")
 	if row.Retry {
--- a/internal/entry/client/server.go
+++ b/internal/entry/client/server.go
@@ -13,6 +13,7 @@
 	"bramleydeal/internal/process/clock"
 	"bramleydeal/internal/process/log"
 	"bramleydeal/internal/wire/http10"
+	"bramleydeal/internal/wire/inbound"
 	"bramleydeal/internal/world/service"
 	"github.com/samber/oops"
 )
@@ -23,6 +24,8 @@
 type Server struct {
 	handler http.Handler
 	log     *log.Logger
+	// budget counts what the connections hold, nil if nothing does.
+	budget *inbound.Budget
 
 	// mu guards the fields below.
 	mu       sync.Mutex
@@ -55,9 +58,18 @@
 	connections int
 }
 
+// ServerOption configures a Server.
+type ServerOption func(*Server)
+
+// WithBudget counts in b what the connections hold.
+func WithBudget(b *inbound.Budget) ServerOption { return func(s *Server) { s.budget = b } }
+
 // NewServer returns a server that passes requests to h, with default limits.
-func NewServer(h http.Handler, l *log.Logger) *Server {
+func NewServer(h http.Handler, l *log.Logger, options ...ServerOption) *Server {
 	s := &Server{handler: h, log: l, idle: map[net.Conn]time.Time{}}
+	for _, o := range options {
+		o(s)
+	}
 	s.current = s.startGeneration(service.Limits{})
 	return s
 }
@@ -88,7 +100,7 @@
 	g := &generation{incoming: make(chan net.Conn), closed: make(chan struct{})}
 	g.server = &http.Server{
 		Handler:           http10.ResetBroken(http.HandlerFunc(s.serveRequest)),
-		ConnContext:       http10.KeepConnection,
+		ConnContext:       withConnection,
 		ReadHeaderTimeout: l.HeaderTimeout,
 		IdleTimeout:       l.IdleTimeout,
 		MaxHeaderBytes:    int(l.HeaderBytes),
@@ -103,6 +115,11 @@
 	return g
 }
 
+// withConnection returns the context of the requests on a connection.
+func withConnection(ctx context.Context, c net.Conn) context.Context {
+	return inbound.NewContext(http10.KeepConnection(ctx, c), c)
+}
+
 // Configure applies l, except BodyBytes, to the connections that are opened from
 // now on.
 func (s *Server) Configure(l service.Limits) {
@@ -166,7 +183,9 @@
 		switch {
 		case err == nil:
 			s.accepted()
-			s.dispatch(c)
+			if c = s.count(c); c != nil {
+				s.dispatch(c)
+			}
 		case s.isClosed():
 			return http.ErrServerClosed
 		case errors.Is(err, net.ErrClosed):
@@ -181,6 +200,18 @@
 	}
 }
 
+// count counts what a new connection holds. It closes the connection and returns nil if there is no
+// room for it.
+func (s *Server) count(c net.Conn) net.Conn {
+	if s.budget == nil {
+		return c
+	}
+	if counted := s.budget.Conn(c, s.budget.Callers()); counted != nil {
+		return counted
+	}
+	return nil
+}
+
 // dispatch passes a new connection to the current generation.
 func (s *Server) dispatch(c net.Conn) {
 	s.mu.Lock()
--- a/internal/entry/direct/entry.go
+++ b/internal/entry/direct/entry.go
@@ -28,6 +28,7 @@
 	"bramleydeal/internal/process/task"
 	"bramleydeal/internal/process/tlsfiles"
 	"bramleydeal/internal/wire/dial"
+	"bramleydeal/internal/wire/inbound"
 	"bramleydeal/internal/wire/peer"
 	"bramleydeal/internal/world/fleet"
 	"bramleydeal/internal/world/service"
@@ -68,9 +69,6 @@
 	// slowFactor is the multiple of the median latency above which an upstream
 	// is ejected.
 	slowFactor = 3
-	// bodyMemoryShare is the part of the process's memory that bodies of requests may take. The rest
-	// holds responses, connections and the entry's state.
-	bodyMemoryShare = 0.6
 	// removalGraceShare is the part of the drain time during which an upstream
 	// that was removed from the list may still be used if no better one is left.
 	removalGraceShare = 0.4
@@ -94,6 +92,7 @@
 	files        *tlsfiles.Files
 	pool         *dial.Pool
 	traffic      dial.Traffic
+	budget       *inbound.Budget
 	store        directory.Store
 	directory    *directory.Directory
 	pools        *upstream.Pools
@@ -118,6 +117,7 @@
 	}
 	e := &Entry{config: c, log: logger, files: files, store: d.Store, unlisted: make(chan struct{}, 1), expvars: new(expvar.Map).Init(), metricSet: metrics.NewSet()}
 	e.pool = dial.NewPool(files.PeerCredentials(), &e.traffic)
+	e.budget = inbound.NewBudget(c.MemoryBytes(), c.Descriptors)
 	drainTime := time.Duration(c.Direct.DrainTime)
 	e.pools = upstream.NewPools(seed, c.Name, c.FailureDomain, upstream.Config{
 		Pool: core.PoolConfig{
@@ -133,12 +133,11 @@
 		append(evacuationOptions(c.Direct), directory.WithSeedPeers(otherPeers(c)), directory.WithNews(e.pools), directory.WithLog(logger.Component("directory")))...)
 	e.handler = client.New(client.Config{
 		View: e.directory.View, AwaitConfirmation: e.directory.AwaitConfirmation, Pools: e.pools, HeaderCodec: d.HeaderCodec, Log: logger.Component("client"), CountSuppressed: logger.CountSuppressed, Metrics: e.metricSet,
-		BodyBudget: int64(bodyMemoryShare * float64(c.MemoryBytes())),
 	})
 	e.identityKey = coreclient.NewIdentityKey()
 	e.handler.SetIdentityKey(e.identityKey)
 	e.pools.OnUrgentNews(e.directory.Announce)
-	e.callerServer = client.NewServer(e.handler, logger)
+	e.callerServer = client.NewServer(e.handler, logger, client.WithBudget(e.budget))
 	e.handler.SetAccepting(e.callerServer.Accepting)
 	e.registerMetrics()
 	e.expvars.Set("upstreams", expvar.Func(func() any { return e.pools.State(time.Now()) }))
@@ -150,6 +149,7 @@
 
 // registerMetrics registers the metrics of the entry's components.
 func (e *Entry) registerMetrics() {
+	e.budget.Register(e.metricSet)
 	gauge := func(name string, value func() float64) { e.metricSet.NewGauge(name, value) }
 	gauge("bramleydeal_ready", func() float64 {
 		if e.handler.Ready() {
@@ -416,12 +416,13 @@
 	// Suspects are the contents of requests on which upstreams may have ended, by service.
 	Suspects map[string]upstream.SuspectStates `json:"suspects"`
 	Peers    dial.TrafficState                 `json:"peers"`
+	Clients  inbound.Stats                     `json:"clients"`
 }
 
 // State returns the entry's debug state.
 func (e *Entry) State() State {
 	return State{
 		Instance: e.config.Name, Role: fleet.EntryRole, FailureDomain: e.config.FailureDomain, Ready: e.handler.Ready(),
-		InFlight: e.handler.InFlight(), Directory: e.directory.State(), Upstreams: e.pools.State(time.Now()), Gates: e.pools.Gates(time.Now()), Outages: e.pools.Outages(time.Now()), Suspects: e.pools.Suspects(time.Now()), Peers: e.traffic.State(),
+		InFlight: e.handler.InFlight(), Directory: e.directory.State(), Upstreams: e.pools.State(time.Now()), Gates: e.pools.Gates(time.Now()), Outages: e.pools.Outages(time.Now()), Suspects: e.pools.Suspects(time.Now()), Peers: e.traffic.State(), Clients: e.budget.State(),
 	}
 }
--- a/internal/operator/command/process.go
+++ b/internal/operator/command/process.go
@@ -86,6 +86,7 @@
 			if err != nil {
 				return err
 			}
+			limitHeap(c)
 			return serve(ctx, func(ctx context.Context) (process, error) {
 				if c.Direct != nil {
 					return newDirectEntry(ctx, path, c)
@@ -96,14 +97,23 @@
 	}
 }
 
-// heapMemoryShare is the part of its memory up to which a process lets garbage pile up. The rest is
-// for what the runtime does not count.
-const heapMemoryShare = 0.85
+// Parts of a process's memory up to which it lets garbage pile up. The rest is for what the runtime
+// does not count: the program's pages and the kernel's buffers.
+const (
+	heapMemoryShare      = 0.85
+	uncountedBytes       = 24e6
+	leastHeapMemoryShare = 0.5
+)
+
+// limitHeap makes the runtime collect garbage before a process takes more than its memory.
+func limitHeap(c config.Process) {
+	memory := float64(c.MemoryBytes())
+	debug.SetMemoryLimit(int64(max(leastHeapMemoryShare*memory, min(heapMemoryShare*memory, memory-uncountedBytes))))
+}
 
 // newDirectEntry returns an entry on a prepared platform. The entry reloads its
 // settings file when the file changes.
 func newDirectEntry(ctx context.Context, path string, c config.Process) (process, error) {
-	debug.SetMemoryLimit(int64(heapMemoryShare * float64(c.MemoryBytes())))
 	logger := log.New(log.NewNonBlockingWriter(os.Stdout), c.LogFormat, c.Name)
 	e, err := direct.New(c, entryDependencies(c), rand.Uint64(), logger)
 	if err != nil {
@@ -137,6 +147,7 @@
 			if err != nil {
 				return err
 			}
+			limitHeap(c)
 			return serve(ctx, func(ctx context.Context) (process, error) {
 				if c.Direct != nil {
 					return agentdirect.New(c, agentDependencies(c), log.New(log.NewNonBlockingWriter(os.Stdout), c.LogFormat, c.Name))
@@ -160,6 +171,7 @@
 			if err != nil || !a.Addr().IsLoopback() {
 				return oops.Code(codeUsage).Errorf("-listen: give a loopback address and port, such as 127.0.0.1:8080")
 			}
+			limitHeap(config.Process{})
 			return serve(ctx, func(ctx context.Context) (process, error) {
 				return local.New(ctx, a, os.Stderr)
 			})
--- a/internal/process/config/config.go
+++ b/internal/process/config/config.go
@@ -77,6 +77,9 @@
 	// MemoryMegabytes is the memory that the process may take, in units of 1,000,000 bytes; 0 stands
 	// for DefaultMemoryMegabytes.
 	MemoryMegabytes int `json:"memory-megabytes"`
+	// Descriptors is the number of file descriptors that the process may have; 0 stands for the limit
+	// of the operating system.
+	Descriptors int `json:"descriptors"`
 	// Direct is set for a process on the operators' prepared platform, where entries
 	// connect to the upstreams directly instead of through agents.
 	Direct *Direct `json:"direct"`
@@ -198,6 +201,8 @@
 		return fail("log-format", "write \"text\" or \"json\"")
 	case p.MemoryMegabytes < 0:
 		return fail("memory-megabytes", "give the memory that the process may take, such as 256, or leave it out")
+	case p.Descriptors < 0:
+		return fail("descriptors", "give the number of file descriptors that the process may have, such as 4096, or leave it out")
 	case (p.TLS.Certificate == "") != (p.TLS.Key == "") || (p.TLS.Certificate == "") != (p.TLS.Authority == ""):
 		return fail("tls", "give certificate, key and authority together")
 	}
--- a/internal/wire/http10/http10.go
+++ b/internal/wire/http10/http10.go
@@ -37,9 +37,16 @@
 // One with TLS ends at once, before TLS can tell the caller that nothing is missing.
 func resetOnClose(ctx context.Context) {
 	c, _ := ctx.Value(connectionKey{}).(net.Conn)
-	secure, isSecure := c.(*tls.Conn)
-	if isSecure {
-		c = secure.NetConn()
+	isSecure := false
+	for {
+		outer, ok := c.(interface{ NetConn() net.Conn })
+		if !ok {
+			break
+		}
+		if _, ok := c.(*tls.Conn); ok {
+			isSecure = true
+		}
+		c = outer.NetConn()
 	}
 	if t, ok := c.(*net.TCPConn); ok {
 		// Errors mean that the connection has ended.
--- /dev/null
+++ b/internal/wire/inbound/inbound_test.go
@@ -0,0 +1,115 @@
+package inbound
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"bramleydeal/internal/core/client"
+	"github.com/matryer/is"
+	"golang.org/x/net/http2"
+)
+
+// pair returns a counted connection of a server and the client's end.
+func pair(t *testing.T, b *Budget, d *client.Door) (*Conn, net.Conn) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	other, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = other.Close() })
+	c, err := b.Listener(l, d).Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = c.Close() })
+	return c.(*Conn), other
+}
+
+// TestHeadsCountAsTheyCostInMemory guards against heads of many short lines or listed names, which
+// take many times their bytes.
+func TestHeadsCountAsTheyCostInMemory(t *testing.T) {
+	const size = 16 << 10
+	for name, text := range map[string]string{"lines": "a:\r\n", "names in a list": "aaa,"} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			b := NewBudget(256e6, 4096)
+			c, other := pair(t, b, b.Callers())
+			idle := b.State().HeldBytes
+			_, err := other.Write(bytes.Repeat([]byte(text), size/len(text)))
+			is.NoErr(err)
+			_, err = io.ReadFull(c, make([]byte, size))
+			is.NoErr(err)
+			is.True(b.State().HeldBytes-idle >= size/int64(len(text))*lineBytes)
+			is.True(c.Begin())
+			c.End()
+			is.NoErr(c.Close())
+			is.Equal(b.State().HeldBytes, int64(0))
+		})
+	}
+}
+
+// TestEvictedRequestIsRefused guards against a client that stops short of the end of its body and
+// keeps its memory, and against one that is cut off without an answer then.
+func TestEvictedRequestIsRefused(t *testing.T) {
+	is := is.New(t)
+	b := NewBudget(256e6, 4096)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	evict := make(chan *Conn, 1)
+	server := &http.Server{ConnContext: NewContext, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		c := FromContext(r.Context())
+		defer c.End()
+		is.True(c.Begin())
+		evict <- c
+		_, err := io.ReadAll(r.Body)
+		is.True(err != nil && c.Evicted())
+		w.WriteHeader(http.StatusServiceUnavailable)
+	})}
+	go func() { _ = server.Serve(b.Listener(l, b.Callers())) }()
+	defer server.Close()
+	other, err := net.Dial("tcp", l.Addr().String())
+	is.NoErr(err)
+	defer other.Close()
+	_, err = io.WriteString(other, "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 2\r\n\r\nx")
+	is.NoErr(err)
+	(<-evict).evict()
+	is.NoErr(other.SetReadDeadline(time.Now().Add(10 * time.Second)))
+	answer, err := io.ReadAll(other) // until the server has closed the connection
+	is.NoErr(err)
+	is.True(bytes.HasPrefix(answer, []byte("HTTP/1.1 503 ")))
+}
+
+// TestFramesAreFoundInPiecesOfAnySize guards against calls that are counted wrongly because their frames
+// arrive in pieces.
+func TestFramesAreFoundInPiecesOfAnySize(t *testing.T) {
+	is := is.New(t)
+	var sent bytes.Buffer
+	sent.WriteString(http2.ClientPreface)
+	f := http2.NewFramer(&sent, nil)
+	is.NoErr(f.WriteSettings())
+	is.NoErr(f.WriteHeaders(http2.HeadersFrameParam{StreamID: 1, BlockFragment: make([]byte, 30), EndHeaders: true}))
+	is.NoErr(f.WriteData(1, false, make([]byte, 1000)))
+	is.NoErr(f.WriteData(1, true, nil))
+	is.NoErr(f.WriteRSTStream(3, http2.ErrCodeCancel))
+	want := "[{4 0 0 0} {1 4 1 30} {0 0 1 1000} {0 1 1 0} {3 0 3 4}]"
+	for size := 1; size <= sent.Len(); size++ {
+		r := frameReader{skip: prefaceLength}
+		var found []frame
+		for piece := sent.Bytes(); len(piece) > 0; {
+			n := min(size, len(piece))
+			found = append(found, r.frames(piece[:n])...)
+			piece = piece[n:]
+		}
+		is.Equal(fmt.Sprint(found), want)
+	}
+}
--- a/test/crowd/peer_test.go
+++ b/test/crowd/peer_test.go
@@ -1,5 +1,7 @@
 package crowd
 
+//lint:file-ignore SA1019 http2.Transport makes all calls on one connection; http.Transport may open one for each.
+
 import (
 	"context"
 	"crypto/tls"
