--- a/internal/agent/direct/agent.go
+++ b/internal/agent/direct/agent.go
@@ -23,6 +23,7 @@
 	"bramleydeal/internal/process/task"
 	"bramleydeal/internal/process/tlsfiles"
 	"bramleydeal/internal/wire/dial"
+	"bramleydeal/internal/wire/inbound"
 	"bramleydeal/internal/wire/peer"
 	"bramleydeal/internal/world/fleet"
 	"github.com/VictoriaMetrics/metrics"
@@ -52,6 +53,7 @@
 	tlsFiles  *tlsfiles.Files
 	pool      *dial.Pool
 	traffic   dial.Traffic
+	budget    *inbound.Budget
 	roster    *roster
 	candidate *candidate
 	vars      *expvar.Map
@@ -66,6 +68,7 @@
 	}
 	a := &Agent{config: c, log: logger, tlsFiles: files, vars: new(expvar.Map).Init(), metricSet: metrics.NewSet()}
 	a.pool = dial.NewPool(files.PeerCredentials(), &a.traffic)
+	a.budget = inbound.NewBudget(c.MemoryBytes(), c.Descriptors)
 	a.roster = &roster{
 		lister: d.Lister, decoder: d.Decoder, ownEngine: c.Upstream.Address, agentPort: c.PeerListen.Port(), pool: a.pool, log: logger.Component("roster"),
 		engineAt: d.EngineAt, fencing: c.Direct.Fencing, refresh: make(chan struct{}, 1),
@@ -100,6 +103,7 @@
 // registerMetrics exposes the counters of the rank controller and of the
 // leadership as Prometheus metrics.
 func (a *Agent) registerMetrics() {
+	a.budget.Register(a.metricSet)
 	stats, leader := a.candidate.controller.Stats(), &a.candidate.metrics
 	for name, value := range map[string]func() float64{
 		`bramleydeal_rank_orders{outcome="accepted"}`:    func() float64 { return float64(stats.Accepted.Load()) },
@@ -142,7 +146,7 @@
 	go a.runListener("peers", func() error { return peers.Serve(listener) })
 	if a.config.DebugListen.IsValid() {
 		go a.runListener("debug", func() error {
-			return debug.Serve(ctx, a.config.DebugListen, debug.Handler(a.vars, func() any { return a.State(ctx) }, nil, debug.WithMetrics(a.metricSet)))
+			return debug.Serve(ctx, a.config.DebugListen, debug.Handler(a.vars, func() any { return a.State(ctx) }, nil, debug.WithMetrics(a.metricSet)), a.budget)
 		})
 	}
 	l := a.log.Component("agent")
@@ -177,12 +181,13 @@
 	Group         string              `json:"group"`
 	Rank          rank.State          `json:"rank"`
 	Peers         dial.TrafficState   `json:"peers"`
+	Clients       inbound.Stats       `json:"clients"`
 }
 
 // State returns the agent's debug state.
 func (a *Agent) State(ctx context.Context) State {
 	return State{
 		Instance: a.config.Name, Role: fleet.AgentRole, FailureDomain: a.config.FailureDomain, Group: a.roster.Name(),
-		Rank: a.candidate.controller.State(ctx), Peers: a.traffic.State(),
+		Rank: a.candidate.controller.State(ctx), Peers: a.traffic.State(), Clients: a.budget.State(),
 	}
 }
--- a/internal/agent/server/server.go
+++ b/internal/agent/server/server.go
@@ -24,6 +24,7 @@
 	"bramleydeal/internal/settings/tree"
 	"bramleydeal/internal/store/object"
 	"bramleydeal/internal/wire/dial"
+	"bramleydeal/internal/wire/inbound"
 	"bramleydeal/internal/wire/orders"
 	"bramleydeal/internal/wire/peer"
 	"bramleydeal/internal/world/fleet"
@@ -40,6 +41,7 @@
 	tlsFiles   *tlsfiles.Files
 	pool       *dial.Pool
 	traffic    dial.Traffic
+	budget     *inbound.Budget
 	replicator *replication.Replicator
 	gateway    *entry.Server
 	// rank is nil when the upstream is a plain service.
@@ -48,21 +50,33 @@
 	drainRequested chan struct{}
 }
 
+// Option configures an Agent.
+type Option func(*Agent)
+
+// WithBudget counts what clients make the agent hold in b, which it shares with others in the process.
+func WithBudget(b *inbound.Budget) Option { return func(a *Agent) { a.budget = b } }
+
 // New returns the agent that c configures. It opens no listener before Run. ctx bounds the
 // lifetime of the agent and of the requests at its upstream; seed determines the random
 // choice of the peers with which it compares settings.
-func New(ctx context.Context, c config.Process, seed uint64, logger *log.Logger) (*Agent, error) {
+func New(ctx context.Context, c config.Process, seed uint64, logger *log.Logger, options ...Option) (*Agent, error) {
 	files, err := tlsfiles.Load(c.TLS)
 	if err != nil {
 		return nil, err
 	}
 	a := &Agent{config: c, log: logger, tlsFiles: files, vars: new(expvar.Map).Init(), drainRequested: make(chan struct{}, 1)}
+	for _, o := range options {
+		o(a)
+	}
+	if a.budget == nil {
+		a.budget = inbound.NewBudget(c.MemoryBytes(), c.Descriptors)
+	}
 	a.pool = dial.NewPool(files.PeerCredentials(), &a.traffic)
-	options := []replication.Option{replication.WithSeedPeers(c.Peers), replication.WithLog(logger.Component("spread")), replication.WithRandomSeed(seed)}
+	replicaOptions := []replication.Option{replication.WithSeedPeers(c.Peers), replication.WithLog(logger.Component("spread")), replication.WithRandomSeed(seed)}
 	if c.Platform.IsValid() {
-		options = append(options, replication.WithPlatform(object.NewClient(c.Platform)))
+		replicaOptions = append(replicaOptions, replication.WithPlatform(object.NewClient(c.Platform)))
 	}
-	a.replicator = replication.New(c.Name, c.FailureDomain, fleet.AgentRole, a.pool, options...)
+	a.replicator = replication.New(c.Name, c.FailureDomain, fleet.AgentRole, a.pool, replicaOptions...)
 	gateway := entry.Config{
 		Self: c.Name, Incarnation: incarnation(), Target: c.Upstream.Target, Scope: a.scope(),
 		Current: a.replicator.Current, Client: upstream.NewClient(c.Upstream.Address), Pool: a.pool, Log: logger.Component("door"),
@@ -75,6 +89,7 @@
 	a.vars.Set("door", expvar.Func(func() any { return a.gateway.State(ctx) }))
 	a.vars.Set("spread", expvar.Func(func() any { return a.replicator.State() }))
 	a.vars.Set("peers", expvar.Func(func() any { return a.traffic.State() }))
+	a.vars.Set("clients", expvar.Func(func() any { return a.budget.State() }))
 	a.vars.Set("memstats", expvar.Get("memstats"))
 	return a, nil
 }
@@ -182,7 +197,7 @@
 }
 
 func (a *Agent) serveDebug(ctx context.Context) error {
-	return debug.Serve(ctx, a.config.DebugListen, debug.Handler(a.vars, func() any { return a.State(ctx) }, a.Drain))
+	return debug.Serve(ctx, a.config.DebugListen, debug.Handler(a.vars, func() any { return a.State(ctx) }, a.Drain), a.budget)
 }
 
 // Drain makes Run drain the agent and return, as the first termination signal does. It
@@ -203,6 +218,7 @@
 	Gateway       entry.State         `json:"door"`
 	Replication   replication.State   `json:"spread"`
 	Peers         dial.TrafficState   `json:"peers"`
+	Clients       inbound.Stats       `json:"clients"`
 	Rank          *rank.State         `json:"rank,omitempty"`
 }
 
@@ -210,7 +226,7 @@
 func (a *Agent) State(ctx context.Context) State {
 	out := State{
 		Instance: a.config.Name, Role: fleet.AgentRole, FailureDomain: a.config.FailureDomain,
-		Revision: a.replicator.Current().Revision, Gateway: a.gateway.State(ctx), Replication: a.replicator.State(), Peers: a.traffic.State(),
+		Revision: a.replicator.Current().Revision, Gateway: a.gateway.State(ctx), Replication: a.replicator.State(), Peers: a.traffic.State(), Clients: a.budget.State(),
 	}
 	if a.rank != nil && (rankGroup{a}).ExpertParallel() {
 		s := a.rank.State(ctx)
--- a/internal/entry/direct/entry.go
+++ b/internal/entry/direct/entry.go
@@ -309,7 +309,7 @@
 	}
 	if e.config.DebugListen.IsValid() {
 		go e.runListener("debug", func() error {
-			return debug.Serve(ctx, e.config.DebugListen, debug.Handler(e.expvars, func() any { return e.State() }, nil, debug.WithMetrics(e.metricSet)))
+			return debug.Serve(ctx, e.config.DebugListen, debug.Handler(e.expvars, func() any { return e.State() }, nil, debug.WithMetrics(e.metricSet)), e.budget)
 		})
 	}
 	return nil
@@ -318,7 +318,7 @@
 func (e *Entry) serveReady(ctx context.Context) error {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /ready", e.handler.ServeReady)
-	return debug.Serve(ctx, e.config.ReadyListen, mux)
+	return debug.Serve(ctx, e.config.ReadyListen, mux, e.budget)
 }
 
 // runListener runs serve and logs its error, unless the server was shut down.
--- a/internal/entry/server/server.go
+++ b/internal/entry/server/server.go
@@ -33,6 +33,7 @@
 	"bramleydeal/internal/store/object"
 	"bramleydeal/internal/wire/dial"
 	"bramleydeal/internal/wire/http10"
+	"bramleydeal/internal/wire/inbound"
 	"bramleydeal/internal/wire/peer"
 	"bramleydeal/internal/world/fleet"
 	"github.com/samber/oops"
@@ -53,6 +54,7 @@
 	files       *tlsfiles.Files
 	pool        *dial.Pool
 	traffic     dial.Traffic
+	budget      *inbound.Budget
 	replicator  *replication.Replicator
 	balancer    *agent.Balancer
 	handler     *caller.Handler
@@ -71,23 +73,35 @@
 	State() any
 }
 
+// Option configures an Entry.
+type Option func(*Entry)
+
+// WithBudget counts what clients make the entry hold in b, which it shares with others in the process.
+func WithBudget(b *inbound.Budget) Option { return func(e *Entry) { e.budget = b } }
+
 // New returns an Entry with settings c. ctx bounds its lifetime. seed
 // determines its random choices. It returns an error if the TLS files cannot be
 // loaded.
-func New(ctx context.Context, c config.Process, seed uint64, logger *log.Logger) (*Entry, error) {
+func New(ctx context.Context, c config.Process, seed uint64, logger *log.Logger, options ...Option) (*Entry, error) {
 	files, err := tlsfiles.Load(c.TLS)
 	if err != nil {
 		return nil, err
 	}
 	e := &Entry{config: c, log: logger, files: files, expvars: new(expvar.Map).Init(), drain: make(chan struct{}, 1)}
+	for _, o := range options {
+		o(e)
+	}
+	if e.budget == nil {
+		e.budget = inbound.NewBudget(c.MemoryBytes(), c.Descriptors)
+	}
 	e.pool = dial.NewPool(files.PeerCredentials(), &e.traffic)
-	options := []replication.Option{replication.WithSeedPeers(c.Peers), replication.WithLog(logger.Component("spread")), replication.WithRandomSeed(seed)}
+	replicaOptions := []replication.Option{replication.WithSeedPeers(c.Peers), replication.WithLog(logger.Component("spread")), replication.WithRandomSeed(seed)}
 	var objects *object.Client
 	if c.Platform.IsValid() {
 		objects = object.NewClient(c.Platform)
-		options = append(options, replication.WithPlatform(objects))
+		replicaOptions = append(replicaOptions, replication.WithPlatform(objects))
 	}
-	e.replicator = replication.New(c.Name, c.FailureDomain, fleet.EntryRole, e.pool, options...)
+	e.replicator = replication.New(c.Name, c.FailureDomain, fleet.EntryRole, e.pool, replicaOptions...)
 	e.balancer = agent.New(ctx, c.Name, c.FailureDomain, e.pool, seed, logger.Component("balancer"))
 	e.handler = caller.New(caller.Config{
 		Self: c.Name, FailureDomain: c.FailureDomain, Current: e.replicator.Current,
@@ -107,6 +121,7 @@
 	e.expvars.Set("caller", expvar.Func(func() any { return e.handler.State() }))
 	e.expvars.Set("spread", expvar.Func(func() any { return e.replicator.State() }))
 	e.expvars.Set("peers", expvar.Func(func() any { return e.traffic.State() }))
+	e.expvars.Set("clients", expvar.Func(func() any { return e.budget.State() }))
 	e.expvars.Set("memstats", expvar.Get("memstats"))
 }
 
@@ -167,7 +182,10 @@
 	peers := grpc.NewServer(dial.ServerOptions(e.files.PeerCredentials())...)
 	peer.RegisterSpreadServer(peers, e.replicator)
 	callers := &http.Server{
-		Handler: http10.ResetBroken(e.handler.Routes()), ConnContext: http10.KeepConnection,
+		Handler: http10.ResetBroken(e.handler.Routes()),
+		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
+			return inbound.NewContext(http10.KeepConnection(ctx, c), c)
+		},
 		ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 		BaseContext: func(net.Listener) context.Context { return ctx },
 	}
@@ -187,7 +205,7 @@
 }
 
 func (e *Entry) serveDebug(ctx context.Context) error {
-	return debug.Serve(ctx, e.config.DebugListen, debug.Handler(e.expvars, func() any { return e.State(ctx) }, e.Drain))
+	return debug.Serve(ctx, e.config.DebugListen, debug.Handler(e.expvars, func() any { return e.State(ctx) }, e.Drain), e.budget)
 }
 
 // Drain starts a graceful shutdown, as the first termination signal does.
@@ -235,6 +253,7 @@
 	Upstreams     map[string][]core.CandidateState `json:"upstreams"`
 	Subscriptions []string                         `json:"listening-to"`
 	Peers         dial.TrafficState                `json:"peers"`
+	Clients       inbound.Stats                    `json:"clients"`
 	LeaderTasks   []any                            `json:"duties,omitempty"`
 }
 
@@ -243,7 +262,7 @@
 	out := State{
 		Instance: e.config.Name, Role: fleet.EntryRole, FailureDomain: e.config.FailureDomain,
 		Revision: e.replicator.Current().Revision, Caller: e.handler.State(), Replication: e.replicator.State(),
-		Upstreams: e.balancer.State(ctx), Subscriptions: e.balancer.Subscriptions(), Peers: e.traffic.State(),
+		Upstreams: e.balancer.State(ctx), Subscriptions: e.balancer.Subscriptions(), Peers: e.traffic.State(), Clients: e.budget.State(),
 	}
 	for _, t := range e.leaderTasks {
 		out.LeaderTasks = append(out.LeaderTasks, t.State())
--- a/internal/process/debug/debug.go
+++ b/internal/process/debug/debug.go
@@ -12,6 +12,7 @@
 	"net/netip"
 	"time"
 
+	"bramleydeal/internal/wire/inbound"
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/go-chi/chi/v5"
 	"github.com/samber/oops"
@@ -62,18 +63,32 @@
 	return r
 }
 
-// shutdownTimeout is the time for which a closing server waits for pending requests.
-// It is also the timeout for reading a request's header.
-const shutdownTimeout = time.Second
+// Limits of the clients.
+const (
+	// shutdownTimeout is the time for which a closing server waits for pending requests.
+	// It is also the timeout for reading a request's header.
+	shutdownTimeout = time.Second
+	// readTimeout bounds the time in which a request arrives whole, writeTimeout the time until its
+	// response was sent, which can be a profile of some seconds, and idleTimeout the time that a
+	// connection stays open without a request.
+	readTimeout  = 5 * time.Second
+	writeTimeout = 2 * time.Minute
+	idleTimeout  = time.Minute
+	// maxHeaderBytes is the longest header of a request.
+	maxHeaderBytes = 16 << 10
+)
 
-// Serve serves h at address until ctx ends. It returns an error with the code listen
-// if it cannot listen at address, and http.ErrServerClosed after ctx ended.
-func Serve(ctx context.Context, address netip.AddrPort, h http.Handler) error {
+// Serve serves h at address until ctx ends, to clients that are counted in b. It returns an error
+// with the code listen if it cannot listen at address, and http.ErrServerClosed after ctx ended.
+func Serve(ctx context.Context, address netip.AddrPort, h http.Handler, b *inbound.Budget) error {
 	listener, err := net.Listen("tcp", address.String())
 	if err != nil {
 		return oops.Code("listen").Wrapf(err, "debug-listen: give another address")
 	}
-	server := &http.Server{Handler: h, ReadHeaderTimeout: shutdownTimeout}
+	server := &http.Server{
+		Handler: inbound.Plain(h), ConnContext: inbound.NewContext, MaxHeaderBytes: maxHeaderBytes,
+		ReadHeaderTimeout: shutdownTimeout, ReadTimeout: readTimeout, WriteTimeout: writeTimeout, IdleTimeout: idleTimeout,
+	}
 	stop := context.AfterFunc(ctx, func() {
 		shutdownCtx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
 		defer cancel()
@@ -81,5 +96,5 @@
 		_ = server.Shutdown(shutdownCtx)
 	})
 	defer stop()
-	return server.Serve(listener)
+	return server.Serve(b.Listener(listener, b.Plain()))
 }
