--- a/internal/agent/direct/agent.go
+++ b/internal/agent/direct/agent.go
@@ -141,9 +141,9 @@
 	if err != nil {
 		return err
 	}
-	peers := grpc.NewServer(append(dial.ServerOptions(a.tlsFiles.PeerCredentials()), task.RecoverCalls(a.log.Component("agent")))...)
+	peers := grpc.NewServer(append(dial.ServerOptions(a.tlsFiles.PeerCredentials(), a.budget), task.RecoverCalls(a.log.Component("agent")))...)
 	peer.RegisterAgentServer(peers, a)
-	go a.runListener("peers", func() error { return peers.Serve(listener) })
+	go a.runListener("peers", func() error { return peers.Serve(a.budget.PeerListener(listener)) })
 	if a.config.DebugListen.IsValid() {
 		go a.runListener("debug", func() error {
 			return debug.Serve(ctx, a.config.DebugListen, debug.Handler(a.vars, func() any { return a.State(ctx) }, nil, debug.WithMetrics(a.metricSet)), a.budget)
--- a/internal/agent/entry/server.go
+++ b/internal/agent/entry/server.go
@@ -14,6 +14,7 @@
 	"bramleydeal/internal/settings/snapshot"
 	"bramleydeal/internal/settings/tree"
 	"bramleydeal/internal/wire/dial"
+	"bramleydeal/internal/wire/inbound"
 	"bramleydeal/internal/wire/peer"
 	"bramleydeal/internal/world/answer"
 	"github.com/go-logr/logr"
@@ -48,6 +49,7 @@
 	current      func() *snapshot.Snapshot
 	client       *upstream.Client
 	pool         *dial.Pool
+	budget       *inbound.Budget
 	orderHandler OrderHandler
 	log          logr.Logger
 	events       *eventloop.Loop[*gateway]
@@ -85,6 +87,8 @@
 	Current func() *snapshot.Snapshot
 	Client  *upstream.Client
 	Pool    *dial.Pool
+	// Budget counts the requests that entries make the agent hold, nil if nothing does.
+	Budget *inbound.Budget
 	// OrderHandler is nil for an agent whose upstream is not a rank of a group.
 	OrderHandler OrderHandler
 	Log          logr.Logger
@@ -95,7 +99,7 @@
 func NewServer(ctx context.Context, c Config) *Server {
 	s := &Server{
 		self: c.Self, target: c.Target, scope: c.Scope, current: c.Current, client: c.Client,
-		pool: c.Pool, orderHandler: c.OrderHandler, log: c.Log, lifetime: ctx, reportNow: make(chan struct{}), stopReports: make(chan struct{}),
+		pool: c.Pool, budget: c.Budget, orderHandler: c.OrderHandler, log: c.Log, lifetime: ctx, reportNow: make(chan struct{}), stopReports: make(chan struct{}),
 	}
 	t := c.Current().Tree
 	g := &gateway{
@@ -166,6 +170,11 @@
 		deadline = time.Now().Add(tree.Get(s.current().Tree, s.scope, reference.RequestDeadline))
 	}
 	s.stats.Executed.Add(1)
+	release, ok := s.budget.ReserveForCall(requestCost(r))
+	if !ok {
+		return s.refuse(refuseMemory(r), stream)
+	}
+	defer release()
 	var j *job
 	var refusal *peer.Refusal
 	attached := false
@@ -186,6 +195,29 @@
 	return s.sendResponse(ctx, j, r, stream)
 }
 
+// headerCost is the memory that a header of a request takes beside its bytes.
+const headerCost = 256
+
+// requestCost returns the memory in bytes that the headers of a request take. Its body is counted as it
+// arrives.
+func requestCost(r *peer.ExecuteRequest) int64 {
+	cost := 0
+	for _, h := range r.Headers {
+		cost += headerCost + 2*(len(h.Name)+len(h.Value))
+	}
+	return int64(cost)
+}
+
+// refuseMemory returns the refusal of a request for which the agent has no memory. An earlier attempt of
+// one that runs at most once may have run.
+func refuseMemory(r *peer.ExecuteRequest) *peer.Refusal {
+	kind := answer.Overloaded
+	if r.Once {
+		kind = answer.Undecided
+	}
+	return &peer.Refusal{Kind: string(kind), Detail: "other requests take the memory of the agent"}
+}
+
 // refuse sends a refusal as the only part of a response.
 func (s *Server) refuse(r *peer.Refusal, stream peer.Agent_ExecuteServer) error {
 	s.stats.Refused.Add(1)
--- a/internal/agent/server/server.go
+++ b/internal/agent/server/server.go
@@ -79,7 +79,7 @@
 	a.replicator = replication.New(c.Name, c.FailureDomain, fleet.AgentRole, a.pool, replicaOptions...)
 	gateway := entry.Config{
 		Self: c.Name, Incarnation: incarnation(), Target: c.Upstream.Target, Scope: a.scope(),
-		Current: a.replicator.Current, Client: upstream.NewClient(c.Upstream.Address), Pool: a.pool, Log: logger.Component("door"),
+		Current: a.replicator.Current, Client: upstream.NewClient(c.Upstream.Address), Pool: a.pool, Budget: a.budget, Log: logger.Component("door"),
 	}
 	if c.Upstream.Kind == config.Engine {
 		a.rank = rank.New(rankGroup{a}, rank.NewPlanEngine(c.Upstream.Address), logger.Component("rank"))
@@ -154,10 +154,10 @@
 	if err != nil {
 		return err
 	}
-	peers := grpc.NewServer(dial.ServerOptions(a.tlsFiles.PeerCredentials())...)
+	peers := grpc.NewServer(dial.ServerOptions(a.tlsFiles.PeerCredentials(), a.budget)...)
 	peer.RegisterAgentServer(peers, a.gateway)
 	peer.RegisterSpreadServer(peers, a.replicator)
-	go a.runListener("peers", func() error { return peers.Serve(listener) })
+	go a.runListener("peers", func() error { return peers.Serve(a.budget.PeerListener(listener)) })
 	if a.config.DebugListen.IsValid() {
 		go a.runListener("debug", func() error { return a.serveDebug(ctx) })
 	}
--- a/internal/entry/direct/entry.go
+++ b/internal/entry/direct/entry.go
@@ -300,9 +300,9 @@
 	if err != nil {
 		return errors.Join(err, callerListener.Close())
 	}
-	peers := grpc.NewServer(append(dial.ServerOptions(e.files.PeerCredentials()), task.RecoverCalls(e.log.Component("entry")))...)
+	peers := grpc.NewServer(append(dial.ServerOptions(e.files.PeerCredentials(), e.budget), task.RecoverCalls(e.log.Component("entry")))...)
 	peer.RegisterSpreadServer(peers, e.directory)
-	go e.runListener("peers", func() error { return peers.Serve(peerListener) })
+	go e.runListener("peers", func() error { return peers.Serve(e.budget.PeerListener(peerListener)) })
 	go e.runListener("callers", func() error { return e.callerServer.Serve(callerListener) })
 	if e.config.ReadyListen.IsValid() {
 		go e.runListener("ready", func() error { return e.serveReady(ctx) })
--- a/internal/entry/server/server.go
+++ b/internal/entry/server/server.go
@@ -179,7 +179,7 @@
 	if err != nil {
 		return nil, nil, errors.Join(err, callerListener.Close())
 	}
-	peers := grpc.NewServer(dial.ServerOptions(e.files.PeerCredentials())...)
+	peers := grpc.NewServer(dial.ServerOptions(e.files.PeerCredentials(), e.budget)...)
 	peer.RegisterSpreadServer(peers, e.replicator)
 	callers := &http.Server{
 		Handler: http10.ResetBroken(e.handler.Routes()),
@@ -189,7 +189,7 @@
 		ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 		BaseContext: func(net.Listener) context.Context { return ctx },
 	}
-	go e.runListener("peers", func() error { return peers.Serve(peerListener) })
+	go e.runListener("peers", func() error { return peers.Serve(e.budget.PeerListener(peerListener)) })
 	go e.runListener("callers", func() error { return callers.Serve(callerListener) })
 	if e.config.DebugListen.IsValid() {
 		go e.runListener("debug", func() error { return e.serveDebug(ctx) })
--- a/internal/wire/dial/pool.go
+++ b/internal/wire/dial/pool.go
@@ -11,6 +11,7 @@
 	"syscall"
 	"time"
 
+	"bramleydeal/internal/wire/inbound"
 	"github.com/samber/oops"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/backoff"
@@ -135,17 +136,24 @@
 	}
 }
 
-// ServerOptions returns the options of a gRPC server for peers. It uses no TLS when c is
-// nil.
-func ServerOptions(c credentials.TransportCredentials) []grpc.ServerOption {
-	options := []grpc.ServerOption{
+// Limits of the calls that a process serves.
+const (
+	// handshakeTimeout bounds the time until a connection may be used for calls.
+	handshakeTimeout = 10 * time.Second
+	// maxCallHead is the largest head of a call, in bytes.
+	maxCallHead = 16 << 10
+)
+
+// ServerOptions returns the options of a gRPC server for peers whose calls are counted in b. It uses
+// no TLS when c is nil.
+func ServerOptions(c credentials.TransportCredentials, b *inbound.Budget) []grpc.ServerOption {
+	return []grpc.ServerOption{
+		grpc.Creds(b.Credentials(c)),
 		grpc.MaxRecvMsgSize(MaxMessage),
 		grpc.MaxSendMsgSize(MaxMessage),
+		grpc.MaxHeaderListSize(maxCallHead),
+		grpc.ConnectionTimeout(handshakeTimeout),
 		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: keepaliveTime / 2, PermitWithoutStream: true}),
 		grpc.KeepaliveParams(keepalive.ServerParameters{Time: keepaliveTime, Timeout: keepaliveTimeout}),
 	}
-	if c != nil {
-		options = append(options, grpc.Creds(c))
-	}
-	return options
 }
