--- a/internal/entry/caller/atmostonce.go
+++ b/internal/entry/caller/atmostonce.go
@@ -69,7 +69,7 @@
 func (h *Handler) runKeyed(w http.ResponseWriter, r *http.Request, rq *request, x *peer.ExecuteRequest) {
 	ctx, cancel := h.withDeadline(r.Context(), rq)
 	defer cancel()
-	out := newRelay(w, false, 0)
+	out := newRelay(w, rq.connection, false, 0)
 	x.Once = true
 	token := r.Header.Get(SessionHeader)
 	if token == "" {
@@ -137,7 +137,7 @@
 func (h *Handler) runUnkeyed(w http.ResponseWriter, r *http.Request, rq *request, x *peer.ExecuteRequest) {
 	ctx, cancel := h.withDeadline(r.Context(), rq)
 	defer cancel()
-	out := newRelay(w, false, 0)
+	out := newRelay(w, rq.connection, false, 0)
 	x.Once = true
 	retries := tree.Get(rq.snapshot.Tree, rq.scope, reference.Retries)
 	refusal := answer.Refuse(answer.NoUpstream, "no upstream can be reached")
--- a/internal/entry/caller/caller_test.go
+++ b/internal/entry/caller/caller_test.go
@@ -52,7 +52,7 @@
 func TestRelaySendsEachEventOnce(t *testing.T) {
 	is := is.New(t)
 	w := httptest.NewRecorder()
-	o := newRelay(w, true, 0)
+	o := newRelay(w, nil, true, 0)
 	o.start(agent.Head{Status: http.StatusOK})
 	is.True(o.add(agent.Data{Position: 0, Count: 2, Content: []byte(twoEvents)}))
 	is.True(o.add(agent.Data{Position: 0, Count: 2, Content: []byte(twoEvents)}))                                    // all received before
@@ -64,7 +64,7 @@
 
 func TestResumptionContainsTextAlreadySent(t *testing.T) {
 	is := is.New(t)
-	o := newRelay(httptest.NewRecorder(), true, 0)
+	o := newRelay(httptest.NewRecorder(), nil, true, 0)
 	o.start(agent.Head{Status: http.StatusOK})
 	o.add(agent.Data{Count: 2, Content: []byte(twoEvents)})
 	r, ok := o.resumption()
@@ -81,7 +81,7 @@
 func TestUnsentResponseCanRestart(t *testing.T) {
 	is := is.New(t)
 	w := httptest.NewRecorder()
-	o := newRelay(w, false, 0)
+	o := newRelay(w, nil, false, 0)
 	o.start(agent.Head{Status: http.StatusOK})
 	o.add(agent.Data{Position: 0, Count: 4, Content: []byte("half")})
 	is.True(o.restart())
@@ -112,7 +112,7 @@
 		return agent.Head{Status: status, Headers: []*peer.Header{{Name: "Content-Type", Value: contentType}}}
 	}
 	stream, problem := head(http.StatusOK, "text/event-stream"), head(http.StatusInternalServerError, "application/json")
-	o := newRelay(httptest.NewRecorder(), true, 0)
+	o := newRelay(httptest.NewRecorder(), nil, true, 0)
 	is.True(o.accepts(problem)) // nothing was sent
 	o.start(stream)
 	is.True(o.accepts(head(http.StatusOK, "text/event-stream; charset=utf-8")))
@@ -120,7 +120,7 @@
 	is.True(!o.accepts(head(http.StatusOK, "application/json")))
 	is.True(!o.accepts(head(http.StatusInternalServerError, "text/event-stream")))
 	is.True(o.restart())
-	o = newRelay(httptest.NewRecorder(), true, 0)
+	o = newRelay(httptest.NewRecorder(), nil, true, 0)
 	o.start(problem)
 	is.True(!o.restart())
 }
--- a/internal/entry/caller/chat.go
+++ b/internal/entry/caller/chat.go
@@ -58,7 +58,7 @@
 
 // chat serves POST /v1/chat/completions.
 func (h *Handler) chat(w http.ResponseWriter, r *http.Request, rq *request) {
-	if refusal := h.readBody(r, rq); refusal != nil {
+	if refusal := h.readBody(w, r, rq); refusal != nil {
 		h.refuse(w, rq, refusal)
 		return
 	}
@@ -200,7 +200,7 @@
 	}
 	ctx, cancel := h.withDeadline(r.Context(), rq)
 	defer cancel()
-	out := newRelay(w, p.execute.Events, position.received)
+	out := newRelay(w, rq.connection, p.execute.Events, position.received)
 	p.execute.Key = position.key
 	repeatable = repeatable && len(rq.body) > 0
 	end := h.attach(ctx, rq, position.agent, p.execute, out, repeatable)
--- a/internal/entry/caller/handler.go
+++ b/internal/entry/caller/handler.go
@@ -6,7 +6,6 @@
 
 import (
 	"context"
-	"errors"
 	"io"
 	"math/rand/v2"
 	"net/http"
@@ -20,6 +19,7 @@
 	"bramleydeal/internal/settings/reference"
 	"bramleydeal/internal/settings/snapshot"
 	"bramleydeal/internal/settings/tree"
+	"bramleydeal/internal/wire/inbound"
 	"bramleydeal/internal/world/answer"
 	"bramleydeal/internal/world/fleet"
 	"github.com/go-chi/chi/v5"
@@ -120,6 +120,8 @@
 	body        []byte
 	errorFormat errorFormat
 	log         logr.Logger
+	// connection counts what the request holds, nil if nothing does.
+	connection *inbound.Conn
 }
 
 // errorFormat is the format of the error responses to a caller.
@@ -151,6 +153,7 @@
 func (h *Handler) admit(format errorFormat, next requestHandler) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		rq := h.newRequest(r, format)
+		defer rq.connection.End()
 		w.Header().Set(RequestIDHeader, rq.id)
 		if h.draining.Load() {
 			w.Header().Set("Connection", "close")
@@ -162,7 +165,8 @@
 		}
 		defer h.inFlight.Add(-1)
 		limit := tree.Get(rq.snapshot.Tree, tree.Scope{FailureDomain: string(h.domain)}, reference.EntryConcurrency)
-		if h.inFlight.Add(1) > int64(limit) {
+		// The lines of the head are held once more as they are sent on.
+		if h.inFlight.Add(1) > int64(limit) || !rq.connection.Begin() || !rq.connection.Reserve(rq.connection.HeadCost()) {
 			h.refuse(w, rq, h.refuseOverloaded(r, rq))
 			return
 		}
@@ -178,7 +182,7 @@
 	return &request{
 		id: id, arrived: time.Now(), snapshot: h.current(), errorFormat: format,
 		scope: tree.Scope{FailureDomain: string(h.domain)},
-		log:   h.log.WithValues("request", id),
+		log:   h.log.WithValues("request", id), connection: inbound.FromContext(r.Context()),
 	}
 }
 
@@ -216,21 +220,6 @@
 	return answer.Refuse(answer.Undecided, "the entry serves as many requests as it may")
 }
 
-// readBody reads the request's body, up to the limit for its scope.
-func (h *Handler) readBody(r *http.Request, rq *request) *answer.Refusal {
-	limit := tree.Get(rq.snapshot.Tree, rq.scope, reference.BodyLimit)
-	body, err := io.ReadAll(http.MaxBytesReader(nil, r.Body, int64(limit)))
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		return answer.Refuse(answer.TooLarge, "the body is larger than %d bytes", limit)
-	}
-	if err != nil {
-		return answer.Refuse(answer.InvalidRequest, "the body could not be read to its end")
-	}
-	rq.body = body
-	return nil
-}
-
 // withDeadline returns a context that ends when the time for the request
 // (setting request-deadline) is over.
 func (h *Handler) withDeadline(ctx context.Context, rq *request) (context.Context, context.CancelFunc) {
--- a/internal/entry/caller/idempotent.go
+++ b/internal/entry/caller/idempotent.go
@@ -35,7 +35,7 @@
 	ctx, cancel := h.withDeadline(r.Context(), rq)
 	defer cancel()
 	h.balancer.RecordRequest(rq.scope, tree.Get(rq.snapshot.Tree, rq.scope, reference.RetryRatio))
-	h.runPlan(ctx, rq, p, newRelay(w, p.execute.Events, 0))
+	h.runPlan(ctx, rq, p, newRelay(w, rq.connection, p.execute.Events, 0))
 }
 
 // A response that has started is not aborted when each upstream has failed
--- a/internal/entry/caller/relay.go
+++ b/internal/entry/caller/relay.go
@@ -9,6 +9,7 @@
 
 	"bramleydeal/internal/entry/agent"
 	"bramleydeal/internal/wire/header"
+	"bramleydeal/internal/wire/inbound"
 	"bramleydeal/internal/world/answer"
 )
 
@@ -17,6 +18,9 @@
 // the caller has.
 const maxBuffered = 1 << 20
 
+// bufferFactor is the memory that a byte which is kept takes: buffers that grow have room for more.
+const bufferFactor = 2
+
 // relay writes one response to a caller, each event or byte once, even if it
 // comes from several agents.
 type relay struct {
@@ -37,12 +41,14 @@
 	callerGone bool
 	// extraHeaders are response headers that the entry adds.
 	extraHeaders map[string]string
+	// connection counts what is buffered, nil if nothing does.
+	connection *inbound.Conn
 }
 
-// newRelay returns a relay to w for a caller that has received everything before
+// newRelay returns a relay to w, on the given connection, for a caller that has received everything before
 // position. events is true if the response is an event stream.
-func newRelay(w http.ResponseWriter, events bool, position uint64) *relay {
-	return &relay{w: w, events: events, position: position, extraHeaders: map[string]string{}}
+func newRelay(w http.ResponseWriter, connection *inbound.Conn, events bool, position uint64) *relay {
+	return &relay{w: w, connection: connection, events: events, position: position, extraHeaders: map[string]string{}}
 }
 
 // start handles the head of a response. Only the first head is used, unless
@@ -122,7 +128,7 @@
 
 // sendEvents sends events and keeps a copy of them for resumption.
 func (o *relay) sendEvents(content []byte) {
-	if len(o.buffered)+len(content) <= maxBuffered && !o.overflow {
+	if !o.overflow && o.mayBuffer(content) {
 		o.buffered = append(o.buffered, content...)
 	} else {
 		o.overflow, o.buffered = true, nil
@@ -134,7 +140,7 @@
 // restarted at another upstream. A response longer than maxBuffered is sent as
 // it arrives.
 func (o *relay) addBytes(content []byte) {
-	if !o.headSent && len(o.buffered)+len(content) <= maxBuffered {
+	if !o.headSent && o.mayBuffer(content) {
 		o.buffered = append(o.buffered, content...)
 		return
 	}
@@ -142,6 +148,11 @@
 	o.write(content)
 }
 
+// mayBuffer reports whether a part of the response may be kept, for which it takes memory.
+func (o *relay) mayBuffer(content []byte) bool {
+	return len(o.buffered)+len(content) <= maxBuffered && o.connection.Reserve(bufferFactor*int64(len(content)))
+}
+
 // sendBuffered sends the head and the buffered bytes, unless they were sent.
 func (o *relay) sendBuffered() {
 	if !o.headSent {
--- a/internal/entry/caller/service.go
+++ b/internal/entry/caller/service.go
@@ -46,7 +46,7 @@
 		h.refuse(w, rq, refusal)
 		return
 	}
-	if refusal := h.readBody(r, rq); refusal != nil {
+	if refusal := h.readBody(w, r, rq); refusal != nil {
 		h.refuse(w, rq, refusal)
 		return
 	}
@@ -108,7 +108,7 @@
 
 // openSession serves POST /sessions.
 func (h *Handler) openSession(w http.ResponseWriter, r *http.Request, rq *request) {
-	if refusal := h.readBody(r, rq); refusal != nil {
+	if refusal := h.readBody(w, r, rq); refusal != nil {
 		h.refuse(w, rq, refusal)
 		return
 	}
--- a/internal/entry/server/server.go
+++ b/internal/entry/server/server.go
@@ -175,6 +175,7 @@
 	if c := e.files.CallerTLSConfig(); c != nil {
 		callerListener = tls.NewListener(callerListener, c)
 	}
+	callerListener = e.budget.Listener(callerListener, e.budget.Callers())
 	peerListener, err := e.traffic.Listen(e.config.PeerListen.String())
 	if err != nil {
 		return nil, nil, errors.Join(err, callerListener.Close())
--- a/internal/operator/local/local.go
+++ b/internal/operator/local/local.go
@@ -26,6 +26,7 @@
 	"bramleydeal/internal/standin/engine"
 	"bramleydeal/internal/standin/service"
 	"bramleydeal/internal/standin/store"
+	"bramleydeal/internal/wire/inbound"
 	"bramleydeal/internal/world/fleet"
 	"github.com/samber/oops"
 )
@@ -52,7 +53,9 @@
 	platformAddress netip.AddrPort
 	processes       []process
 	running         sync.WaitGroup
-	instances       []fleet.Instance
+	// budget counts what clients make the whole deployment hold.
+	budget    *inbound.Budget
+	instances []fleet.Instance
 }
 
 // process is an entry or an agent.
@@ -64,7 +67,7 @@
 // The stand-ins run until ctx ends; Run runs the entries and agents. Of the logs, only
 // those of this package are written to w.
 func New(ctx context.Context, listen netip.AddrPort, w io.Writer) (*Local, error) {
-	l := &Local{listen: listen, log: log.New(w, log.Text, "local"), platform: store.New()}
+	l := &Local{listen: listen, log: log.New(w, log.Text, "local"), platform: store.New(), budget: inbound.NewBudget(config.Process{}.MemoryBytes(), 0)}
 	var err error
 	if l.platformAddress, err = l.serveStandin(ctx, l.platform.Handler()); err != nil {
 		return nil, err
@@ -102,13 +105,13 @@
 	if err != nil {
 		return netip.AddrPort{}, oops.Code("listen").Wrap(err)
 	}
-	server := &http.Server{Handler: h, ReadHeaderTimeout: readyTimeout}
+	server := &http.Server{Handler: inbound.Plain(h), ConnContext: inbound.NewContext, ReadHeaderTimeout: readyTimeout}
 	context.AfterFunc(ctx, func() {
 		// The process is ending, so an error from closing has no effect.
 		_ = server.Close()
 	})
 	go func() {
-		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		if err := server.Serve(l.budget.Listener(listener, l.budget.Callers())); !errors.Is(err, http.ErrServerClosed) {
 			l.log.Component("local").Error(err, "the server of a stand-in failed; its requests get no response")
 		}
 	}()
@@ -146,7 +149,7 @@
 		return err
 	}
 	c.Upstream = u
-	a, err := agent.New(ctx, c, rand.Uint64(), log.New(io.Discard, log.Text, name))
+	a, err := agent.New(ctx, c, rand.Uint64(), log.New(io.Discard, log.Text, name), agent.WithBudget(l.budget))
 	l.processes = append(l.processes, a)
 	return err
 }
@@ -164,7 +167,7 @@
 		} else if c.Listen, err = freeAddress(); err != nil {
 			return err
 		}
-		e, err := entry.New(ctx, c, rand.Uint64(), log.New(io.Discard, log.Text, c.Name))
+		e, err := entry.New(ctx, c, rand.Uint64(), log.New(io.Discard, log.Text, c.Name), entry.WithBudget(l.budget))
 		if err != nil {
 			return err
 		}
