--- a/internal/agent/entry/gateway.go
+++ b/internal/agent/entry/gateway.go
@@ -65,9 +65,16 @@
 	// oldest first. retainedBytes is their size, limited to maxRetainedBytes.
 	retained      []*job
 	retainedBytes int
+	// ended are the ended jobs of resumable, oldest first, as they were when they ended. endedBytes is
+	// the size of their responses, limited to maxEndedBytes but for those that have readers.
+	ended      []endedJob
+	endedBytes int
 
 	// resumeWindow is how long an idempotent job is kept without readers.
-	resumeWindow     time.Duration
+	resumeWindow time.Duration
+	// memory is what the responses share.
+	memory           upstream.Memory
+	maxEndedBytes    int
 	maxBufferBytes   int
 	maxRetainedBytes int
 	// start runs a job at the upstream in another goroutine.
@@ -133,7 +140,7 @@
 // newJob returns a job for a request. It is neither queued nor in the ledger.
 func (g *gateway) newJob(r *peer.ExecuteRequest, deadline time.Time) *job {
 	g.nextID++
-	return &job{id: g.nextID, request: r, deadline: deadline, response: upstream.NewBuffer(g.maxBufferBytes)}
+	return &job{id: g.nextID, request: r, deadline: deadline, response: upstream.NewBuffer(g.maxBufferBytes, upstream.WithMemory(g.memory))}
 }
 
 // refusal returns a refusal that names the ledger's current term.
@@ -214,6 +221,9 @@
 	if g.resumable[j.ledgerKey()] == j {
 		delete(g.resumable, j.ledgerKey())
 	}
+	if j.response.Readers() == 0 {
+		j.response.DropContent()
+	}
 }
 
 // finish records the end of a started job in the ledger and the queue. took is the
@@ -224,6 +234,7 @@
 	switch {
 	case !j.request.Once && complete:
 		g.addPrefix(j.request.Prefix)
+		g.retainResumable(j)
 	case !j.request.Once:
 		g.removeResumable(j)
 	case complete:
@@ -263,6 +274,29 @@
 	}
 }
 
+// endedJob is an ended job of gateway.resumable and the memory that it takes.
+type endedJob struct {
+	*job
+	bytes int
+}
+
+// retainResumable keeps the response of an ended idempotent job for its resume window. When these
+// responses together exceed maxEndedBytes, the oldest ones without readers are dropped; their callers
+// get the request run again or are told that the stream is lost.
+func (g *gateway) retainResumable(j *job) {
+	g.ended = append(g.ended, endedJob{j, j.response.Size() + jobOverheadBytes})
+	g.endedBytes += g.ended[len(g.ended)-1].bytes
+	g.ended = slices.DeleteFunc(g.ended, func(e endedJob) bool {
+		known := g.resumable[e.ledgerKey()] == e.job
+		if known && (g.endedBytes <= g.maxEndedBytes || e.response.Readers() > 0) {
+			return false
+		}
+		g.endedBytes -= e.bytes
+		g.removeResumable(e.job)
+		return true
+	})
+}
+
 // addPrefix records a prompt prefix as the most recent one. 0 means that the request has
 // none.
 func (g *gateway) addPrefix(p uint64) {
@@ -302,7 +336,7 @@
 func (g *gateway) tick(now time.Time) {
 	g.ledger.Tick(now)
 	g.applyDecisions(g.queue.Expire(now))
-	for key, j := range g.resumable {
+	for _, j := range g.resumable {
 		if j.ended.IsZero() || now.Sub(j.ended) < g.resumeWindow {
 			continue
 		}
@@ -316,7 +350,7 @@
 			j.cancel()
 			continue
 		}
-		delete(g.resumable, key)
+		g.removeResumable(j)
 	}
 }
 
--- a/internal/agent/entry/server.go
+++ b/internal/agent/entry/server.go
@@ -109,6 +109,7 @@
 		resumable: map[string]*job{},
 		queued:    map[uint64]*job{},
 		start:     s.startJob,
+		memory:    s.budget,
 	}
 	s.configure(g, c.Current())
 	s.publishLoad(g)
@@ -158,6 +159,7 @@
 	g.ledger.Configure(tree.Get(settings.Tree, s.scope, reference.LedgerCapacity), tree.Get(settings.Tree, s.scope, reference.LedgerRetention))
 	g.resumeWindow = tree.Get(settings.Tree, s.scope, reference.ResumeWindow)
 	g.maxRetainedBytes = tree.Get(settings.Tree, s.scope, reference.AnswersTotal)
+	g.maxEndedBytes = min(g.maxRetainedBytes, int(s.budget.Limit()/endedShare))
 	g.maxBufferBytes = tree.Get(settings.Tree, s.scope, reference.AnswerBuffer)
 }
 
@@ -195,13 +197,21 @@
 	return s.sendResponse(ctx, j, r, stream)
 }
 
+const (
+	// endedShare is the divisor for the part of the memory of clients that answers may take which are
+	// kept for callers to come back.
+	endedShare = 4
+	// partBytes is the memory that the parts of an answer take which are on their way to an entry.
+	partBytes = 3 * maxDataBytes
+)
+
 // headerCost is the memory that a header of a request takes beside its bytes.
 const headerCost = 256
 
-// requestCost returns the memory in bytes that the headers of a request take. Its body is counted as it
-// arrives.
+// requestCost returns the memory in bytes that the headers of a request and the parts of its answer take.
+// Its body is counted as it arrives.
 func requestCost(r *peer.ExecuteRequest) int64 {
-	cost := 0
+	cost := partBytes
 	for _, h := range r.Headers {
 		cost += headerCost + 2*(len(h.Name)+len(h.Value))
 	}
@@ -276,9 +286,8 @@
 	return stream.Send(message)
 }
 
-// maxDataBytes bounds the content of one message that is merged from several chunks, well
-// below dial.MaxMessage.
-const maxDataBytes = 1 << 20
+// maxDataBytes bounds the content of one message that is merged from several chunks.
+const maxDataBytes = 64 << 10
 
 // mergeChunks merges consecutive chunks, so that few messages carry all that is
 // available.
--- a/internal/agent/upstream/buffer.go
+++ b/internal/agent/upstream/buffer.go
@@ -6,7 +6,9 @@
 
 import (
 	"context"
+	"runtime"
 	"sync"
+	"time"
 
 	"bramleydeal/internal/world/answer"
 	"github.com/samber/oops"
@@ -58,11 +60,68 @@
 	dropped  bool
 	ending   *Ending
 	readers  map[*Reader]struct{}
+	// taken is the memory that was taken for the content, nil if none is.
+	taken *takenMemory
+}
+
+// Memory is the memory that all buffers of a process share.
+type Memory interface {
+	// Take takes bytes and reports whether there were as many. Return returns them.
+	Take(bytes int64) bool
+	Return(bytes int64)
+}
+
+// takenMemory is the memory that one buffer has taken.
+type takenMemory struct {
+	from  Memory
+	bytes int64
+}
+
+// release returns up to n bytes.
+func (t *takenMemory) release(n int64) {
+	n = min(n, t.bytes)
+	t.bytes -= n
+	t.from.Return(n)
+}
+
+// BufferOption configures a Buffer.
+type BufferOption func(*Buffer)
+
+// WithMemory takes the memory for the content from m.
+func WithMemory(m Memory) BufferOption {
+	return func(b *Buffer) {
+		b.taken = &takenMemory{from: m}
+		// A buffer that is dropped with content in it has no other end.
+		runtime.AddCleanup(b, func(t *takenMemory) { t.release(t.bytes) }, b.taken)
+	}
 }
 
 // NewBuffer returns an empty buffer for up to limit bytes of content.
-func NewBuffer(limit int) *Buffer {
-	return &Buffer{changed: make(chan struct{}), maxBytes: limit, readers: map[*Reader]struct{}{}}
+func NewBuffer(limit int, options ...BufferOption) *Buffer {
+	b := &Buffer{changed: make(chan struct{}), maxBytes: limit, readers: map[*Reader]struct{}{}}
+	for _, o := range options {
+		o(b)
+	}
+	return b
+}
+
+// take takes memory for content and reports whether there was enough. The caller holds b.mu.
+func (b *Buffer) take(bytes int) bool {
+	if b.taken == nil {
+		return true
+	}
+	if !b.taken.from.Take(int64(bytes)) {
+		return false
+	}
+	b.taken.bytes += int64(bytes)
+	return true
+}
+
+// release returns the memory of content. The caller holds b.mu.
+func (b *Buffer) release(bytes int) {
+	if b.taken != nil {
+		b.taken.release(int64(bytes))
+	}
 }
 
 // notify wakes all goroutines that wait for a change. The caller holds b.mu.
@@ -79,18 +138,26 @@
 	b.notify()
 }
 
-// Append adds a chunk. It blocks while the buffer is full of chunks that a reader has not
-// read, and returns an error when ctx is done before there is room. A chunk larger than
-// the limit is accepted when the buffer is empty.
+// memoryPollInterval is how often a buffer without memory asks for it again.
+const memoryPollInterval = 50 * time.Millisecond
+
+// Append adds a chunk. It blocks while the buffer is full of chunks that a reader has not read, or
+// there is no memory for it, and returns an error when ctx is done before there is room. A chunk is
+// accepted in any case when the buffer is empty.
 func (b *Buffer) Append(ctx context.Context, c Chunk) error {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	for b.bytes > 0 && b.bytes+len(c.Content) > b.maxBytes && !b.dropOldest() {
+	for !b.hasRoom(len(c.Content)) {
+		if b.dropOldest() {
+			continue
+		}
 		changed := b.changed
 		b.mu.Unlock()
 		select {
 		case <-changed:
 			b.mu.Lock()
+		case <-time.After(memoryPollInterval):
+			b.mu.Lock()
 		case <-ctx.Done():
 			b.mu.Lock()
 			return oops.Code("cancelled").Wrap(ctx.Err())
@@ -102,6 +169,15 @@
 	return nil
 }
 
+// hasRoom reports whether content of the given size may be added, and takes the memory for it. The
+// caller holds b.mu.
+func (b *Buffer) hasRoom(bytes int) bool {
+	if b.bytes > 0 && b.bytes+bytes > b.maxBytes {
+		return false
+	}
+	return b.take(bytes) || b.bytes == 0
+}
+
 // dropOldest drops the oldest chunk, and reports false when a reader has not read it. The
 // caller holds b.mu.
 func (b *Buffer) dropOldest() bool {
@@ -113,6 +189,7 @@
 	}
 	b.chunks = b.chunks[1:]
 	b.bytes -= len(oldest.Content)
+	b.release(len(oldest.Content))
 	b.dropped = true
 	return true
 }
@@ -170,6 +247,7 @@
 	defer b.mu.Unlock()
 	size := b.bytes
 	b.chunks, b.bytes, b.dropped = nil, 0, true
+	b.release(size)
 	b.notify()
 	return size
 }
--- a/internal/core/client/holdings.go
+++ b/internal/core/client/holdings.go
@@ -47,6 +47,8 @@
 	phase    Phase
 	// gone is set once the connection was closed or has lost what it held.
 	gone bool
+	// shared is set for what is held for several connections.
+	shared bool
 }
 
 const (
@@ -81,6 +83,13 @@
 	return x, evicted
 }
 
+// OpenShared returns a holder for what several connections hold together, which is never taken from it.
+func (h *Holdings) OpenShared(now time.Time) *Holder {
+	x := &Holder{door: NewDoor(0), progress: now, phase: Waiting, shared: true}
+	h.holders[x] = struct{}{}
+	return x
+}
+
 // OpenMore takes another descriptor for a connection, for a connection to an upstream. It reports false
 // if none can be had.
 func (h *Holdings) OpenMore(x *Holder, now time.Time) (evicted []*Holder, ok bool) {
@@ -158,18 +167,18 @@
 		return h.held+bytes <= h.limit
 	}
 	others := h.long
-	if x.bytes > ShortHolding {
+	if x.bytes > ShortHolding && !x.shared {
 		others--
 	}
-	return others == 0 || h.held+bytes <= h.limit-h.limit/shortShare
+	return others == 0 && !x.shared || h.held+bytes <= h.limit-h.limit/shortShare
 }
 
 // add changes the bytes that a connection holds.
 func (h *Holdings) add(x *Holder, bytes int64) {
-	wasLong := x.bytes > ShortHolding
+	wasLong := x.bytes > ShortHolding && !x.shared
 	x.bytes += bytes
 	h.held += bytes
-	switch isLong := x.bytes > ShortHolding; {
+	switch isLong := x.bytes > ShortHolding && !x.shared; {
 	case isLong && !wasLong:
 		h.long++
 	case wasLong && !isLong:
--- a/internal/core/client/bodies_test.go
+++ b/internal/core/client/holdings_test.go
@@ -155,3 +155,20 @@
 	}
 	is.True(ended >= 3) // of the budget but for its eighth
 }
+
+// TestSharedHoldingIsBounded guards against what is held for several connections being taken for the only
+// long holding, which is always given memory.
+func TestSharedHoldingIsBounded(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	h := NewHoldings(8 * ShortHolding)
+	x := h.OpenShared(now)
+	_, ok := h.Reserve(x, 7*ShortHolding, now)
+	is.True(ok)
+	_, ok = h.Reserve(x, 1, now)
+	is.True(!ok) // an eighth is left to short ones
+	y := openHolders(h, 1, now)[0]
+	evicted, ok := h.Reserve(y, ShortHolding, now.Add(time.Minute))
+	is.True(ok)
+	is.Equal(len(evicted), 0)
+}
--- a/internal/entry/caller/handler.go
+++ b/internal/entry/caller/handler.go
@@ -19,6 +19,7 @@
 	"bramleydeal/internal/settings/reference"
 	"bramleydeal/internal/settings/snapshot"
 	"bramleydeal/internal/settings/tree"
+	"bramleydeal/internal/wire/dial"
 	"bramleydeal/internal/wire/inbound"
 	"bramleydeal/internal/world/answer"
 	"bramleydeal/internal/world/fleet"
@@ -165,8 +166,8 @@
 		}
 		defer h.inFlight.Add(-1)
 		limit := tree.Get(rq.snapshot.Tree, tree.Scope{FailureDomain: string(h.domain)}, reference.EntryConcurrency)
-		// The lines of the head are held once more as they are sent on.
-		if h.inFlight.Add(1) > int64(limit) || !rq.connection.Begin() || !rq.connection.Reserve(rq.connection.HeadCost()) {
+		// The lines of the head are held once more as they are sent on, and the answer as it arrives.
+		if h.inFlight.Add(1) > int64(limit) || !rq.connection.Begin() || !rq.connection.Reserve(rq.connection.HeadCost()+2*dial.StreamWindow) {
 			h.refuse(w, rq, h.refuseOverloaded(r, rq))
 			return
 		}
--- a/internal/settings/reference/declarations.go
+++ b/internal/settings/reference/declarations.go
@@ -101,7 +101,7 @@
 	AnswerBuffer = declare("answer-buffer", 1<<20, targetLevels, within(1024, 64<<20),
 		"Bytes of one answer that an agent keeps for retries and resumption.")
 	AnswersTotal = declare("answers-total", 32<<20, processLevels, within(1024, 1<<30),
-		"Bytes of the answers to keyed requests that an agent keeps for retries; of older ones it knows only that they ran.")
+		"Bytes of the answers to keyed requests that an agent keeps for retries; of older ones it knows only that they ran. As many bytes at most are kept of other ended answers.")
 	EngineResume = declare("engine-resume", true, groupLevels, nil,
 		"Whether the group's engines can go on from the tokens that another engine generated.")
 	LedgerCapacity = declare("ledger-capacity", 50000, processLevels, within(16, 10_000_000),
--- a/internal/wire/dial/pool.go
+++ b/internal/wire/dial/pool.go
@@ -18,7 +18,9 @@
 	"google.golang.org/grpc/connectivity"
 	"google.golang.org/grpc/credentials"
 	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/experimental"
 	"google.golang.org/grpc/keepalive"
+	"google.golang.org/grpc/mem"
 )
 
 // Timeouts and sizes of the connections between processes.
@@ -29,11 +31,21 @@
 	maxBackoff       = time.Second
 	// MaxMessage bounds a message in bytes; it leaves room for a complete settings tree.
 	MaxMessage = 64 << 20
+	// StreamWindow bounds what a process holds of the answer to a call before it is read, and
+	// connectionWindow what is under way on a connection, in bytes.
+	StreamWindow     = 64 << 10
+	connectionWindow = 1 << 20
 	// idleTimeout is the time without calls after which a connection is closed. The next
 	// call opens it again.
 	idleTimeout = 5 * time.Minute
 )
 
+// init replaces the buffers that messages are encoded into: those of gRPC have 1 MB for a message of
+// 33 KB.
+func init() {
+	experimental.SetDefaultBufferPool(mem.NewTieredBufferPool(256, 4<<10, 16<<10, 32<<10, 80<<10, 160<<10, 320<<10, 640<<10, 1280<<10))
+}
+
 // Pool holds one gRPC connection per peer address. It is safe for concurrent use.
 type Pool struct {
 	credentials credentials.TransportCredentials
@@ -73,6 +85,8 @@
 		grpc.WithTransportCredentials(p.credentials),
 		grpc.WithIdleTimeout(idleTimeout),
 		grpc.WithDisableRetry(),
+		grpc.WithStaticStreamWindowSize(StreamWindow),
+		grpc.WithStaticConnWindowSize(connectionWindow),
 		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(MaxMessage), grpc.MaxCallSendMsgSize(MaxMessage)),
 		grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: keepaliveTime, Timeout: keepaliveTimeout}),
 		grpc.WithConnectParams(grpc.ConnectParams{
--- a/internal/wire/inbound/budget.go
+++ b/internal/wire/inbound/budget.go
@@ -4,6 +4,7 @@
 package inbound
 
 import (
+	"math"
 	"sync"
 	"syscall"
 	"time"
@@ -41,9 +42,11 @@
 	connections map[*client.Holder]*Conn
 	callers     *client.Door
 	peers       *client.Door
-	// decoded holds what the messages of calls were decoded into.
+	// decoded holds what the messages of calls were decoded into, and answers that are kept.
 	decoded *client.Holder
 	stats   Stats
+	// limit is the memory that clients may make the process hold, in bytes.
+	limit int64
 }
 
 // Stats is the debug state of a budget: what is held now, and how often a client was refused memory
@@ -65,11 +68,10 @@
 	sockets := float64(max(descriptors-reservedDescriptors, descriptors/2))
 	share := max(leastMemoryShare*float64(memory), min(memoryShare*float64(memory), float64(memory)-reservedMemory))
 	b := &Budget{
-		holdings: client.NewHoldings(int64(share)), connections: map[*client.Holder]*Conn{},
+		limit: int64(share), holdings: client.NewHoldings(int64(share)), connections: map[*client.Holder]*Conn{},
 		callers: client.NewDoor(int(callerShare * sockets)), peers: client.NewDoor(int(peerShare * sockets)),
 	}
-	b.decoded, _ = b.holdings.Open(client.NewDoor(1), time.Now())
-	b.holdings.SetPhase(b.decoded, client.Waiting, time.Now())
+	b.decoded = b.holdings.OpenShared(time.Now())
 	return b
 }
 
@@ -91,6 +93,24 @@
 // Plain returns a new door of an address that serves only the process's own state.
 func (b *Budget) Plain() *client.Door { return client.NewDoor(plainConnections) }
 
+// Limit returns the memory in bytes that clients may make the process hold.
+func (b *Budget) Limit() int64 {
+	if b == nil {
+		return math.MaxInt64
+	}
+	return b.limit
+}
+
+// Take takes memory for answers that are kept for clients and reports whether there was enough.
+func (b *Budget) Take(bytes int64) bool { return b == nil || b.reserve(b.decoded, bytes) }
+
+// Return returns memory that Take has taken.
+func (b *Budget) Return(bytes int64) {
+	if b != nil {
+		b.release(b.decoded, bytes)
+	}
+}
+
 // Register adds the budget's metrics to set.
 func (b *Budget) Register(set *metrics.Set) {
 	for name, value := range map[string]func(Stats) float64{
--- a/test/crowd/own_test.go
+++ b/test/crowd/own_test.go
@@ -22,6 +22,8 @@
 	accountKey  = "planners-key"
 	fastService = "stock"
 	heldService = "held"
+	// longService is the one with long answers. It may run as many requests at once as by default.
+	longService = "long"
 )
 
 // own is an entry of the project's own interface, with two services and their agents as processes.
@@ -57,10 +59,16 @@
 			"name": name, "failure-domain": "z1", "peer-listen": peers, "debug-listen": debug, "platform": platform, "memory-megabytes": lowered.megabytes,
 		}
 	}
-	for _, service := range []string{fastService, heldService} {
+	for _, service := range []string{fastService, heldService, longService} {
 		upstream := freeAddress()
-		start(t, standinLimits, "standin", "service", "-listen", upstream.String())
-		put(t, platform, fleet.SettingsPrefix+"service/"+service, map[string]any{"upstreams": []string{"agent-" + service}})
+		level := map[string]any{"upstreams": []string{"agent-" + service}}
+		if service == longService {
+			upstream = startWorker(t)
+			level["upstream-slots"] = 32
+		} else {
+			start(t, standinLimits, "standin", "service", "-listen", upstream.String())
+		}
+		put(t, platform, fleet.SettingsPrefix+"service/"+service, level)
 		o.peers[service], o.debug[service] = freeAddress(), freeAddress()
 		c := settings("agent-"+service, fleet.AgentRole, o.peers[service], o.debug[service])
 		c["upstream"] = map[string]any{"kind": "service", "address": upstream, "target": service}
@@ -142,6 +150,17 @@
 	}
 }
 
+// TestAnswersOfOwnInterface guards against a crowd of callers that do not read their answers, and with it
+// against an agent that keeps all answers for callers to come back.
+func TestAnswersOfOwnInterface(t *testing.T) {
+	o := startOwn(t)
+	d := o.callerDoor()
+	d.method = http.MethodGet
+	deaf(headCrowd, "/services/"+longService+longPath)[0].join(t, d)
+	checkOrdinary(t, o.callerDoor())
+	o.check()
+}
+
 // TestDebugOfOwnInterface guards against a crowd at the debug state of an entry with agents, and of an
 // agent.
 func TestDebugOfOwnInterface(t *testing.T) {
