--- a/internal/entry/client/server.go
+++ b/internal/entry/client/server.go
@@ -153,6 +153,9 @@
 	if state == http.StateNew {
 		return // dispatch, which holds s.mu, waits for g to accept the next connection
 	}
+	if counted, ok := c.(*inbound.Conn); ok && state == http.StateIdle {
+		counted.Idle()
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	switch state {
--- a/internal/entry/server/server.go
+++ b/internal/entry/server/server.go
@@ -183,13 +183,14 @@
 	peers := grpc.NewServer(dial.ServerOptions(e.files.PeerCredentials(), e.budget)...)
 	peer.RegisterSpreadServer(peers, e.replicator)
 	callers := &http.Server{
-		Handler: http10.ResetBroken(e.handler.Routes()),
-		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
-			return inbound.NewContext(http10.KeepConnection(ctx, c), c)
-		},
+		Handler:           http10.ResetBroken(e.handler.Routes()),
 		ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 		BaseContext: func(net.Listener) context.Context { return ctx },
 	}
+	inbound.Configure(callers)
+	callers.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
+		return inbound.NewContext(http10.KeepConnection(ctx, c), c)
+	}
 	go e.runListener("peers", func() error { return peers.Serve(e.budget.PeerListener(peerListener)) })
 	go e.runListener("callers", func() error { return callers.Serve(callerListener) })
 	if e.config.DebugListen.IsValid() {
--- a/internal/operator/local/local.go
+++ b/internal/operator/local/local.go
@@ -105,7 +105,8 @@
 	if err != nil {
 		return netip.AddrPort{}, oops.Code("listen").Wrap(err)
 	}
-	server := &http.Server{Handler: inbound.Plain(h), ConnContext: inbound.NewContext, ReadHeaderTimeout: readyTimeout}
+	server := &http.Server{Handler: inbound.Plain(h), ReadHeaderTimeout: readyTimeout}
+	inbound.Configure(server)
 	context.AfterFunc(ctx, func() {
 		// The process is ending, so an error from closing has no effect.
 		_ = server.Close()
--- a/internal/process/debug/debug.go
+++ b/internal/process/debug/debug.go
@@ -86,9 +86,10 @@
 		return oops.Code("listen").Wrapf(err, "debug-listen: give another address")
 	}
 	server := &http.Server{
-		Handler: inbound.Plain(h), ConnContext: inbound.NewContext, MaxHeaderBytes: maxHeaderBytes,
+		Handler: inbound.Plain(h), MaxHeaderBytes: maxHeaderBytes,
 		ReadHeaderTimeout: shutdownTimeout, ReadTimeout: readTimeout, WriteTimeout: writeTimeout, IdleTimeout: idleTimeout,
 	}
+	inbound.Configure(server)
 	stop := context.AfterFunc(ctx, func() {
 		shutdownCtx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
 		defer cancel()
--- a/internal/wire/inbound/conn.go
+++ b/internal/wire/inbound/conn.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"net"
+	"net/http"
 	"sync"
 	"time"
 
@@ -306,7 +307,7 @@
 	return true
 }
 
-// Reserve takes memory for the request in progress until End. It reports false if there is none.
+// Reserve takes memory for the request in progress until Idle. It reports false if there is none.
 func (c *Conn) Reserve(bytes int64) bool {
 	if c == nil {
 		return true
@@ -341,25 +342,47 @@
 	c.budget.setPhase(c.holder, client.Waiting)
 }
 
-// End returns what the request in progress has taken.
+// discardTimeout bounds the time in which the rest of a body arrives that its handler has not read.
+const discardTimeout = 5 * time.Second
+
+// End records that the handler of the request in progress has ended. What the request has taken is
+// returned with Idle: net/http keeps it until the rest of its body was read.
 func (c *Conn) End() {
 	if c == nil {
 		return
 	}
 	c.mu.Lock()
-	taken, forwarded := c.headBytes+c.requestBytes, c.forwarded
-	c.inRequest, c.phase, c.forwarded, c.headBytes, c.requestBytes = false, client.Reading, false, 0, 0
-	tail := c.bodyTail
-	c.bodyTail = 0
+	forwarded := c.forwarded
+	c.phase, c.forwarded = client.Reading, false
 	c.mu.Unlock()
-	c.budget.release(c.holder, taken)
 	if forwarded {
 		c.budget.closeMore(c.holder)
 	}
 	c.budget.setPhase(c.holder, client.Reading)
+	// An error means that the connection has ended.
+	_ = c.SetReadDeadline(time.Now().Add(discardTimeout))
+}
+
+// Idle returns what the last request has taken. It is meant for a server's ConnState, in StateIdle.
+func (c *Conn) Idle() {
+	c.mu.Lock()
+	taken, tail := c.headBytes+c.requestBytes, c.bodyTail
+	c.inRequest, c.headBytes, c.requestBytes, c.bodyTail = false, 0, 0, 0
+	c.mu.Unlock()
+	c.budget.release(c.holder, taken)
 	if c.budget.reserve(c.holder, tail) {
 		c.mu.Lock()
 		c.headBytes += tail
 		c.mu.Unlock()
 	}
 }
+
+// Configure makes a server count the requests on connections of a counted listener.
+func Configure(s *http.Server) {
+	s.ConnContext = NewContext
+	s.ConnState = func(c net.Conn, state http.ConnState) {
+		if counted, ok := c.(*Conn); ok && state == http.StateIdle {
+			counted.Idle()
+		}
+	}
+}
--- a/internal/wire/inbound/inbound_test.go
+++ b/internal/wire/inbound/inbound_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -66,7 +67,7 @@
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	is.NoErr(err)
 	evict := make(chan *Conn, 1)
-	server := &http.Server{ConnContext: NewContext, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		c := FromContext(r.Context())
 		defer c.End()
 		is.True(c.Begin())
@@ -75,6 +76,7 @@
 		is.True(err != nil && c.Evicted())
 		w.WriteHeader(http.StatusServiceUnavailable)
 	})}
+	Configure(server)
 	go func() { _ = server.Serve(b.Listener(l, b.Callers())) }()
 	defer server.Close()
 	other, err := net.Dial("tcp", l.Addr().String())
@@ -89,6 +91,39 @@
 	is.True(bytes.HasPrefix(answer, []byte("HTTP/1.1 503 ")))
 }
 
+// TestUnreadBodyKeepsItsHeadCounted guards against requests that are answered before their bodies have
+// arrived, whose heads are kept until then and were counted no longer.
+func TestUnreadBodyKeepsItsHeadCounted(t *testing.T) {
+	is := is.New(t)
+	b := NewBudget(256e6, 4096)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	ended := make(chan struct{}, 2)
+	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		c := FromContext(r.Context())
+		is.True(c.Begin())
+		c.End()
+		ended <- struct{}{}
+	})}
+	Configure(server)
+	go func() { _ = server.Serve(b.Listener(l, b.Callers())) }()
+	defer server.Close()
+	other, err := net.Dial("tcp", l.Addr().String())
+	is.NoErr(err)
+	defer other.Close()
+	const lines = 1000
+	_, err = io.WriteString(other, "POST / HTTP/1.1\r\nHost: x\r\n"+strings.Repeat("a:\r\n", lines)+"Content-Length: 2\r\n\r\nx")
+	is.NoErr(err)
+	<-ended
+	is.True(b.State().HeldBytes >= lines*lineBytes)
+	_, err = io.WriteString(other, "y")
+	is.NoErr(err)
+	for end := time.Now().Add(10 * time.Second); b.State().HeldBytes >= lines*lineBytes && time.Now().Before(end); {
+		time.Sleep(time.Millisecond)
+	}
+	is.True(b.State().HeldBytes < lines*lineBytes)
+}
+
 // TestFramesAreFoundInPiecesOfAnySize guards against calls that are counted wrongly because their frames
 // arrive in pieces.
 func TestFramesAreFoundInPiecesOfAnySize(t *testing.T) {
--- a/test/crowd/entry_test.go
+++ b/test/crowd/entry_test.go
@@ -155,6 +155,21 @@
 	}
 }
 
+// TestStrangersAtPreparedEntry guards against a crowd whose requests are refused before their bodies are
+// read, and are kept until then.
+func TestStrangersAtPreparedEntry(t *testing.T) {
+	for _, c := range slices.Concat(heads(), trailers()) {
+		t.Run(c.name, func(t *testing.T) {
+			p := startPreparedEntry(t)
+			d := p.callerDoor()
+			d.head = strings.ReplaceAll(d.head, clientKey, "none")
+			c.join(t, d)
+			checkOrdinary(t, p.callerDoor())
+			p.check()
+		})
+	}
+}
+
 // plainDoor returns an address of a process that serves only its own state.
 func plainDoor(address netip.AddrPort, path string) httpDoor {
 	return httpDoor{
