--- a/internal/core/client/holdings.go
+++ b/internal/core/client/holdings.go
@@ -152,8 +152,12 @@
 // Progress records that a client sent or took bytes.
 func (h *Holdings) Progress(x *Holder, now time.Time) { x.progress = now }
 
-// SetPhase records what is done on a connection from now on.
-func (h *Holdings) SetPhase(x *Holder, p Phase, now time.Time) { x.phase, x.progress = p, now }
+// SetPhase records what is done on a connection from now on. It reports false if the connection has lost
+// what it held.
+func (h *Holdings) SetPhase(x *Holder, p Phase, now time.Time) bool {
+	x.phase, x.progress = p, now
+	return !x.gone
+}
 
 // Held returns the bytes that all connections hold.
 func (h *Holdings) Held() int64 { return h.held }
--- a/internal/entry/caller/body.go
+++ b/internal/entry/caller/body.go
@@ -46,7 +46,9 @@
 	case err != nil:
 		return answer.Refuse(answer.InvalidRequest, "the body could not be read to its end")
 	}
-	rq.connection.SetWaiting()
+	if !rq.connection.SetWaiting() {
+		return h.refuseOverloaded(r, rq)
+	}
 	return nil
 }
 
--- a/internal/entry/caller/handler.go
+++ b/internal/entry/caller/handler.go
@@ -171,6 +171,10 @@
 			h.refuse(w, rq, h.refuseOverloaded(r, rq))
 			return
 		}
+		if r.ContentLength == 0 && !rq.connection.SetWaiting() {
+			h.refuse(w, rq, h.refuseOverloaded(r, rq))
+			return
+		}
 		next(w, r, rq)
 	}
 }
--- a/internal/entry/client/handler.go
+++ b/internal/entry/client/handler.go
@@ -222,7 +222,10 @@
 		h.refuse(w, c, refusal)
 		return
 	}
-	c.connection.SetWaiting()
+	if !c.connection.SetWaiting() {
+		h.refuse(w, c, refuseMemory())
+		return
+	}
 	c.identity = h.identify(r, c)
 	h.pools.RecordRequest(c.service, c.arrived)
 	h.forward(w, r, c)
--- a/internal/wire/inbound/budget.go
+++ b/internal/wire/inbound/budget.go
@@ -192,11 +192,12 @@
 	b.holdings.Progress(x, time.Now())
 }
 
-// setPhase records what is done on a connection from now on.
-func (b *Budget) setPhase(x *client.Holder, p client.Phase) {
+// setPhase records what is done on a connection from now on, and reports whether it still has what it
+// holds.
+func (b *Budget) setPhase(x *client.Holder, p client.Phase) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.holdings.SetPhase(x, p, time.Now())
+	return b.holdings.SetPhase(x, p, time.Now())
 }
 
 // close returns all that a connection holds.
--- a/internal/wire/inbound/conn.go
+++ b/internal/wire/inbound/conn.go
@@ -74,8 +74,8 @@
 	}
 }
 
-// Conn is a connection of a client whose memory is counted. Its methods may be called on nil, which
-// counts nothing.
+// Conn is a connection of a client whose memory is counted. The methods that concern a request may be
+// called on nil, which counts nothing.
 type Conn struct {
 	net.Conn
 	budget *Budget
@@ -219,14 +219,6 @@
 	return nil
 }
 
-// SetLinger sets what becomes of unsent bytes when the connection is closed.
-func (c *Conn) SetLinger(seconds int) error {
-	if t, ok := c.Conn.(interface{ SetLinger(int) error }); ok {
-		return t.SetLinger(seconds)
-	}
-	return nil
-}
-
 // SetWriteDeadline implements net.Conn. The next Write sets its own deadline again.
 func (c *Conn) SetWriteDeadline(t time.Time) error {
 	c.mu.Lock()
@@ -331,15 +323,16 @@
 	return c.headBytes
 }
 
-// SetWaiting records that the request was read whole, so that the client's silence means nothing.
-func (c *Conn) SetWaiting() {
+// SetWaiting records that the request was read whole, so that the client's silence means nothing. It
+// reports false if the client has lost its connection before: the request must be refused then.
+func (c *Conn) SetWaiting() bool {
 	if c == nil {
-		return
+		return true
 	}
 	c.mu.Lock()
 	c.phase = client.Waiting
 	c.mu.Unlock()
-	c.budget.setPhase(c.holder, client.Waiting)
+	return c.budget.setPhase(c.holder, client.Waiting)
 }
 
 // discardTimeout bounds the time in which the rest of a body arrives that its handler has not read.
--- a/internal/wire/inbound/inbound_test.go
+++ b/internal/wire/inbound/inbound_test.go
@@ -91,6 +91,27 @@
 	is.True(bytes.HasPrefix(answer, []byte("HTTP/1.1 503 ")))
 }
 
+// TestRequestReadWholeKeepsItsConnection guards against a request that is passed on although its client
+// has just lost its connection, and is cut off.
+func TestRequestReadWholeKeepsItsConnection(t *testing.T) {
+	is := is.New(t)
+	for _, evictedFirst := range []bool{true, false} {
+		b := NewBudget(1e6, 4096)
+		c, _ := pair(t, b, b.Callers())
+		is.True(c.Begin())
+		is.True(c.Reserve(client.ShortHolding))
+		if !evictedFirst {
+			is.True(c.SetWaiting())
+		}
+		b.mu.Lock()
+		evicted, _ := b.holdings.Reserve(b.decoded, 300_000, time.Now().Add(time.Minute))
+		b.evict(evicted)
+		b.mu.Unlock()
+		is.Equal(len(evicted) > 0, evictedFirst)
+		is.Equal(c.SetWaiting(), !evictedFirst)
+	}
+}
+
 // TestUnreadBodyKeepsItsHeadCounted guards against requests that are answered before their bodies have
 // arrived, whose heads are kept until then and were counted no longer.
 func TestUnreadBodyKeepsItsHeadCounted(t *testing.T) {
