--- a/internal/wire/inbound/frames.go
+++ b/internal/wire/inbound/frames.go
@@ -74,6 +74,8 @@
 	calls map[uint32]*call
 	// whole is the number of calls whose message was read.
 	whole int
+	// lastCall is the number of the latest call's stream.
+	lastCall uint32
 }
 
 // call is an open call.
@@ -106,8 +108,12 @@
 	return n, err
 }
 
-// received counts a frame of the client and reports whether there is memory for it.
+// received counts a frame of the client and reports whether there is memory for it. Frames of calls that
+// have ended are not kept, and not counted.
 func (c *callConn) received(f frame) bool {
+	if !c.isOpen(f) {
+		return true
+	}
 	var cost int64
 	switch f.kind {
 	case dataFrame:
@@ -129,21 +135,32 @@
 		return false
 	}
 	c.raw.mu.Lock()
-	x := c.calls[f.stream]
-	if x == nil {
-		x = &call{}
-		c.calls[f.stream] = x
-	}
-	x.bytes += cost
-	if f.ends() && !x.whole {
-		x.whole = true
-		c.whole++
+	if x := c.calls[f.stream]; x != nil {
+		x.bytes += cost
+		if f.ends() && !x.whole {
+			x.whole = true
+			c.whole++
+		}
+		c.raw.mu.Unlock()
+	} else { // it has ended meanwhile
+		c.raw.mu.Unlock()
+		c.raw.budget.release(c.raw.holder, cost)
 	}
-	c.raw.mu.Unlock()
 	c.updatePhase()
 	return true
 }
 
+// isOpen reports whether a frame belongs to an open call, which its head may begin.
+func (c *callConn) isOpen(f frame) bool {
+	c.raw.mu.Lock()
+	defer c.raw.mu.Unlock()
+	if f.kind == headersFrame && f.stream > c.lastCall {
+		c.lastCall = f.stream
+		c.calls[f.stream] = &call{}
+	}
+	return c.calls[f.stream] != nil
+}
+
 // sizeOf returns what an open call has taken.
 func (c *callConn) sizeOf(stream uint32) int64 {
 	c.raw.mu.Lock()
--- a/internal/wire/inbound/inbound_test.go
+++ b/internal/wire/inbound/inbound_test.go
@@ -169,3 +169,39 @@
 		is.Equal(fmt.Sprint(found), want)
 	}
 }
+
+// TestFramesOfEndedCallsAreNotCounted guards against calls that the process ends before it has read their
+// messages, of which what still arrives would be counted until the connection is closed.
+func TestFramesOfEndedCallsAreNotCounted(t *testing.T) {
+	is := is.New(t)
+	b := NewBudget(256e6, 4096)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer l.Close()
+	other, err := net.Dial("tcp", l.Addr().String())
+	is.NoErr(err)
+	defer other.Close()
+	raw, err := b.PeerListener(l).Accept()
+	is.NoErr(err)
+	c, _, err := b.Credentials(nil).ServerHandshake(raw)
+	is.NoErr(err)
+	defer c.Close()
+	idle := b.State().HeldBytes
+	var head, rest bytes.Buffer
+	head.WriteString(http2.ClientPreface)
+	is.NoErr(http2.NewFramer(&head, nil).WriteHeaders(http2.HeadersFrameParam{StreamID: 1, EndHeaders: true}))
+	is.NoErr(http2.NewFramer(&rest, nil).WriteData(1, false, make([]byte, 1000)))
+	pass := func(content []byte) {
+		_, err := other.Write(content)
+		is.NoErr(err)
+		_, err = io.ReadFull(c, make([]byte, len(content)))
+		is.NoErr(err)
+	}
+	pass(head.Bytes())
+	pass(rest.Bytes())
+	is.Equal(b.State().HeldBytes-idle, int64(callBytes+smallMessageFactor*1000))
+	is.NoErr(http2.NewFramer(c, nil).WriteRSTStream(1, http2.ErrCodeCancel))
+	is.Equal(b.State().HeldBytes, idle)
+	pass(rest.Bytes())
+	is.Equal(b.State().HeldBytes, idle)
+}
