--- a/internal/core/client/holdings.go
+++ b/internal/core/client/holdings.go
@@ -57,6 +57,10 @@
 	// shortShare is the divisor for the part of the memory that is left to short holdings, so that
 	// long ones do not crowd them out.
 	shortShare = 8
+	// leastHolding is what a connection holds with a request that has hardly a head or a body, and
+	// leastShare the divisor for the part that is left to such: all long ones were short once.
+	leastHolding = 64 << 10
+	leastShare   = 16
 	// evictedShare is the divisor for the part of the memory or descriptors that is freed at once
 	// when there are none left.
 	evictedShare = 16
@@ -167,14 +171,25 @@
 
 // fits reports whether there is memory for more bytes of a connection.
 func (h *Holdings) fits(x *Holder, bytes int64) bool {
-	if x.bytes+bytes <= ShortHolding {
-		return h.held+bytes <= h.limit
+	if h.held+bytes <= h.limitFor(x.bytes+bytes) || h.held == x.bytes && !x.shared {
+		return true
 	}
 	others := h.long
 	if x.bytes > ShortHolding && !x.shared {
 		others--
 	}
-	return others == 0 && !x.shared || h.held+bytes <= h.limit-h.limit/shortShare
+	return x.bytes+bytes > ShortHolding && others == 0 && !x.shared
+}
+
+// limitFor returns the part of the memory that a connection may use which holds the given bytes.
+func (h *Holdings) limitFor(bytes int64) int64 {
+	switch {
+	case bytes <= leastHolding:
+		return h.limit
+	case bytes <= ShortHolding:
+		return h.limit - h.limit/leastShare
+	}
+	return h.limit - h.limit/shortShare
 }
 
 // add changes the bytes that a connection holds.
@@ -199,11 +214,8 @@
 // evictMemory closes connections of silent clients until there is memory for more bytes of x, those
 // first that hold the most for the longest time. It closes none if that is not enough.
 func (h *Holdings) evictMemory(x *Holder, bytes int64, now time.Time) (evicted []*Holder) {
-	want := h.held + bytes + h.limit/evictedShare - h.limit
-	if x.bytes+bytes > ShortHolding {
-		want += h.limit / shortShare
-	}
-	needed := want - h.limit/evictedShare
+	needed := h.held + bytes - h.limitFor(x.bytes+bytes)
+	want := needed + h.limit/evictedShare
 	var silent []*Holder
 	var total int64
 	for y := range h.holders {
--- a/internal/core/client/holdings_test.go
+++ b/internal/core/client/holdings_test.go
@@ -24,7 +24,8 @@
 	const long = 1 << 20
 	now := time.Now()
 	h := NewHoldings(8 * long)
-	x := openHolders(h, 8+long/ShortHolding+1, now)
+	const short, least = long / 2 / ShortHolding, long / 2 / leastHolding
+	x := openHolders(h, 8+short+1+least+1, now)
 	reserve := func(x *Holder, bytes int64) bool {
 		evicted, ok := h.Reserve(x, bytes, now)
 		is.Equal(len(evicted), 0) // none is silent
@@ -35,10 +36,14 @@
 		h.SetPhase(y, Waiting, now)
 	}
 	is.True(!reserve(x[7], long)) // an eighth is left to short bodies
-	for _, y := range x[8 : 8+long/ShortHolding] {
+	for _, y := range x[8 : 8+short] {
 		is.True(reserve(y, ShortHolding))
 	}
-	is.True(!reserve(x[8+long/ShortHolding], ShortHolding))
+	is.True(!reserve(x[8+short], ShortHolding)) // a half of it to those that have hardly begun
+	for _, y := range x[9+short : 9+short+least] {
+		is.True(reserve(y, leastHolding))
+	}
+	is.True(!reserve(x[9+short+least], leastHolding))
 	is.Equal(h.Held(), int64(8*long))
 	h.Release(x[0], long)
 	h.Close(x[1])
@@ -168,7 +173,7 @@
 	_, ok = h.Reserve(x, 1, now)
 	is.True(!ok) // an eighth is left to short ones
 	y := openHolders(h, 1, now)[0]
-	evicted, ok := h.Reserve(y, ShortHolding, now.Add(time.Minute))
+	evicted, ok := h.Reserve(y, leastHolding, now.Add(time.Minute))
 	is.True(ok)
 	is.Equal(len(evicted), 0)
 }
--- a/internal/wire/inbound/conn.go
+++ b/internal/wire/inbound/conn.go
@@ -299,7 +299,7 @@
 	return true
 }
 
-// Reserve takes memory for the request in progress until Idle. It reports false if there is none.
+// Reserve takes memory for the request in progress until End. It reports false if there is none.
 func (c *Conn) Reserve(bytes int64) bool {
 	if c == nil {
 		return true
@@ -338,16 +338,17 @@
 // discardTimeout bounds the time in which the rest of a body arrives that its handler has not read.
 const discardTimeout = 5 * time.Second
 
-// End records that the handler of the request in progress has ended. What the request has taken is
-// returned with Idle: net/http keeps it until the rest of its body was read.
+// End returns what the handler of the request in progress has taken. Its head is returned with Idle:
+// net/http keeps it until the rest of the body was read.
 func (c *Conn) End() {
 	if c == nil {
 		return
 	}
 	c.mu.Lock()
-	forwarded := c.forwarded
-	c.phase, c.forwarded = client.Reading, false
+	taken, forwarded := c.requestBytes, c.forwarded
+	c.phase, c.requestBytes, c.forwarded = client.Reading, 0, false
 	c.mu.Unlock()
+	c.budget.release(c.holder, taken)
 	if forwarded {
 		c.budget.closeMore(c.holder)
 	}
@@ -356,11 +357,11 @@
 	_ = c.SetReadDeadline(time.Now().Add(discardTimeout))
 }
 
-// Idle returns what the last request has taken. It is meant for a server's ConnState, in StateIdle.
+// Idle returns what the head of the last request has taken. It is meant for a server's ConnState, in StateIdle.
 func (c *Conn) Idle() {
 	c.mu.Lock()
-	taken, tail := c.headBytes+c.requestBytes, c.bodyTail
-	c.inRequest, c.headBytes, c.requestBytes, c.bodyTail = false, 0, 0, 0
+	taken, tail := c.headBytes, c.bodyTail
+	c.inRequest, c.headBytes, c.bodyTail = false, 0, 0
 	c.mu.Unlock()
 	c.budget.release(c.holder, taken)
 	if c.budget.reserve(c.holder, tail) {
