--- a/internal/entry/client/forward.go
+++ b/internal/entry/client/forward.go
@@ -440,22 +440,6 @@
 	return nil
 }
 
-// heldResponse returns how many bytes of a response with the given length, -1 if it is not known, may be
-// held back. It is less than maxHeldResponse if clients hold the memory of this process: the rest is
-// then sent as it arrives.
-func (f *forwarding) heldResponse(length int64) int64 {
-	most := int64(maxHeldResponse)
-	if length >= 0 {
-		most = min(most, length)
-	}
-	for ; most > 0; most /= 2 {
-		if f.connection.Reserve(most) {
-			return most
-		}
-	}
-	return 0
-}
-
 // sendResponse sends the head of a response and the part of its body that was
 // read.
 func (f *forwarding) sendResponse(head *http.Response, body []byte) {
--- a/internal/entry/upstream/exchange.go
+++ b/internal/entry/upstream/exchange.go
@@ -174,7 +174,15 @@
 // longer, more is true and body holds its first limit+1 bytes; the rest can be
 // read with Read.
 func (x *Exchange) ReadBody(limit int64) (body []byte, more bool, err error) {
-	body, err = io.ReadAll(io.LimitReader(x.Response.Body, limit+1))
+	from := io.LimitReader(x.Response.Body, limit+1)
+	if length := x.Response.ContentLength; length >= 0 && length <= limit {
+		// Room for the whole body, so that it is held once.
+		whole := bytes.NewBuffer(make([]byte, 0, length+bytes.MinRead))
+		_, err = whole.ReadFrom(from)
+		body = whole.Bytes()
+	} else {
+		body, err = io.ReadAll(from)
+	}
 	return body, int64(len(body)) > limit, err
 }
 
