--- a/review/harness-3/engines.go
+++ b/review/harness-3/engines.go
@@ -5,10 +5,12 @@
 import (
 	"encoding/json"
 	"fmt"
+	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
 	"reflect"
+	"strconv"
 	"sync"
 	"time"
 )
@@ -199,10 +201,51 @@
 		}
 		writeJSON(w, status, map[string]any{})
 	default:
-		w.WriteHeader(http.StatusNotFound)
+		e.stream(w, r)
 	}
 }
 
+// streamEvents is the number of events of a stream, one a pass.
+const streamEvents = 24
+
+// stream runs a request: its group writes one event a pass.
+func (e *engine) stream(w http.ResponseWriter, r *http.Request) {
+	_, _ = io.Copy(io.Discard, r.Body)
+	id, name := r.Header.Get("Request-Id"), fmt.Sprintf("i-llm-%d", e.rank)
+	h := w.Header()
+	h.Set("Request-Id", id)
+	if want := r.Header.Get("Target-Instance"); want != "" && want != name {
+		h.Set("Not-Executed", "1")
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	h.Set("Response-Signature", "signed-by-"+name)
+	h.Set("Instance-Load", "4,0,12")
+	h.Set("Content-Type", "text/event-stream")
+	from, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
+	last := e.group.currentStep()
+	for i := from + 1; i <= streamEvents; i++ {
+		for e.group.currentStep() == last {
+			select {
+			case <-r.Context().Done():
+				return
+			case <-time.After(5 * time.Millisecond):
+			}
+		}
+		last = e.group.currentStep()
+		fmt.Fprintf(w, "id: %d\ndata: piece %d of %s\n\n", i, i, id)
+		if http.NewResponseController(w).Flush() != nil {
+			return
+		}
+	}
+}
+
+func (g *engineGroup) currentStep() uint64 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.step
+}
+
 func (e *engine) report() map[string]any {
 	e.group.mu.Lock()
 	defer e.group.mu.Unlock()
--- a/review/harness-3/main.go
+++ b/review/harness-3/main.go
@@ -14,7 +14,8 @@
 
 var cases = map[string]func(r *record, trouble bool) (broken bool){
 	"11": staleCollection,
-	"12": lateSwitch,
+	"12": standstill,
+	"13": lateSwitch,
 }
 
 func main() {
