--- a/review/13/run.sh
+++ b/review/13/run.sh
@@ -1,3 +1,3 @@
 #!/usr/bin/env bash
 cd "$(dirname "$0")/../.."
-exec target/review-3 12 review/12
+exec target/review-3 13 review/13
