--- a/review/harness-3/fleet.go
+++ b/review/harness-3/fleet.go
@@ -121,10 +121,10 @@
 }
 
 // verdict records the outcome and reports whether the rule was broken.
-func (f *agentFleet) verdict(orders, unanswered, kills int) bool {
+func (f *agentFleet) verdict(trouble bool, orders, unanswered, kills int) bool {
 	broken := f.group.brokenPasses()
 	f.record.line("%d passes, %d orders, %d of them without an answer, agents killed %d times, %d passes on two maps", f.group.step, orders, unanswered, kills, broken)
-	if orders < 20 {
+	if orders < 20 || trouble && kills == 0 {
 		cannotRun("the agents changed no map")
 	}
 	return broken > 0
--- a/review/harness-3/lateswitch.go
+++ b/review/harness-3/lateswitch.go
@@ -100,5 +100,5 @@
 	f.play(trouble)
 	mu.Lock()
 	defer mu.Unlock()
-	return f.verdict(orders, unanswered, kills)
+	return f.verdict(trouble, orders, unanswered, kills)
 }
--- a/review/harness-3/stalecollection.go
+++ b/review/harness-3/stalecollection.go
@@ -78,5 +78,5 @@
 	f.play(trouble)
 	mu.Lock()
 	defer mu.Unlock()
-	return f.verdict(orders, unanswered, kills)
+	return f.verdict(trouble, orders, unanswered, kills)
 }
