--- a/internal/agent/rank/orders.go
+++ b/internal/agent/rank/orders.go
@@ -98,9 +98,9 @@
 	lastCounts []uint32
 	// staged are the maps that were staged last, at most maxStagedMaps.
 	staged []group.Map
-	// unanswered are the steps of the last maxUnansweredHolds holds that this adapter has
-	// ordered in this epoch without a reply. They may be carried out late.
-	unanswered []uint64
+	// unanswered are the last maxUnansweredHolds holds that this adapter has ordered in this
+	// epoch without a reply. They may be carried out late.
+	unanswered []unansweredHold
 	// reportLag is the age that a report may have. orderedAt is when the engine was last sent
 	// an order in this epoch.
 	reportLag time.Duration
@@ -113,6 +113,12 @@
 	raisedAt time.Time
 }
 
+// unansweredHold is a hold at a step that was ordered under a ballot.
+type unansweredHold struct {
+	step   uint64
+	ballot group.Ballot
+}
+
 // maxUnansweredHolds is far above the number of holds that are ordered in the seconds after which
 // an engine has carried out an order or never will.
 const maxUnansweredHolds = 256
@@ -187,8 +193,7 @@
 
 // report reads the engine's report. When the report does not agree with the state, and neither
 // does one that is read anew, it starts a new incarnation from the report, unless it may be
-// older than the state. It also releases a hold whose order had no reply and belongs to no
-// change any more. The caller holds e.mu.
+// older than the state. The caller holds e.mu.
 func (e *orderAdapter) report(ctx context.Context) (Report, error) {
 	r, err := e.engine.Report(ctx)
 	if err == nil && (e.state == nil || e.disagreesWith(r) && !e.mayBeOld(r)) {
@@ -213,24 +218,28 @@
 	}
 	switch {
 	case r.Hold == 0 || r.Hold == e.state.HoldStep:
-	case !slices.Contains(e.unanswered, r.Hold):
+	case e.isOwnHold(r):
+		held := *e.state
+		held.HoldStep = r.Hold
+		e.state = &held
+	default:
 		// Another agent controls the rank and has a change under way, or did before it
-		// stopped, or a leader counts on this adapter's own promise. Releasing the hold would
-		// let this rank alone begin the step. A leader finds it in the new incarnation and
-		// ends it.
+		// stopped, or a leader counts on this adapter's own promise, or the hold belongs to
+		// no change any more. Releasing it would let this rank alone begin the step, and the
+		// order to release it might be carried out when the rank holds at the step again. A
+		// leader finds the hold in the new incarnation and ends it.
 		e.startIncarnation(r)
-	default:
-		// The hold was carried out after its order had been given up. If another agent
-		// holds the rank at the same step, its fencing token is higher, and the engine
-		// refuses this release.
-		e.log.Info("releasing a hold that belongs to no change", "step", r.Hold, "next", r.NextStep)
-		if _, err := e.engine.Release(ctx, e.fence(r, e.state.Promised), r.Hold); err != nil {
-			return r, err
-		}
 	}
 	return r, nil
 }
 
+// isOwnHold reports whether the engine holds at a step by an order of this adapter that had no reply,
+// under the ballot that the rank still follows.
+func (e *orderAdapter) isOwnHold(r Report) bool {
+	last := e.state.Grants[len(e.state.Grants)-1]
+	return e.state.HoldStep == 0 && last.FromStep < r.Hold && slices.Contains(e.unanswered, unansweredHold{r.Hold, e.state.Promised})
+}
+
 // errStraySwitch means that an engine does not take back a switch that belongs to no change.
 var errStraySwitch = errors.New("the engine keeps a switch that belongs to no change")
 
@@ -355,7 +364,7 @@
 		if requiredMap != r.Prepared && requiredMap != r.Map {
 			return false, nil
 		}
-		return e.hold(ctx, fence, next.HoldStep)
+		return e.hold(ctx, fence, next.Promised, next.HoldStep)
 	}
 	last := next.Grants[len(next.Grants)-1]
 	previous := e.state.Grants[len(e.state.Grants)-1]
@@ -379,12 +388,12 @@
 }
 
 // hold orders a hold. The order is remembered as unanswered if it gets no reply.
-func (e *orderAdapter) hold(ctx context.Context, f Fence, step uint64) (bool, error) {
+func (e *orderAdapter) hold(ctx context.Context, f Fence, ballot group.Ballot, step uint64) (bool, error) {
 	defer e.recordOrder()
 	ok, err := e.engine.Hold(ctx, f, step)
-	e.unanswered = slices.DeleteFunc(e.unanswered, func(s uint64) bool { return s == step })
+	e.unanswered = slices.DeleteFunc(e.unanswered, func(u unansweredHold) bool { return u.step == step })
 	if err != nil {
-		e.unanswered = append(e.unanswered, step)
+		e.unanswered = append(e.unanswered, unansweredHold{step, ballot})
 		e.unanswered = e.unanswered[max(len(e.unanswered)-maxUnansweredHolds, 0):]
 	}
 	return ok, err
