--- a/internal/agent/direct/leadership.go
+++ b/internal/agent/direct/leadership.go
@@ -67,9 +67,6 @@
 
 // Parameters of expert maps.
 const (
-	// mapCounterBits is the number of bits of a map's version that count the maps of
-	// one term; the higher bits are the term.
-	mapCounterBits = 16
 	// maxFetchTime bounds the time that one change spends on fetching experts.
 	// Slower fetches end after the distribution of requests has changed again.
 	maxFetchTime = 200 * time.Millisecond
@@ -418,7 +415,7 @@
 		return
 	}
 	g.mapCounter++
-	next.Map.Version = g.term<<mapCounterBits | g.mapCounter
+	next.Map.Version = group.MapVersion(g.term, g.mapCounter)
 	moves := current.Moves(next.Map)
 	g.candidate.log.Info("map planned", "map", next.Map.Version, "from", current.Version, "moves", moves, "skew", next.Skew,
 		"planned-skew", next.PlannedSkew, "step-ms", g.planner.StepTime().Milliseconds(), "least", next.MinSaving)
--- a/internal/agent/rank/engine.go
+++ b/internal/agent/rank/engine.go
@@ -75,6 +75,10 @@
 	// RequiredMap makes the engine refuse the plan when it has not staged this map.
 	RequiredMap uint64      `json:"needs"`
 	State       *group.Rank `json:"state,omitempty"`
+	// Retired is a map to which the engine may not switch any more, nor to an earlier one,
+	// also by an order that it carries out late; 0 for none. An engine that accepts plans
+	// carries out none late.
+	Retired uint64 `json:"-"`
 }
 
 // PlanGrant allows the engine to use a map from a step on, until the next grant.
@@ -99,6 +103,8 @@
 	// set them.
 	Chosen      group.Sample `json:"-"`
 	HeldExperts [][]int      `json:"-"`
+	// Staged is that of group.Reply.
+	Staged uint64 `json:"-"`
 }
 
 // Read implements Engine. The tokens are counted by layer and slot since the last
--- a/internal/agent/rank/orders.go
+++ b/internal/agent/rank/orders.go
@@ -11,8 +11,6 @@
 	"time"
 
 	"bramleydeal/internal/core/group"
-	"bramleydeal/internal/process/clock"
-	"bramleydeal/internal/wire/orders"
 	"github.com/go-logr/logr"
 	"github.com/samber/oops"
 )
@@ -79,6 +77,8 @@
 	// Armed is the version that the rank switches to at the start of step ArmedStep,
 	// 0 for none. Hold is the step before which the group stops, 0 for none.
 	Armed, ArmedStep, Hold uint64
+	// Ranks is the number of ranks of the group.
+	Ranks int
 }
 
 // orderAdapter implements Engine for an OrderEngine. The agent's state is in memory
@@ -130,10 +130,6 @@
 // time from which on the engine refuses the orders of lower ballots.
 var errPromiseNotSure = errors.New("the engine's report may be older than its fencing token")
 
-// maxStagedMaps is the number of maps that an adapter keeps. A leader's next map builds on
-// the one in use, after which only a few can have been staged and dropped.
-const maxStagedMaps = 4
-
 // AdapterOption configures an order adapter.
 type AdapterOption func(*orderAdapter)
 
@@ -156,14 +152,6 @@
 	return e
 }
 
-// Intervals and timeouts of staging a map.
-const (
-	stagePollInterval = 25 * time.Millisecond
-	// stageTimeout is longer than a rank needs to fetch all experts that one map may
-	// add.
-	stageTimeout = 6 * time.Second
-)
-
 // Read implements Engine.
 func (e *orderAdapter) Read(ctx context.Context, loads bool) (Status, error) {
 	e.mu.Lock()
@@ -275,6 +263,9 @@
 	if r.Armed != 0 && !slices.Contains(e.state.Grants, group.Grant{FromStep: r.ArmedStep, MapVersion: r.Armed}) {
 		return true
 	}
+	if g, pending := e.state.PendingSwitch(r.NextStep); pending && r.Armed != g.MapVersion {
+		return true
+	}
 	granted := e.state.Grants[0].MapVersion
 	for _, g := range e.state.Grants {
 		if g.FromStep < r.NextStep {
@@ -285,7 +276,7 @@
 }
 
 // startIncarnation starts a new incarnation whose grants and hold are those of the
-// engine's report.
+// engine's report. A promise of this epoch stays valid.
 func (e *orderAdapter) startIncarnation(r Report) {
 	s := &group.Rank{
 		Incarnation: strconv.FormatUint(r.Epoch, 10) + "-" + strconv.FormatUint(rand.Uint64(), 36),
@@ -295,6 +286,9 @@
 	if r.Armed != 0 {
 		s.Grants = append(s.Grants, group.Grant{FromStep: r.ArmedStep, MapVersion: r.Armed})
 	}
+	if e.state != nil && r.Epoch == e.epoch {
+		s.Promised = e.state.Promised
+	}
 	if r.Epoch != e.epoch {
 		e.unanswered, e.orderedAt = nil, time.Time{}
 		e.raised, e.raisedAt = 0, time.Time{}
@@ -306,7 +300,11 @@
 // status returns the status for a report, with a copy of the state.
 func (e *orderAdapter) status(r Report) Status {
 	state := *e.state
-	return Status{Group: r.Group, Rank: r.Rank, Step: r.NextStep, LoadMap: r.Map, Plan: Plan{HoldStep: state.HoldStep, State: &state}}
+	s := Status{Group: r.Group, Rank: r.Rank, Step: r.NextStep, LoadMap: r.Map, Plan: Plan{HoldStep: state.HoldStep, State: &state}}
+	if !e.fencing {
+		s.Staged = group.StagedVersion(r.Prepared)
+	}
+	return s
 }
 
 // Put implements Engine. It sends the orders that lead from the current state to that
@@ -323,7 +321,11 @@
 		return e.status(r), false, nil
 	}
 	ok, err := e.raiseFence(ctx, r, next.Promised)
-	if ok && err == nil {
+	switch {
+	case !ok || err != nil:
+	case p.Retired != 0:
+		r, ok, err = e.retire(ctx, r, next.Promised, p.Retired)
+	default:
 		ok, err = e.apply(ctx, r, next, p.RequiredMap)
 	}
 	if ok && err == nil {
@@ -401,92 +403,3 @@
 
 // recordOrder records that the engine was sent an order that changes what it reports.
 func (e *orderAdapter) recordOrder() { e.orderedAt = e.now() }
-
-// Stage implements Engine. It returns when all experts of the map have been fetched.
-func (e *orderAdapter) Stage(ctx context.Context, version uint64, content []byte) error {
-	m, err := orders.DecodeMap(version, content, e.stagedMap)
-	if err != nil {
-		return err
-	}
-	e.rememberMap(m)
-	ctx, cancel := context.WithTimeout(ctx, stageTimeout)
-	defer cancel()
-	p := &preparation{version: version, content: m}
-	for {
-		done, err := e.tryStage(ctx, p)
-		if done || err != nil {
-			return err
-		}
-		if ctx.Err() != nil {
-			return oops.Code("engine").Errorf("map %d is not there in time", version)
-		}
-		clock.Sleep(ctx, stagePollInterval)
-	}
-}
-
-// preparation is the state of staging one map at the engine.
-type preparation struct {
-	version uint64
-	content group.Map
-	// acknowledged is set once the engine has accepted a Prepare order, unconfirmed once
-	// one got no reply.
-	acknowledged, unconfirmed bool
-}
-
-// rememberMap keeps a staged map, so that the content of the next ones can build on it.
-func (e *orderAdapter) rememberMap(m group.Map) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if slices.ContainsFunc(e.staged, func(o group.Map) bool { return o.Version == m.Version }) {
-		return
-	}
-	e.staged = append(e.staged, m)
-	if len(e.staged) > maxStagedMaps {
-		e.staged = slices.Delete(e.staged, 0, 1)
-	}
-}
-
-// stagedMap returns a staged map that is still kept.
-func (e *orderAdapter) stagedMap(version uint64) (group.Map, bool) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	i := slices.IndexFunc(e.staged, func(m group.Map) bool { return m.Version == version })
-	if i < 0 {
-		return group.Map{}, false
-	}
-	return e.staged[i], true
-}
-
-// tryStage reports whether the experts of a map have all been fetched. If not, it sends
-// the Prepare order, unless the engine has acknowledged an earlier one. No map is staged
-// during a change, since it would replace the map that the rank promised to switch to.
-func (e *orderAdapter) tryStage(ctx context.Context, p *preparation) (done bool, err error) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	r, err := e.report(ctx)
-	switch {
-	case err != nil:
-		e.log.V(1).Info("engine not reachable while staging a map; trying again", "reason", err.Error())
-		return false, nil
-	case r.Prepared == p.version || r.Map == p.version:
-		return true, nil
-	case r.Prepared > p.version || r.Map > p.version:
-		return false, oops.Code("engine").Errorf("map %d is older than one that the engine has", p.version)
-	case e.state.HoldStep != 0 || e.state.Grants[len(e.state.Grants)-1].MapVersion != r.Map:
-		return false, oops.Code("engine").Errorf("a change of the map is under way")
-	case p.acknowledged:
-		return false, nil
-	}
-	accepted, err := e.engine.Prepare(ctx, e.fence(r, e.state.Promised), p.version, p.content.ByLayerAndRank())
-	switch {
-	case err != nil:
-		p.unconfirmed = true
-	case accepted || p.unconfirmed:
-		// An engine that did receive an order without a reply refuses the next one while it
-		// fetches the experts.
-		p.acknowledged = true
-	default:
-		return false, oops.Code("engine").Errorf("the engine refuses map %d", p.version)
-	}
-	return false, nil
-}
--- a/internal/agent/rank/rank.go
+++ b/internal/agent/rank/rank.go
@@ -178,19 +178,19 @@
 		return nil, err
 	}
 	next, accepted := state.Apply(o, s.Step)
-	if accepted && !sameState(next, state) {
-		p := planFor(next, s.Plan.Version)
-		p.addConditions(o)
+	p := planFor(next, s.Plan.Version)
+	p.addConditions(o)
+	if accepted && (!sameState(next, state) || p.Retired != 0) {
 		status, ok, err := r.engine.Put(ctx, p)
 		if err != nil {
 			return nil, err
 		}
-		s.Step = status.Step
+		s.Step, s.Staged = status.Step, status.Staged
 		if !ok {
 			next, accepted = state, false
 		}
 	}
-	reply := orders.ReplyToProto(group.Reply{Accepted: accepted, State: next, NextStep: s.Step})
+	reply := orders.ReplyToProto(group.Reply{Accepted: accepted, State: next, NextStep: s.Step, Staged: s.Staged})
 	reply.LoadMap, reply.Loads = s.LoadMap, s.Tokens
 	reply.Chosen, reply.ChosenUnit = s.Chosen.Counts, float32(s.Chosen.Unit)
 	if !m.Held {
@@ -231,14 +231,16 @@
 }
 
 // addConditions adds the conditions under which the engine may accept the plan that
-// follows from an order: the latest step that may be its next one, and the map that it
-// must have staged.
+// follows from an order: the latest step that may be its next one, the map that it must
+// have staged, and the map that it must not switch to.
 func (p *Plan) addConditions(o group.Order) {
 	switch v := o.(type) {
 	case group.Hold:
 		p.MaxStep, p.RequiredMap = v.Step, v.MapVersion
 	case group.Give:
 		p.MaxStep, p.RequiredMap = v.Grant.FromStep, v.Grant.MapVersion
+	case group.Retire:
+		p.Retired = v.MapVersion
 	}
 }
 
@@ -297,20 +299,24 @@
 func (r *Rank) index() int { return max(slices.Index(r.group.Ranks(), r.group.Self()), 0) }
 
 // completeChange acts as a leader under a ballot. It collects the states of all
-// ranks and brings every rank to the latest grant that any of them holds.
+// ranks and brings every rank to the latest grant that any of them holds. It ends when
+// another one does so under a higher ballot, since neither would end if both went on.
 func (r *Rank) completeChange(ctx context.Context, b group.Ballot) {
 	ctx, cancel := context.WithTimeout(ctx, completionTimeout)
 	defer cancel()
 	ranks := r.group.Ranks()
 	r.log.Info("completing a change that the leader left unfinished", "attempt", b.Attempt)
-	l := group.NewLeader(ranks, b, 0, group.LeaderConfig{ResendInterval: orders.CallTimeout / 2, PromiseTimeout: completionTimeout})
+	l := group.NewLeader(ranks, b, 0, group.LeaderConfig{ResendInterval: orders.CallTimeout / 2, PromiseTimeout: completionTimeout, Yields: true})
 	orders.RunLeader(ctx, r.log, r.group.Name(), len(ranks), l, r.Call, func(l *group.Leader) bool {
 		if l.Phase() == group.Steady {
 			r.stats.Completed.Add(1)
 			r.log.Info("completed the change", "from-step", l.Current().FromStep, "map", l.Current().MapVersion)
 			return true
 		}
-		return false
+		if l.Superseded() {
+			r.log.Info("another agent or the leader completes the change", "attempt", b.Attempt)
+		}
+		return l.Superseded()
 	})
 }
 
--- a/internal/core/group/leader.go
+++ b/internal/core/group/leader.go
@@ -32,7 +32,13 @@
 	pending          Grant
 	requestedVersion uint64
 	aborted          int
-	progress         progress
+	// superseded is set once another leader is to go on instead of this one.
+	superseded bool
+	// abandoned is the map of the change that is given up. lastStep is the step of the
+	// last change that this leader began.
+	abandoned uint64
+	lastStep  uint64
+	progress  progress
 }
 
 // progress estimates the group's step rate and the duration of a polling round. The
@@ -52,10 +58,10 @@
 const maxStepsAhead = 10000
 
 // stepsAhead returns the number of steps that the group is expected to make while
-// promises are requested and given and the grants are sent, if each of these
-// rounds takes as long as the last polling round.
+// promises are requested and given, the grants are sent and the holds are ended, if
+// each of these rounds takes as long as the last polling round.
 func (p progress) stepsAhead() uint64 {
-	const rounds = 3
+	const rounds = 4
 	return uint64(min(rounds*p.pollTime.Seconds()*p.stepsPerSecond, maxStepsAhead))
 }
 
@@ -78,6 +84,9 @@
 	// PromiseTimeout is how long a change waits for the promises of all ranks
 	// before it is aborted.
 	PromiseTimeout time.Duration
+	// Yields makes a leader end when a rank has promised a higher ballot of the same
+	// term. Otherwise it collects again under a still higher one.
+	Yields bool
 	// MinStepsAhead is the smallest number of steps between the fastest rank and
 	// the step of a change. Slow links add to it, so that promises and grants
 	// arrive before any rank reaches the step.
@@ -94,13 +103,20 @@
 	// Confirming asks every rank a second time, after a reply of a rank that lost
 	// its state.
 	Confirming Phase = "confirming"
-	// Completing sends every rank the grants in effect that it lacks.
+	// Retiring rules out that any rank switches to the map of a change that is given
+	// up, before the ranks' holds are ended.
+	Retiring Phase = "retiring"
+	// Completing sends every rank the grants in effect that it lacks, and then ends
+	// the ranks' holds.
 	Completing Phase = "completing"
 	// Steady has no change in progress; the ranks are polled for their steps.
 	Steady Phase = "steady"
 	// Holding asks every rank to promise to stop before the step of the change.
 	Holding Phase = "holding"
-	// Giving grants the new map, after all ranks have promised.
+	// Arming grants the new map, after all ranks have promised. The ranks keep their
+	// holds.
+	Arming Phase = "arming"
+	// Giving ends the ranks' holds, after all of them have the grant of the new map.
 	Giving Phase = "giving"
 	// Releasing grants the old map from the step of an aborted change on, which
 	// ends the ranks' holds.
@@ -129,6 +145,13 @@
 	l.enterPhase(Collecting)
 }
 
+// collectAgain collects under the next ballot after ResendInterval, since the ranks are not in the
+// state that the leader expects.
+func (l *Leader) collectAgain(now time.Time) {
+	l.startCollecting(Ballot{Term: l.ballot.Term, Attempt: l.ballot.Attempt + 1, Proposer: l.ballot.Proposer})
+	l.lastSent = now
+}
+
 // enterPhase starts phase p, in which orders to all ranks are due at once.
 func (l *Leader) enterPhase(p Phase) {
 	l.phase = p
@@ -143,10 +166,17 @@
 // its state or promised a higher ballot of the same term.
 func (l *Leader) Ballot() Ballot { return l.ballot }
 
+// Superseded reports whether a rank follows a leader to which this one yields. The driver
+// is then to stop.
+func (l *Leader) Superseded() bool { return l.superseded }
+
 // Current returns the latest grant in effect. It is the zero Grant until the states
 // of all ranks have been collected for the first time.
 func (l *Leader) Current() Grant { return l.current }
 
+// Abandoned returns the map of the change that was given up last.
+func (l *Leader) Abandoned() uint64 { return l.abandoned }
+
 // Aborted returns the number of changes that were aborted.
 func (l *Leader) Aborted() int { return l.aborted }
 
@@ -215,39 +245,24 @@
 	switch l.phase {
 	case Holding:
 		return Hold{l.ballot, incarnation, l.pending.FromStep, l.pending.MapVersion}, true
-	case Giving, Releasing:
-		return Give{l.ballot, incarnation, l.pending}, true
-	case Completing:
-		if len(l.replies[rank].State.Grants) == 0 {
-			return Restore{l.ballot, incarnation, l.grantsInEffect}, true
+	case Arming:
+		return Give{l.ballot, incarnation, l.pending, true}, true
+	case Retiring:
+		return Retire{l.ballot, incarnation, l.abandoned}, l.needsRetire(rank)
+	case Releasing:
+		if l.needsRetire(rank) {
+			return Retire{l.ballot, incarnation, l.abandoned}, true
 		}
-		g, due := l.missingGrant(rank)
-		return Give{l.ballot, incarnation, g}, due
+		return Give{l.ballot, incarnation, l.pending, false}, true
+	case Giving:
+		return Give{l.ballot, incarnation, l.pending, false}, true
+	case Completing:
+		return l.completionOrder(rank)
 	default:
 		return Collect{l.ballot, l.phase == Confirming}, true
 	}
 }
 
-// missingGrant returns the next grant in effect that a rank lacks, and false if it
-// lacks none. A hold that is left of an aborted change is ended by granting the
-// map in effect once more, from the step of the hold on.
-func (l *Leader) missingGrant(rank string) (Grant, bool) {
-	r := l.replies[rank]
-	for _, g := range l.grantsInEffect {
-		if r.NextStep > g.FromStep {
-			continue
-		}
-		if m, ok := r.State.grantedVersion(g.FromStep); !ok || m != g.MapVersion {
-			return g, true
-		}
-	}
-	if r.State.HoldStep == 0 {
-		return Grant{}, false
-	}
-	m, _ := Rank{Grants: l.grantsInEffect}.grantedVersion(r.State.HoldStep)
-	return Grant{FromStep: r.State.HoldStep, MapVersion: m}, true
-}
-
 // HandleReply processes a rank's reply to order o, received at now. Replies to
 // orders of other ballots and of unknown ranks are ignored.
 func (l *Leader) HandleReply(rank string, o Order, r Reply, now time.Time) {
@@ -274,9 +289,11 @@
 	case Hold:
 		l.handleHoldReply(rank, v, r)
 	case Give:
-		l.handleGiveReply(rank, v, r)
+		l.handleGiveReply(rank, v, r, now)
 	case Restore:
-		l.handleCompletionReply(r)
+		l.handleCompletionReply(r, now)
+	case Retire:
+		l.handleRetireReply(r, now)
 	}
 }
 
@@ -305,16 +322,20 @@
 		return v.Ballot
 	case Restore:
 		return v.Ballot
+	case Retire:
+		return v.Ballot
 	}
 	return Ballot{}
 }
 
 // handleHigherBallot is called when a rank has promised a higher ballot. If that is of
-// the leader's own term, the leader collects again under a still higher one. A higher
-// term means that the lease was lost: the leader does nothing, and its driver stops
-// it.
+// the leader's own term, the leader collects again under a still higher one, unless it
+// yields. A higher term means that the lease was lost.
 func (l *Leader) handleHigherBallot(higher Ballot) {
-	if higher.Term <= l.ballot.Term {
+	switch {
+	case higher.Term > l.ballot.Term || l.config.Yields:
+		l.superseded = true
+	default:
 		l.startCollecting(Ballot{Term: l.ballot.Term, Attempt: higher.Attempt + 1, Proposer: l.ballot.Proposer})
 	}
 }
@@ -323,6 +344,8 @@
 // also lost its promises to higher ballots, so its reply does not rule out that a
 // higher ballot was completed. All ranks are therefore asked a second time: if a
 // higher ballot was completed before the loss, the other ranks refuse this one.
+// Agents of engines that compare no fencing tokens reconstruct their state, so none
+// of their replies shows a loss, and they are always asked twice.
 func (l *Leader) handleCollectReply(rank string, o Collect, r Reply, now time.Time) {
 	expected := l.phase == Collecting || l.phase == Steady || l.phase == Confirming && o.Confirm
 	if !r.Accepted || !expected {
@@ -334,7 +357,7 @@
 	}
 	l.progress.record(l.Step(), l.phaseStart, now)
 	switch {
-	case l.phase == Collecting && l.anyWithoutState():
+	case l.phase == Collecting && (l.anyWithoutState() || l.lateOrdersPossible()):
 		l.enterPhase(Confirming)
 	case l.phase == Collecting || l.phase == Confirming:
 		l.adoptLatestGrants()
@@ -353,42 +376,14 @@
 	return false
 }
 
-// adoptLatestGrants determines the grants in effect once every rank has replied. A
-// grant that any rank holds may have been sent after all ranks promised, and other
-// ranks may use it already, so the latest one is completed at all ranks. A change
-// whose grant no rank holds is aborted: no rank can receive that grant any more,
-// since all of them now refuse its ballot.
-func (l *Leader) adoptLatestGrants() {
-	l.current = Grant{MapVersion: l.firstVersion}
-	l.grantsInEffect = []Grant{l.current}
-	for _, rank := range l.ranks {
-		grants := l.replies[rank].State.Grants
-		if len(grants) == 0 {
-			continue
-		}
-		if last := grants[len(grants)-1]; last.FromStep > l.current.FromStep || l.current.FromStep == 0 && last.FromStep == 0 {
-			l.current, l.grantsInEffect = last, slices.Clone(grants)
-		}
-	}
-	l.enterPhase(Completing)
-	l.finishCompletionIfDone()
-}
-
-// finishCompletionIfDone enters the Steady phase if no rank needs an order any more.
-func (l *Leader) finishCompletionIfDone() {
-	for _, rank := range l.ranks {
-		if _, due := l.orderFor(rank); due {
-			return
-		}
-	}
-	l.enterPhase(Steady)
-}
-
 // beginChange starts the requested change at a step that no rank is expected to
 // reach before the grants arrive.
 func (l *Leader) beginChange() {
-	l.pending = Grant{FromStep: max(l.Step(), l.current.FromStep) + l.config.MinStepsAhead + l.progress.stepsAhead(), MapVersion: l.requestedVersion}
-	l.requestedVersion = 0
+	step := max(l.Step(), l.current.FromStep) + l.config.MinStepsAhead + l.progress.stepsAhead()
+	// An order of a change that was given up, carried out late, must not be one for this change.
+	step = max(step, l.lastStep+1)
+	l.pending = Grant{FromStep: step, MapVersion: l.requestedVersion}
+	l.lastStep, l.requestedVersion = step, 0
 	l.enterPhase(Holding)
 }
 
@@ -404,36 +399,40 @@
 	}
 	l.done[rank] = true
 	if len(l.done) == len(l.ranks) {
-		l.enterPhase(Giving)
+		l.enterPhase(Arming)
 	}
 }
 
 // abortChange releases the promises of a change that not all ranks promised. No
-// rank has been granted the new map, and none will be under this ballot.
+// rank has been granted the new map, and none will be under this ballot. Where late
+// orders are possible, each rank retires the map before it is released, so that no
+// later leader completes the change while orders to release are under way.
 func (l *Leader) abortChange() {
 	l.aborted++
-	l.pending.MapVersion = l.current.MapVersion
+	l.abandoned, l.pending.MapVersion = l.pending.MapVersion, l.current.MapVersion
 	l.enterPhase(Releasing)
 }
 
 // handleGiveReply processes a reply to Give.
-func (l *Leader) handleGiveReply(rank string, v Give, r Reply) {
+func (l *Leader) handleGiveReply(rank string, v Give, r Reply, now time.Time) {
 	switch {
 	case l.phase == Completing:
-		l.handleCompletionReply(r)
-	case l.phase == Giving && v.Grant == l.pending && r.Accepted:
-		l.recordOutcome(rank, l.pending)
-	case l.phase == Releasing && v.Grant == l.pending && (r.Accepted || r.NextStep > v.Grant.FromStep):
+		l.handleCompletionReply(r, now)
+	case v.Grant != l.pending:
+	case l.phase == Releasing:
 		// A rank that is past the step never promised, and still uses the old map.
-		l.recordOutcome(rank, l.current)
-	}
-}
-
-// handleCompletionReply processes a reply to an order of the Completing phase.
-func (l *Leader) handleCompletionReply(r Reply) {
-	if l.phase == Completing && r.Accepted {
-		l.lastSent = time.Time{} // the rank may need another grant
-		l.finishCompletionIfDone()
+		if r.Accepted || r.NextStep > v.Grant.FromStep {
+			l.recordOutcome(rank, l.current)
+		}
+	case l.phase == Arming && v.KeepHold && r.Accepted:
+		l.done[rank] = true
+		if len(l.done) == len(l.ranks) {
+			l.enterPhase(Giving)
+		}
+	case l.phase == Giving && !v.KeepHold && r.Accepted:
+		l.recordOutcome(rank, l.pending)
+	case (l.phase == Arming || l.phase == Giving) && !r.Accepted:
+		l.collectAgain(now)
 	}
 }
 
--- a/internal/core/group/leader_test.go
+++ b/internal/core/group/leader_test.go
@@ -19,7 +19,7 @@
 		for _, o := range sent {
 			next, accepted := ranks[o.Rank].Apply(o.Order, 5)
 			ranks[o.Rank] = next
-			l.HandleReply(o.Rank, o.Order, Reply{accepted, next, 5}, now)
+			l.HandleReply(o.Rank, o.Order, Reply{Accepted: accepted, State: next, NextStep: 5}, now)
 		}
 		return len(sent)
 	}
--- a/internal/core/group/rank.go
+++ b/internal/core/group/rank.go
@@ -38,7 +38,7 @@
 	MapVersion uint64 `json:"map"`
 }
 
-// Order is an instruction of a Leader to a rank: Collect, Hold, Give or Restore.
+// Order is an instruction of a Leader to a rank: Collect, Hold, Give, Restore or Retire.
 type Order interface{ order() }
 
 // Collect asks a rank for its state and makes it refuse all lower ballots from then
@@ -62,11 +62,12 @@
 }
 
 // Give adds a grant to a rank, and ends a hold at the step from which the grant
-// applies.
+// applies, unless KeepHold is set.
 type Give struct {
 	Ballot      Ballot
 	Incarnation string
 	Grant       Grant
+	KeepHold    bool
 }
 
 // Restore gives all grants in effect to a rank that lost its state. They are sent in
@@ -78,10 +79,19 @@
 	Grants      []Grant
 }
 
+// Retire rules out that a rank switches to the map of a version, or to an earlier one that it does not
+// use yet, also by an order of a lower ballot that its engine carries out late.
+type Retire struct {
+	Ballot      Ballot
+	Incarnation string
+	MapVersion  uint64
+}
+
 func (Collect) order() {}
 func (Hold) order()    {}
 func (Give) order()    {}
 func (Restore) order() {}
+func (Retire) order()  {}
 
 // Rank is the state of one rank, which is the acceptor of the protocol. The rank's
 // engine enforces the grants and the hold: the rank's agent passes them to the
@@ -104,6 +114,9 @@
 	State    Rank
 	// NextStep is the next step that the rank would start.
 	NextStep uint64
+	// Staged is the version that the rank has staged, if its engine may still carry out an order of a
+	// lower ballot to switch to that map. It is 0 if the engine refuses such orders.
+	Staged uint64
 }
 
 // MapVersionAt returns the version of the map granted for a step, and false if the
@@ -145,6 +158,8 @@
 		return r.applyGive(v, step)
 	case Restore:
 		return r.applyRestore(v)
+	case Retire:
+		return r.applyRetire(v, step)
 	}
 	return r, false
 }
@@ -177,7 +192,7 @@
 		}
 		r.Grants = append(r.prune(step), v.Grant)
 	}
-	if r.HoldStep == v.Grant.FromStep {
+	if r.HoldStep == v.Grant.FromStep && !v.KeepHold {
 		r.HoldStep = 0
 	}
 	return r, true
@@ -196,6 +211,41 @@
 	return r, true
 }
 
+// applyRetire drops the grant of a switch that has not begun. It refuses to retire the map in use.
+func (r Rank) applyRetire(v Retire, step uint64) (Rank, bool) {
+	if v.Ballot != r.Promised || v.Incarnation != r.Incarnation {
+		return r, false
+	}
+	if used, ok := r.usedVersion(step); ok && used == v.MapVersion {
+		return r, false
+	}
+	if _, pending := r.PendingSwitch(step); pending {
+		r.Grants = slices.Clone(r.Grants[:len(r.Grants)-1])
+	}
+	return r, true
+}
+
+// usedVersion returns the map that the rank uses before it starts a step, and false if it has no grants.
+func (r Rank) usedVersion(step uint64) (uint64, bool) {
+	if len(r.Grants) == 0 {
+		return 0, false
+	}
+	if m, ok := r.grantedVersion(max(step, 1) - 1); ok {
+		return m, true
+	}
+	return r.Grants[0].MapVersion, true
+}
+
+// PendingSwitch returns the rank's latest grant if it makes the rank switch to another map at a step
+// that it has not started.
+func (r Rank) PendingSwitch(step uint64) (Grant, bool) {
+	last := len(r.Grants) - 1
+	if last < 1 || r.Grants[last].FromStep < step || r.Grants[last].MapVersion == r.Grants[last-1].MapVersion {
+		return Grant{}, false
+	}
+	return r.Grants[last], true
+}
+
 // prune returns the grants that apply to a step or to later ones.
 func (r Rank) prune(step uint64) []Grant {
 	first := 0
--- a/internal/simulation/agent/group_test.go
+++ b/internal/simulation/agent/group_test.go
@@ -7,7 +7,6 @@
 	"slices"
 	"strconv"
 	"strings"
-	"testing"
 	"time"
 
 	"bramleydeal/internal/agent/rank"
@@ -48,11 +47,12 @@
 	// unanswered are the orders that are carried out late.
 	unanswered []lateOrder
 	// decide returns what becomes of an order.
-	decide      func(rank int, operation string) outcome
-	step        uint64
-	now         time.Time
-	term        uint64
-	lastVersion uint64
+	decide func(rank int, operation string) outcome
+	step   uint64
+	now    time.Time
+	term   uint64
+	// maps counts the maps that were staged.
+	maps uint64
 	// twoMaps tells of the first step that began while two ranks had different maps.
 	twoMaps string
 	events  []string
@@ -74,6 +74,8 @@
 
 type lateOrder struct {
 	rank int
+	// term is the latest term when it was sent.
+	term uint64
 	text string
 	// operation is the name of the order.
 	operation string
@@ -105,6 +107,20 @@
 	s.agents[i] = rank.New(members{s.names, i}, rank.NewOrderAdapter(s.engines[i], logr.Discard()), logr.Discard())
 }
 
+// stop stops the agent of a rank, with the leaders beside it and the messages to and from them.
+func (s *simulatedGroup) stop(i int) {
+	s.addEvent("agent %d is lost", i)
+	s.agents[i] = nil
+	s.leaders = slices.DeleteFunc(s.leaders, func(l *simulatedLeader) bool { return l.host == i })
+	s.inFlight = slices.DeleteFunc(s.inFlight, func(m message) bool { return m.rank == i || m.from.host == i })
+}
+
+func (s *simulatedGroup) stopAll() {
+	for i := range s.agents {
+		s.stop(i)
+	}
+}
+
 // lead starts a leader beside the agent of rank i: one with the next term of the group's lease, or an
 // agent that completes a change under the ballot after the one that its rank has promised.
 func (s *simulatedGroup) lead(i int, leased bool) *simulatedLeader {
@@ -112,14 +128,30 @@
 	b := group.Ballot{Term: p.Term, Attempt: p.Attempt + 1, Proposer: s.names[i]}
 	if leased {
 		s.term++
+		s.forgetTerm()
 		b = group.Ballot{Term: s.term, Proposer: s.names[i]}
 	}
 	s.addEvent("agent %d leads under %+v", i, b)
-	l := &simulatedLeader{group.NewLeader(s.names, b, 0, leaderConfig), i}
+	config := leaderConfig
+	config.Yields = !leased
+	l := &simulatedLeader{group.NewLeader(s.names, b, 0, config), i}
 	s.leaders = append(s.leaders, l)
 	return l
 }
 
+// lateTerms is the number of terms within which a late order is carried out, and a leader that does not
+// know of its successor sends orders. It takes seconds to carry out an order late, or to notice that an
+// agent sends none.
+const lateTerms = 4
+
+// forgetTerm ends what is left of the terms before the last ones.
+func (s *simulatedGroup) forgetTerm() {
+	old := func(term uint64) bool { return term+lateTerms <= s.term }
+	s.leaders = slices.DeleteFunc(s.leaders, func(l *simulatedLeader) bool { return old(l.Ballot().Term) })
+	s.inFlight = slices.DeleteFunc(s.inFlight, func(m message) bool { return old(m.from.Ballot().Term) })
+	s.unanswered = slices.DeleteFunc(s.unanswered, func(o lateOrder) bool { return old(o.term) })
+}
+
 // tick puts the orders that a leader sends next in transit.
 func (s *simulatedGroup) tick(l *simulatedLeader) {
 	batch := l.Tick(s.now)
@@ -139,6 +171,9 @@
 	if m.reply != nil {
 		s.addEvent("leader %+v receives from rank %d: %+v", m.from.Ballot(), m.rank, *m.reply)
 		m.from.HandleReply(s.names[m.rank], m.order, *m.reply, s.now)
+		if m.from.Superseded() {
+			s.leaders = slices.DeleteFunc(s.leaders, func(l *simulatedLeader) bool { return l == m.from })
+		}
 		return
 	}
 	if s.agents[m.rank] == nil {
@@ -174,8 +209,8 @@
 	if l.Phase() != group.Steady || l.ChangePending() {
 		return false
 	}
-	s.lastVersion += 2
-	version := s.lastVersion
+	s.maps++
+	version := group.MapVersion(l.Ballot().Term, s.maps)
 	for i, e := range s.engines {
 		if e.hold != 0 || e.armed != 0 {
 			return false
@@ -252,7 +287,7 @@
 			s.addEvent("rank %d: %s: %v, without an answer", e.rank, text, apply())
 		case late:
 			s.addEvent("rank %d: %s is late", e.rank, text)
-			s.unanswered = append(s.unanswered, lateOrder{e.rank, text, operation, apply})
+			s.unanswered = append(s.unanswered, lateOrder{e.rank, s.term, text, operation, apply})
 		case lost:
 			s.addEvent("rank %d: %s is lost", e.rank, text)
 		}
@@ -306,8 +341,9 @@
 
 // Report implements rank.OrderEngine.
 func (e *simulatedEngine) Report(context.Context) (rank.Report, error) {
+	s := e.group
 	return rank.Report{
-		Epoch: 1, NextStep: e.group.step + 1, Map: e.version, Prepared: e.prepared, Armed: e.armed, ArmedStep: e.armedStep, Hold: e.hold,
+		Rank: s.names[e.rank], Ranks: len(s.names), Epoch: 1, NextStep: s.step + 1, Map: e.version, Prepared: e.prepared, Armed: e.armed, ArmedStep: e.armedStep, Hold: e.hold,
 	}, nil
 }
 
@@ -362,23 +398,3 @@
 func (m members) Call(context.Context, string, *peer.GrantOrder) (*peer.GrantReply, error) {
 	return nil, errNoAnswer
 }
-
-// checkGoesOn checks that a group runs on, on one map, while a leader is active.
-func checkGoesOn(t *testing.T, s *simulatedGroup, l *simulatedLeader) {
-	t.Helper()
-	before := s.step
-	for range 30 {
-		s.run(l, 1)
-		s.runSteps(1)
-	}
-	s.carryOutAll(-1, "")
-	for range 30 {
-		s.run(l, 1)
-		s.runSteps(1)
-	}
-	if s.twoMaps != "" || s.step < before+40 {
-		t.Fatalf("%s\nstep %d, %d before; %s", s.history(), s.step, before, s.twoMaps)
-	}
-}
-
-func answerAll(int, string) outcome { return answered }
--- a/internal/simulation/agent/hold_test.go
+++ b/internal/simulation/agent/hold_test.go
@@ -1,4 +1,3 @@
-// Package agent simulates the agents of an expert-parallel group and engines that carry out orders late.
 package agent
 
 import (
@@ -40,7 +39,7 @@
 	}
 	s.run(l, 3)
 	s.carryOutAll(-1, "release")
-	s.runSteps(5)
+	s.runSteps(20)
 	s.decide = answerAll
 	checkGoesOn(t, s, l)
 }
--- a/internal/wire/orders/orders.go
+++ b/internal/wire/orders/orders.go
@@ -35,8 +35,11 @@
 		m.Kind, m.Ballot, m.Incarnation, m.Step, m.Map = peer.GrantOrder_HOLD, BallotToProto(v.Ballot), v.Incarnation, v.Step, v.MapVersion
 	case group.Give:
 		m.Kind, m.Ballot, m.Incarnation, m.Grants = peer.GrantOrder_GIVE, BallotToProto(v.Ballot), v.Incarnation, grantsToProto([]group.Grant{v.Grant})
+		m.KeepHold = v.KeepHold
 	case group.Restore:
 		m.Kind, m.Ballot, m.Incarnation, m.Grants = peer.GrantOrder_RESTORE, BallotToProto(v.Ballot), v.Incarnation, grantsToProto(v.Grants)
+	case group.Retire:
+		m.Kind, m.Ballot, m.Incarnation, m.Map = peer.GrantOrder_RETIRE, BallotToProto(v.Ballot), v.Incarnation, v.MapVersion
 	}
 	return m
 }
@@ -55,9 +58,11 @@
 		if len(m.Grants) != 1 {
 			return nil, oops.Code("invalid-order").Errorf("a GIVE order carries one grant, not %d", len(m.Grants))
 		}
-		return group.Give{Ballot: b, Incarnation: m.Incarnation, Grant: grantsFromProto(m.Grants)[0]}, nil
+		return group.Give{Ballot: b, Incarnation: m.Incarnation, Grant: grantsFromProto(m.Grants)[0], KeepHold: m.KeepHold}, nil
 	case peer.GrantOrder_RESTORE:
 		return group.Restore{Ballot: b, Incarnation: m.Incarnation, Grants: grantsFromProto(m.Grants)}, nil
+	case peer.GrantOrder_RETIRE:
+		return group.Retire{Ballot: b, Incarnation: m.Incarnation, MapVersion: m.Map}, nil
 	}
 	return nil, oops.Code("invalid-order").Errorf("no order of kind %v", m.Kind)
 }
@@ -66,13 +71,13 @@
 func ReplyToProto(r group.Reply) *peer.GrantReply {
 	return &peer.GrantReply{
 		Accepted: r.Accepted, Incarnation: r.State.Incarnation, Promised: BallotToProto(r.State.Promised),
-		Grants: grantsToProto(r.State.Grants), Hold: r.State.HoldStep, Step: r.NextStep,
+		Grants: grantsToProto(r.State.Grants), Hold: r.State.HoldStep, Step: r.NextStep, Staged: r.Staged,
 	}
 }
 
 // ReplyFromProto converts a message back into the reply of a rank.
 func ReplyFromProto(m *peer.GrantReply) group.Reply {
-	return group.Reply{Accepted: m.Accepted, NextStep: m.Step, State: group.Rank{
+	return group.Reply{Accepted: m.Accepted, NextStep: m.Step, Staged: m.Staged, State: group.Rank{
 		Incarnation: m.Incarnation, Promised: BallotFromProto(m.Promised), Grants: grantsFromProto(m.Grants), HoldStep: m.Hold,
 	}}
 }
@@ -163,6 +168,7 @@
 		default:
 		}
 	}
+	phase := l.Phase()
 	for {
 		if batch := l.Tick(time.Now()); len(batch) > 0 {
 			go task.Once(log, "send-orders", func() {
@@ -178,10 +184,14 @@
 		case <-ctx.Done():
 			return
 		}
+		if l.Phase() != phase {
+			phase = l.Phase()
+			logPhase(log, l)
+		}
 		if stop(l) {
 			return
 		}
-		if l.Phase() == group.Steady {
+		if phase == group.Steady {
 			timer.Reset(steadyTickInterval)
 		} else {
 			timer.Reset(tickInterval)
@@ -189,6 +199,17 @@
 	}
 }
 
+// logPhase logs the phases that tell what becomes of a change which does not end as planned.
+func logPhase(log logr.Logger, l *group.Leader) {
+	values := []any{"phase", l.Phase(), "term", l.Ballot().Term, "attempt", l.Ballot().Attempt, "step", l.Step()}
+	switch l.Phase() {
+	case group.Retiring, group.Releasing:
+		log.Info("giving up a change of the map", append(values, "map", l.Abandoned())...)
+	case group.Completing:
+		log.Info("completing what an earlier leader left", append(values, "map", l.Current().MapVersion, "from-step", l.Current().FromStep)...)
+	}
+}
+
 // Call sends an order to the agent of a rank, whose address it takes from the settings.
 // After an error the order may or may not have been carried out.
 func Call(ctx context.Context, settings *snapshot.Snapshot, pool *dial.Pool, rank string, m *peer.GrantOrder) (*peer.GrantReply, error) {
