--- a/internal/agent/rank/engine.go
+++ b/internal/agent/rank/engine.go
@@ -22,6 +22,7 @@
 
 	"bramleydeal/internal/core/group"
 	"bramleydeal/internal/wire/dial"
+	"bramleydeal/internal/wire/http11"
 	"github.com/samber/oops"
 )
 
@@ -56,10 +57,10 @@
 // NewPlanEngine returns a client of the engine at an address that accepts plans over
 // HTTP and stores the agent's state with them.
 func NewPlanEngine(address netip.AddrPort) Engine {
-	return &planEngine{base: "http://" + address.String(), http: &http.Client{Timeout: engineTimeout, Transport: &http.Transport{
+	return &planEngine{base: "http://" + address.String(), http: &http.Client{Timeout: engineTimeout, Transport: http11.NewTransport(&http.Transport{
 		// A late copy of one response must not be taken for the next.
 		DisableKeepAlives: true, MaxResponseHeaderBytes: dial.MaxResponseHead,
-	}}}
+	})}}
 }
 
 // Plan tells the engine which map to use in which step, and the step to stop before
--- a/internal/agent/upstream/client.go
+++ b/internal/agent/upstream/client.go
@@ -14,6 +14,7 @@
 
 	"bramleydeal/internal/wire/dial"
 	"bramleydeal/internal/wire/header"
+	"bramleydeal/internal/wire/http11"
 	"bramleydeal/internal/world/answer"
 	"github.com/samber/oops"
 )
@@ -61,13 +62,13 @@
 // not follow redirects.
 func newHTTPClient() *http.Client {
 	return &http.Client{
-		Transport: &http.Transport{
+		Transport: http11.NewTransport(&http.Transport{
 			DialContext:        (&net.Dialer{Timeout: dialTimeout}).DialContext,
 			DisableCompression: true,
 			DisableKeepAlives:  true,
 
 			MaxResponseHeaderBytes: dial.MaxResponseHead,
-		},
+		}),
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
 }
--- a/internal/entry/upstream/exchange.go
+++ b/internal/entry/upstream/exchange.go
@@ -20,6 +20,7 @@
 
 	"bramleydeal/internal/core/client"
 	"bramleydeal/internal/wire/dial"
+	"bramleydeal/internal/wire/http11"
 	"github.com/samber/oops"
 )
 
@@ -34,10 +35,6 @@
 	readBufferSize = 4 << 10
 )
 
-// errHeadTooLong means that an upstream sent more than dial.MaxResponseHead bytes without
-// completing the head of a response.
-var errHeadTooLong = errors.New("the head of the response is too long")
-
 // ErrUnsent means that no byte of the request was sent.
 var ErrUnsent = errors.New("the request was not sent")
 
@@ -113,16 +110,17 @@
 
 // readHead reads the head of the response and skips interim (1xx) responses.
 func (x *Exchange) readHead(method string) error {
-	limited := &headReader{connection: x.connection, left: dial.MaxResponseHead}
-	reader := bufio.NewReaderSize(limited, readBufferSize)
+	reader := bufio.NewReaderSize(http11.NewHeadReader(x.connection, dial.MaxResponseHead), readBufferSize)
 	for {
 		response, err := http.ReadResponse(reader, &http.Request{Method: method})
 		if err != nil {
 			return oops.Code("upstream-answer").Wrap(err)
 		}
+		if err := http11.Check(response); err != nil {
+			return err
+		}
 		if response.StatusCode >= http.StatusOK {
 			x.Response = response
-			limited.complete = true
 			return nil
 		}
 		if response.StatusCode == http.StatusSwitchingProtocols {
@@ -131,26 +129,6 @@
 	}
 }
 
-// headReader reads from a connection. It fails after left bytes until the head is complete.
-type headReader struct {
-	connection net.Conn
-	left       int
-	complete   bool
-}
-
-// Read implements io.Reader.
-func (r *headReader) Read(p []byte) (int, error) {
-	if r.complete {
-		return r.connection.Read(p)
-	}
-	if r.left <= 0 {
-		return 0, errHeadTooLong
-	}
-	n, err := r.connection.Read(p[:min(len(p), r.left)])
-	r.left -= n
-	return n, err
-}
-
 // head returns the encoded request line and headers. A Content-Length is set
 // unless the body is empty and the method is GET or HEAD.
 func (r *Request) head() []byte {
--- a/internal/store/object/client.go
+++ b/internal/store/object/client.go
@@ -18,6 +18,7 @@
 
 	"bramleydeal/internal/core/store"
 	"bramleydeal/internal/wire/dial"
+	"bramleydeal/internal/wire/http11"
 	"github.com/samber/oops"
 )
 
@@ -48,7 +49,7 @@
 // NewClient returns a client of the platform's object API at address.
 func NewClient(address netip.AddrPort) *Client {
 	return &Client{base: "http://" + address.String(), http: &http.Client{
-		Transport: &http.Transport{MaxIdleConnsPerHost: 16, ResponseHeaderTimeout: time.Minute, MaxResponseHeaderBytes: dial.MaxResponseHead},
+		Transport: http11.NewTransport(&http.Transport{MaxIdleConnsPerHost: 16, ResponseHeaderTimeout: time.Minute, MaxResponseHeaderBytes: dial.MaxResponseHead}),
 	}}
 }
 
--- a/internal/store/object/client_test.go
+++ b/internal/store/object/client_test.go
@@ -102,3 +102,21 @@
 		})
 	}
 }
+
+// TestMalformedAnswerIsNone guards against an answer of a store in trouble that counts as an object.
+func TestMalformedAnswerIsNone(t *testing.T) {
+	const body = `{"name":"a","version":3}`
+	for name, head := range map[string]string{
+		"no blank after the status":     "HTTP/1.1 200\r\n\r\n",
+		"status with a sign":            "HTTP/1.1 +20 OK\r\n\r\nHTTP/1.1 200 OK\r\n\r\n",
+		"blank before the colon":        "HTTP/1.1 200 OK\r\nContent-Length : 24\r\n\r\n",
+		"blank in a name of an interim": "HTTP/1.1 103 Early Hints\r\nLink : </a>\r\n\r\nHTTP/1.1 200 OK\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			c, stop := clientOf(t, func(w io.Writer) { _, _ = io.WriteString(w, head+body) })
+			defer stop()
+			_, err := c.Get(t.Context(), "a")
+			is.New(t).True(err != nil)
+		})
+	}
+}
