--- a/internal/entry/upstream/exchange.go
+++ b/internal/entry/upstream/exchange.go
@@ -101,7 +101,8 @@
 			return oops.Code("upstream-write").Wrap(err)
 		}
 		// An upstream may respond before it has read the body. The write error
-		// is ignored; if the upstream is gone, reading the response fails too.
+		// is ignored here: the connection reports it to the reader of a response
+		// that would otherwise end with the connection.
 		body := net.Buffers(slices.Clone(r.Body)) // WriteTo changes it
 		go func() { _, _ = body.WriteTo(x.connection) }()
 	}
--- a/internal/wire/dial/tcp.go
+++ b/internal/wire/dial/tcp.go
@@ -63,11 +63,11 @@
 }
 
 // TCP opens a TCP connection that the kernel closes within about two seconds when its
-// peer becomes unreachable.
+// peer becomes unreachable. Its reader learns of failed writes.
 func TCP(ctx context.Context, address netip.AddrPort) (net.Conn, error) {
 	c, err := tcpDialer.DialContext(ctx, "tcp", address.String())
 	if err != nil {
 		return nil, oops.Code("unreachable").Wrap(err)
 	}
-	return c, nil
+	return ReportFailedWrites(c), nil
 }
--- a/internal/wire/http11/transport.go
+++ b/internal/wire/http11/transport.go
@@ -10,7 +10,8 @@
 	"bramleydeal/internal/wire/dial"
 )
 
-// Transport is a transport whose responses are checked: their heads and trailers.
+// Transport is a transport whose responses are checked: their heads and trailers, and that a response
+// without a framing ends with a clean end of its connection.
 type Transport struct{ *http.Transport }
 
 // NewTransport returns a Transport that uses t, which must not be used otherwise.
@@ -24,6 +25,7 @@
 		if err != nil {
 			return nil, err
 		}
+		c = dial.ReportFailedWrites(c)
 		if t.DisableKeepAlives {
 			// One response arrives on the connection.
 			c = &checkedConnection{c, NewHeadReader(c, dial.MaxResponseHead)}
