Draw histories of lost agents in episodes

The search drew most events where they make no difference. Each episode has a leader and ends with a loss of agents, mostly of all at once, and often right after a switch was ordered.

--- a/internal/simulation/agent/late_test.go
+++ b/internal/simulation/agent/late_test.go
@@ -12,18 +12,44 @@
 	firstSeed = flag.Uint64("first-seed", 1, "seed of the first history")
 )
 
-// maxEvents is the largest number of random events of a history.
-const maxEvents = 120
-
-// drawHistory draws a history of a group that begins with a change of the map: agents that are lost alone
-// or all at once, and orders to engines that get no answer and are carried out late, at any rank, before
-// and after other orders. It ends at the first step on two maps.
+// drawHistory draws a history of a group. It consists of episodes, each with a leader of its own and
+// a loss of agents, mostly of all at once, at its end. Orders to engines get no answer at times and are
+// carried out late, at any rank, before and after other orders. The history ends at the first step on two
+// maps.
 func drawHistory(random *rand.Rand) *simulatedGroup {
 	s := newGroup(2+random.IntN(3), answerAll)
-	l := s.lead(0, true)
-	s.run(l, 4)
-	s.propose(l)
 	trouble := 5 + random.IntN(45) // orders without an answer in a hundred
+	// A busy group begins a step as soon as it may.
+	busy := random.IntN(2) == 0
+	for range 2 + random.IntN(4) {
+		s.playEpisode(random, trouble, busy)
+		if s.twoMaps != "" {
+			break
+		}
+	}
+	s.decide = answerAll
+	return s
+}
+
+// maxEvents is the largest number of events of an episode.
+const maxEvents = 60
+
+// playEpisode lets a leader work, amid trouble, until agents are lost.
+func (s *simulatedGroup) playEpisode(random *rand.Rand, trouble int, busy bool) {
+	down := -1
+	if random.IntN(4) == 0 {
+		down = random.IntN(len(s.agents)) // is back later than the others
+	}
+	for i, a := range s.agents {
+		if a == nil && i != down {
+			s.start(i)
+		}
+	}
+	host := random.IntN(len(s.agents))
+	if s.agents[host] == nil {
+		return
+	}
+	l := s.lead(host, random.IntN(4) != 0)
 	loseAll := false
 	s.decide = func(_ int, operation string) outcome {
 		if random.IntN(100) >= trouble {
@@ -33,55 +59,34 @@
 		loseAll = loseAll || operation == "arm" && random.IntN(4) == 0
 		return []outcome{late, late, late, carriedOut, lost}[random.IntN(5)]
 	}
-	for range 10 + random.IntN(maxEvents-10) {
-		s.performEvent(random)
-		if loseAll {
-			s.stopAll()
-			loseAll = false
+	for range random.IntN(maxEvents) {
+		switch {
+		case len(s.inFlight) == 0 && random.IntN(3) == 0:
+			s.propose(l)
+		case len(s.inFlight) == 0 && len(s.leaders) > 0:
+			s.tick(s.leaders[random.IntN(len(s.leaders))])
+		case len(s.inFlight) > 0:
+			s.deliver(random.IntN(len(s.inFlight)))
 		}
-		if s.twoMaps != "" {
-			break
+		if len(s.unanswered) > 0 && random.IntN(8) == 0 {
+			s.carryOut(random.IntN(len(s.unanswered)))
 		}
-	}
-	s.decide = answerAll
-	return s
-}
-
-// performEvent performs one random event: usually progress, sometimes a fault.
-func (s *simulatedGroup) performEvent(random *rand.Rand) {
-	var up, down []int
-	for i, a := range s.agents {
-		if a == nil {
-			down = append(down, i)
-		} else {
-			up = append(up, i)
+		if busy || random.IntN(5) == 0 {
+			s.runSteps(1)
 		}
-	}
-	switch kind := random.IntN(100); {
-	case kind < 34 && len(s.inFlight) > 0:
-		s.deliver(random.IntN(len(s.inFlight)))
-	case kind < 44:
-		s.deliverAll()
-	case kind < 54 && len(s.unanswered) > 0:
-		s.carryOut(random.IntN(len(s.unanswered)))
-	case kind < 58 && len(down) > 0:
-		s.start(down[random.IntN(len(down))])
-	case kind < 64 && len(down) > 0:
-		for _, i := range down {
-			s.start(i)
+		if down >= 0 && s.agents[down] == nil && random.IntN(12) == 0 {
+			s.start(down)
 		}
-	case len(s.leaders) == 0 && len(up) > 0 || kind < 67 && len(up) > 0 && len(s.leaders) < 3:
-		s.lead(up[random.IntN(len(up))], random.IntN(3) != 0)
-	case kind < 82 && len(s.leaders) > 0:
-		s.tick(s.leaders[random.IntN(len(s.leaders))])
-	case kind < 87 && len(s.leaders) > 0:
-		s.propose(s.leaders[random.IntN(len(s.leaders))])
-	case kind < 97:
-		s.runSteps(1 + random.IntN(3))
-	case kind < 98:
-		s.stopAll()
-	default:
+		if loseAll {
+			break
+		}
+	}
+	switch random.IntN(5) {
+	case 0:
 		s.stop(random.IntN(len(s.agents)))
+	case 1: // the leader goes on beside the next one
+	default:
+		s.stopAll()
 	}
 }
 
